--- /dev/null
+++ b/libs/base/include/base/Time.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+
+namespace boragepitch::base {
+
+/** Monotonic time. Wall-clock time is never compared between processes. */
+using TimePoint = std::chrono::steady_clock::time_point;
+using Duration = std::chrono::steady_clock::duration;
+using Milliseconds = std::chrono::milliseconds;
+
+/** Source of the present time for threads that drive the pure cores; the cores take time as an
+ * argument. */
+class Clock
+{
+public:
+  virtual ~Clock() = default;
+  virtual TimePoint now() const = 0;
+};
+
+class SteadyClock final : public Clock
+{
+public:
+  TimePoint now() const override { return std::chrono::steady_clock::now(); }
+};
+
+/** A clock that tests set by hand. */
+class ManualClock final : public Clock
+{
+public:
+  TimePoint now() const override { return mNow; }
+  void advance(Duration aBy) { mNow += aBy; }
+
+private:
+  TimePoint mNow{ std::chrono::hours(1) };
+};
+
+/** Whole milliseconds of a duration, rounded down. */
+inline long long toMilliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<Milliseconds>(aDuration).count();
+}
+
+} // namespace boragepitch::base
--- /dev/null
+++ b/libs/control/src/FleetView.cpp
@@ -0,0 +1,1 @@
+#include "control/FleetView.h"
--- /dev/null
+++ b/libs/net/include/net/HttpServer.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/Error.h"
+#include "base/Time.h"
+#include "net/Address.h"
+
+namespace boragepitch::net {
+
+struct CaseInsensitiveLess
+{
+  using is_transparent = void;
+  bool operator()(std::string_view aLeft, std::string_view aRight) const;
+};
+
+using Headers = std::multimap<std::string, std::string, CaseInsensitiveLess>;
+
+/** First value of a header. */
+std::optional<std::string> headerValue(const Headers& aHeaders, std::string_view aName);
+
+struct HttpRequest
+{
+  std::string method;
+  std::string path; ///< Decoded, without the query.
+  std::map<std::string, std::string> query;
+  std::map<std::string, std::string> pathParameters; ///< Values of {name} segments of the route.
+  Headers headers;
+  std::string body;
+  std::string remoteAddress;
+
+  std::optional<std::string> header(std::string_view aName) const
+  {
+    return headerValue(headers, aName);
+  }
+};
+
+/** The open body of a streamed response. */
+class StreamWriter
+{
+public:
+  virtual ~StreamWriter() = default;
+  /** False once the peer has gone; later writes are ignored. */
+  virtual bool write(std::string_view aBytes) = 0;
+  /** False when the peer is known to have closed the connection. */
+  virtual bool peerIsConnected() = 0;
+};
+
+/** How a streamed body ends: normally, or by closing the connection so that the peer sees a cut. */
+enum class StreamEnd
+{
+  Complete,
+  Abort,
+};
+
+struct HttpResponse
+{
+  int status = 200;
+  std::string contentType = "application/json";
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  /** When set, the body is sent chunked by this function, called once on the connection's thread.
+   */
+  std::function<StreamEnd(StreamWriter&)> stream;
+};
+
+using HttpHandler = std::function<HttpResponse(const HttpRequest&)>;
+
+/**
+ * HTTP/1.1 server on one IP number and port. One thread for each connection, up to a limit; a
+ * connection over the limit is answered 503 with X-Ran: no. Handlers run on connection threads and
+ * must be thread-safe.
+ */
+class HttpServer
+{
+public:
+  class Builder
+  {
+  public:
+    Builder& address(Address aAddress);
+    /** Most connections served at once (default 256). */
+    Builder& maxConnections(size_t aCount);
+    /** Largest request body, bytes (default 1 MiB); larger ones are answered 413. */
+    Builder& maxBodyBytes(size_t aBytes);
+    /** How long an idle kept-alive connection stays open (default 5 s, whole seconds). */
+    Builder& keepAlive(std::chrono::seconds aTimeout);
+    /** Longest silence while reading a request or writing a response (default 5 s). */
+    Builder& ioTimeout(base::Milliseconds aTimeout);
+    std::unique_ptr<HttpServer> build();
+
+  private:
+    friend class HttpServer;
+    Address mAddress;
+    size_t mMaxConnections = 256;
+    size_t mMaxBodyBytes = 1 << 20;
+    std::chrono::seconds mKeepAlive{ 5 };
+    base::Milliseconds mIoTimeout{ 5000 };
+  };
+
+  virtual ~HttpServer() = default;
+  /**
+   * Adds a route before start(). aMethod may be "*". aPattern is made of literal segments, {name}
+   * for one segment and a last {name...} for the rest of the path. Earlier routes win.
+   */
+  virtual void route(std::string aMethod, std::string aPattern, HttpHandler aHandler) = 0;
+  /** Binds and serves on threads of its own. */
+  virtual base::Status start() = 0;
+  /** Stops accepting connections, waits for requests in flight, and returns. Idempotent. */
+  virtual void stop() = 0;
+  /** Requests being handled now, streamed bodies included. */
+  virtual size_t activeRequests() const = 0;
+};
+
+/** Escapes a path segment or query value. */
+std::string percentEncode(std::string_view aText);
+
+} // namespace boragepitch::net
--- /dev/null
+++ b/libs/net/src/HttpClient.cpp
@@ -0,0 +1,204 @@
+#include "net/HttpClient.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <vector>
+
+#include <httplib.h>
+
+namespace boragepitch::net {
+
+struct HttpClient::Impl
+{
+  Impl(Address aServer, ClientOptions aOptions)
+    : server(std::move(aServer))
+    , client(server.host, server.port)
+  {
+    client.set_connection_timeout(aOptions.connectTimeout);
+    client.set_read_timeout(aOptions.readTimeout);
+    client.set_write_timeout(aOptions.writeTimeout);
+    client.set_keep_alive(aOptions.keepAlive);
+    client.set_tcp_nodelay(true);
+    client.set_url_encode(false);
+    client.set_decompress(false);
+  }
+
+  Address server;
+  httplib::Client client;
+  std::atomic<bool> cancelled{ false };
+};
+
+namespace {
+
+base::Error toError(httplib::Error aError, const Address& aServer)
+{
+  using base::ErrorKind;
+  base::Error error;
+  error.field = aServer.toString();
+  switch (aError) {
+    case httplib::Error::Connection:
+    case httplib::Error::ConnectionTimeout:
+    case httplib::Error::BindIPAddress:
+      error.kind = ErrorKind::Unavailable;
+      error.message = "connection refused or timed out";
+      error.remedy = "check that the server runs and is reachable";
+      break;
+    case httplib::Error::Canceled:
+      error.kind = ErrorKind::Cancelled;
+      error.message = "call cancelled";
+      break;
+    default:
+      error.kind = ErrorKind::UnknownOutcome;
+      error.message = "connection broke: " + httplib::to_string(aError);
+      error.remedy = "ask for the outcome before repeating a call that is not idempotent";
+      break;
+  }
+  return error;
+}
+
+} // namespace
+
+HttpClient::HttpClient(Address aServer, ClientOptions aOptions)
+  : mImpl(std::make_unique<Impl>(std::move(aServer), aOptions))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+base::Result<ClientResponse> HttpClient::send(const ClientRequest& aRequest, size_t aMaxBodyBytes)
+{
+  std::string body;
+  bool tooLarge = false;
+  auto result = stream(
+    aRequest,
+    [](const ClientResponse&) { return true; },
+    [&](std::string_view aBytes) {
+      if (body.size() + aBytes.size() > aMaxBodyBytes) {
+        tooLarge = true;
+        return false;
+      }
+      body.append(aBytes);
+      return true;
+    });
+  if (tooLarge) {
+    return base::fail(base::ErrorKind::TooLarge,
+                      mImpl->server.toString(),
+                      "response body exceeds " + std::to_string(aMaxBodyBytes) + " bytes",
+                      "ask for less at once");
+  }
+  if (result) {
+    result->body = std::move(body);
+  }
+  return result;
+}
+
+base::Result<ClientResponse> HttpClient::stream(
+  const ClientRequest& aRequest,
+  const std::function<bool(const ClientResponse&)>& aOnHead,
+  const std::function<bool(std::string_view)>& aOnData)
+{
+  const auto start = std::chrono::steady_clock::now();
+  bool timedOut = false;
+  httplib::Request request;
+  request.method = aRequest.method;
+  request.path = aRequest.target;
+  for (const auto& [name, value] : aRequest.headers) {
+    request.headers.emplace(name, value);
+  }
+  request.body = aRequest.body;
+  if (!aRequest.body.empty()) {
+    request.headers.emplace("Content-Type", aRequest.contentType);
+  }
+  ClientResponse head;
+  request.response_handler = [&](const httplib::Response& aResponse) {
+    head.status = aResponse.status;
+    head.headers.clear();
+    for (const auto& [name, value] : aResponse.headers) {
+      head.headers.emplace(name, value);
+    }
+    return !mImpl->cancelled && aOnHead(head);
+  };
+  request.content_receiver = [&](const char* aData, size_t aSize, uint64_t, uint64_t) {
+    if (aRequest.totalTimeout.count() > 0 &&
+        std::chrono::steady_clock::now() - start > aRequest.totalTimeout) {
+      timedOut = true;
+      return false;
+    }
+    return !mImpl->cancelled && aOnData({ aData, aSize });
+  };
+  if (mImpl->cancelled) {
+    return base::fail(base::ErrorKind::Cancelled, mImpl->server.toString(), "call cancelled", "");
+  }
+  httplib::Response response;
+  httplib::Error error = httplib::Error::Success;
+  bool sent = mImpl->client.send(request, response, error);
+  if (timedOut) {
+    return base::fail(base::ErrorKind::Timeout,
+                      mImpl->server.toString(),
+                      "response took longer than " + std::to_string(aRequest.totalTimeout.count()) +
+                        " ms",
+                      "raise the deadline or retry later");
+  }
+  if (mImpl->cancelled) {
+    return base::fail(base::ErrorKind::Cancelled, mImpl->server.toString(), "call cancelled", "");
+  }
+  if (!sent) {
+    return tl::make_unexpected(toError(error, mImpl->server));
+  }
+  return head;
+}
+
+void HttpClient::cancel()
+{
+  mImpl->cancelled = true;
+  mImpl->client.stop();
+}
+
+const Address& HttpClient::server() const
+{
+  return mImpl->server;
+}
+
+struct ClientPool::Impl
+{
+  ClientOptions options;
+  size_t maxIdle;
+  std::mutex mutex;
+  std::map<Address, std::vector<std::unique_ptr<HttpClient>>> idle;
+};
+
+ClientPool::ClientPool(ClientOptions aOptions, size_t aMaxIdlePerServer)
+  : mImpl(std::make_unique<Impl>())
+{
+  mImpl->options = aOptions;
+  mImpl->options.keepAlive = true;
+  mImpl->maxIdle = aMaxIdlePerServer;
+}
+
+ClientPool::~ClientPool() = default;
+
+std::unique_ptr<HttpClient> ClientPool::acquire(const Address& aServer)
+{
+  {
+    std::lock_guard lock(mImpl->mutex);
+    auto found = mImpl->idle.find(aServer);
+    if (found != mImpl->idle.end() && !found->second.empty()) {
+      auto client = std::move(found->second.back());
+      found->second.pop_back();
+      return client;
+    }
+  }
+  return std::make_unique<HttpClient>(aServer, mImpl->options);
+}
+
+void ClientPool::release(std::unique_ptr<HttpClient> aClient)
+{
+  std::lock_guard lock(mImpl->mutex);
+  auto& idle = mImpl->idle[aClient->server()];
+  if (idle.size() < mImpl->maxIdle) {
+    idle.push_back(std::move(aClient));
+  }
+}
+
+} // namespace boragepitch::net
--- /dev/null
+++ b/libs/net/src/HttpServer.cpp
@@ -0,0 +1,417 @@
+#include "net/HttpServer.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+
+#include <httplib.h>
+#include <sys/socket.h>
+
+namespace boragepitch::net {
+
+bool CaseInsensitiveLess::operator()(std::string_view aLeft, std::string_view aRight) const
+{
+  return std::lexicographical_compare(
+    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), [](char aL, char aR) {
+      return std::tolower(static_cast<unsigned char>(aL)) <
+             std::tolower(static_cast<unsigned char>(aR));
+    });
+}
+
+std::optional<std::string> headerValue(const Headers& aHeaders, std::string_view aName)
+{
+  auto found = aHeaders.find(aName);
+  if (found == aHeaders.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::string percentEncode(std::string_view aText)
+{
+  static constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string encoded;
+  for (char c : aText) {
+    auto byte = static_cast<unsigned char>(c);
+    if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
+      encoded += c;
+    } else {
+      encoded += '%';
+      encoded += kDigits[byte >> 4];
+      encoded += kDigits[byte & 0xf];
+    }
+  }
+  return encoded;
+}
+
+namespace {
+
+/** Threads made on demand up to a limit; httplib's own pool has a fixed size and an unbounded
+ * queue. */
+class ElasticPool final : public httplib::TaskQueue
+{
+public:
+  explicit ElasticPool(size_t aMaxThreads)
+    : mMaxThreads(aMaxThreads)
+  {
+  }
+
+  void enqueue(std::function<void()> aTask) override
+  {
+    std::lock_guard lock(mMutex);
+    mTasks.push_back(std::move(aTask));
+    if (mIdle >= mTasks.size()) {
+      mWake.notify_one();
+    } else if (mThreads.size() < mMaxThreads) {
+      mThreads.emplace_back([this] { run(); });
+    }
+  }
+
+  void shutdown() override
+  {
+    {
+      std::lock_guard lock(mMutex);
+      mStopping = true;
+    }
+    mWake.notify_all();
+    for (std::thread& thread : mThreads) {
+      thread.join();
+    }
+  }
+
+private:
+  void run()
+  {
+    std::unique_lock lock(mMutex);
+    for (;;) {
+      ++mIdle;
+      mWake.wait(lock, [this] { return mStopping || !mTasks.empty(); });
+      --mIdle;
+      if (mTasks.empty()) {
+        return;
+      }
+      auto task = std::move(mTasks.front());
+      mTasks.pop_front();
+      lock.unlock();
+      task();
+      lock.lock();
+    }
+  }
+
+  const size_t mMaxThreads;
+  std::mutex mMutex;
+  std::condition_variable mWake;
+  std::deque<std::function<void()>> mTasks;
+  std::vector<std::thread> mThreads;
+  size_t mIdle = 0;
+  bool mStopping = false;
+};
+
+struct Route
+{
+  std::string method;
+  std::vector<std::string> segments;
+  HttpHandler handler;
+};
+
+std::vector<std::string> splitPath(std::string_view aPath)
+{
+  std::vector<std::string> segments;
+  size_t begin = 0;
+  while (begin < aPath.size()) {
+    size_t end = aPath.find('/', begin);
+    if (end == std::string_view::npos) {
+      end = aPath.size();
+    }
+    if (end > begin) {
+      segments.emplace_back(aPath.substr(begin, end - begin));
+    }
+    begin = end + 1;
+  }
+  return segments;
+}
+
+bool isRest(const std::string& aSegment)
+{
+  return aSegment.size() > 5 && aSegment.front() == '{' && aSegment.ends_with("...}");
+}
+
+bool matches(const Route& aRoute,
+             const std::vector<std::string>& aPath,
+             std::map<std::string, std::string>& aParameters)
+{
+  aParameters.clear();
+  for (size_t i = 0; i < aRoute.segments.size(); ++i) {
+    const std::string& segment = aRoute.segments[i];
+    if (isRest(segment)) {
+      std::string rest;
+      for (size_t j = i; j < aPath.size(); ++j) {
+        rest += (j > i ? "/" : "") + aPath[j];
+      }
+      aParameters[segment.substr(1, segment.size() - 5)] = rest;
+      return true;
+    }
+    if (i >= aPath.size()) {
+      return false;
+    }
+    if (segment.size() > 2 && segment.front() == '{') {
+      aParameters[segment.substr(1, segment.size() - 2)] = aPath[i];
+    } else if (segment != aPath[i]) {
+      return false;
+    }
+  }
+  return aPath.size() == aRoute.segments.size();
+}
+
+class SinkWriter final : public StreamWriter
+{
+public:
+  explicit SinkWriter(httplib::DataSink& aSink)
+    : mSink(aSink)
+  {
+  }
+
+  bool write(std::string_view aBytes) override
+  {
+    if (mOpen && !aBytes.empty()) {
+      mOpen = mSink.write(aBytes.data(), aBytes.size());
+    }
+    return mOpen;
+  }
+
+  bool peerIsConnected() override
+  {
+    mOpen = mOpen && mSink.is_writable();
+    return mOpen;
+  }
+
+private:
+  httplib::DataSink& mSink;
+  bool mOpen = true;
+};
+
+/** Gives access to the listening socket, which httplib opens with a backlog of 5. */
+class ListeningServer final : public httplib::Server
+{
+public:
+  void widenBacklog() { ::listen(svr_sock_, SOMAXCONN); }
+};
+
+class HttpServerImpl final : public HttpServer
+{
+public:
+  HttpServerImpl(Address aAddress,
+                 size_t aMaxConnections,
+                 size_t aMaxBodyBytes,
+                 std::chrono::seconds aKeepAlive,
+                 base::Milliseconds aIoTimeout)
+    : mAddress(std::move(aAddress))
+    , mMaxConnections(aMaxConnections)
+  {
+    mServer.new_task_queue = [this] { return new ElasticPool(2 * mMaxConnections); };
+    mServer.set_payload_max_length(aMaxBodyBytes);
+    mServer.set_keep_alive_max_count(1'000'000);
+    mServer.set_keep_alive_timeout(aKeepAlive.count());
+    mServer.set_read_timeout(aIoTimeout);
+    mServer.set_write_timeout(aIoTimeout);
+    mServer.set_tcp_nodelay(true);
+    // httplib sets SO_REUSEPORT by default, with which two processes could share a port unnoticed.
+    mServer.set_socket_options([](socket_t aSocket) {
+      int yes = 1;
+      setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    });
+    auto handle = [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+      dispatch(aRequest, aResponse);
+    };
+    mServer.Get(".*", handle);
+    mServer.Post(".*", handle);
+    mServer.Put(".*", handle);
+    mServer.Patch(".*", handle);
+    mServer.Delete(".*", handle);
+    mServer.Options(".*", handle);
+  }
+
+  ~HttpServerImpl() override { HttpServerImpl::stop(); }
+
+  void route(std::string aMethod, std::string aPattern, HttpHandler aHandler) override
+  {
+    mRoutes.push_back({ std::move(aMethod), splitPath(aPattern), std::move(aHandler) });
+  }
+
+  base::Status start() override
+  {
+    if (!mServer.bind_to_port(mAddress.host, mAddress.port)) {
+      return base::fail(base::ErrorKind::Unavailable,
+                        mAddress.toString(),
+                        "cannot listen",
+                        "check that the address is this machine's and the port is free");
+    }
+    mServer.widenBacklog();
+    mThread = std::thread([this] { mServer.listen_after_bind(); });
+    while (!mServer.is_running() && !mStopped) {
+      std::this_thread::sleep_for(std::chrono::microseconds(100));
+    }
+    return {};
+  }
+
+  void stop() override
+  {
+    bool expected = false;
+    if (!mStopped.compare_exchange_strong(expected, true)) {
+      return;
+    }
+    if (mThread.joinable()) {
+      mServer.stop();
+      mThread.join();
+    }
+  }
+
+  size_t activeRequests() const override { return mActive; }
+
+private:
+  void dispatch(const httplib::Request& aRequest, httplib::Response& aResponse)
+  {
+    auto active = std::make_shared<ActiveGuard>(mActive);
+    if (active->count > mMaxConnections) {
+      fill(aResponse, overloaded(), nullptr);
+      return;
+    }
+    HttpRequest request;
+    request.method = aRequest.method;
+    request.path = aRequest.path;
+    request.body = aRequest.body;
+    request.remoteAddress = aRequest.remote_addr;
+    for (const auto& [name, value] : aRequest.params) {
+      request.query.emplace(name, value);
+    }
+    for (const auto& [name, value] : aRequest.headers) {
+      request.headers.emplace(name, value);
+    }
+    fill(aResponse, handle(request), std::move(active));
+  }
+
+  HttpResponse handle(HttpRequest& aRequest)
+  {
+    auto path = splitPath(aRequest.path);
+    for (const Route& route : mRoutes) {
+      if ((route.method == "*" || route.method == aRequest.method) &&
+          matches(route, path, aRequest.pathParameters)) {
+        try {
+          return route.handler(aRequest);
+        } catch (const std::exception&) {
+          return plainError(500, "internal", "unexpected fault while handling the request");
+        }
+      }
+    }
+    return plainError(404, "notFound", "no such path");
+  }
+
+  static HttpResponse plainError(int aStatus, const std::string& aKind, const std::string& aMessage)
+  {
+    HttpResponse response;
+    response.status = aStatus;
+    response.body = R"({"error":{"kind":")" + aKind + R"(","message":")" + aMessage +
+                    R"(","remedy":"see the API reference for paths and methods"}})";
+    return response;
+  }
+
+  static HttpResponse overloaded()
+  {
+    HttpResponse response;
+    response.status = 503;
+    response.headers = { { "X-Ran", "no" }, { "Retry-After", "1" } };
+    response.body = R"({"error":{"kind":"unavailable","message":"too many connections",)"
+                    R"("remedy":"come back later"},"ran":"no","retryAfterMs":1000})";
+    return response;
+  }
+
+  struct ActiveGuard
+  {
+    explicit ActiveGuard(std::atomic<size_t>& aActive)
+      : active(aActive)
+      , count(++aActive)
+    {
+    }
+    ~ActiveGuard() { --active; }
+    ActiveGuard(const ActiveGuard&) = delete;
+    ActiveGuard& operator=(const ActiveGuard&) = delete;
+    std::atomic<size_t>& active;
+    size_t count;
+  };
+
+  static void fill(httplib::Response& aTarget,
+                   HttpResponse aSource,
+                   std::shared_ptr<ActiveGuard> aActive)
+  {
+    aTarget.status = aSource.status;
+    for (const auto& [name, value] : aSource.headers) {
+      aTarget.set_header(name, value);
+    }
+    if (!aSource.stream) {
+      aTarget.set_content(aSource.body, aSource.contentType);
+      return;
+    }
+    aTarget.set_chunked_content_provider(
+      aSource.contentType,
+      [stream = std::move(aSource.stream), active = std::move(aActive)](size_t,
+                                                                        httplib::DataSink& aSink) {
+        SinkWriter writer(aSink);
+        if (stream(writer) == StreamEnd::Abort) {
+          return false;
+        }
+        aSink.done();
+        return true;
+      });
+  }
+
+  const Address mAddress;
+  const size_t mMaxConnections;
+  std::vector<Route> mRoutes;
+  ListeningServer mServer;
+  std::thread mThread;
+  std::atomic<size_t> mActive{ 0 };
+  std::atomic<bool> mStopped{ false };
+};
+
+} // namespace
+
+HttpServer::Builder& HttpServer::Builder::address(Address aAddress)
+{
+  mAddress = std::move(aAddress);
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::maxConnections(size_t aCount)
+{
+  mMaxConnections = aCount;
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::maxBodyBytes(size_t aBytes)
+{
+  mMaxBodyBytes = aBytes;
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::keepAlive(std::chrono::seconds aTimeout)
+{
+  mKeepAlive = aTimeout;
+  return *this;
+}
+
+HttpServer::Builder& HttpServer::Builder::ioTimeout(base::Milliseconds aTimeout)
+{
+  mIoTimeout = aTimeout;
+  return *this;
+}
+
+std::unique_ptr<HttpServer> HttpServer::Builder::build()
+{
+  return std::make_unique<HttpServerImpl>(
+    mAddress, mMaxConnections, mMaxBodyBytes, mKeepAlive, mIoTimeout);
+}
+
+} // namespace boragepitch::net
--- /dev/null
+++ b/libs/net/tests/HttpTest.cpp
@@ -0,0 +1,174 @@
+#define BOOST_TEST_MODULE net_http
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+#include "net/HttpClient.h"
+#include "net/HttpServer.h"
+#include "support/TestAddress.h"
+
+using namespace boragepitch;
+using namespace std::chrono_literals;
+
+// Guards against routes that match the wrong path or lose path parameters.
+BOOST_AUTO_TEST_CASE(routesByMethodAndPattern)
+{
+  auto address = test::unusedAddress();
+  auto server = net::HttpServer::Builder().address(address).build();
+  server->route("GET", "/a/{name}", [](const net::HttpRequest& aRequest) {
+    net::HttpResponse response;
+    response.body = aRequest.pathParameters.at("name");
+    return response;
+  });
+  server->route("*", "/rest/{tail...}", [](const net::HttpRequest& aRequest) {
+    net::HttpResponse response;
+    response.body =
+      aRequest.pathParameters.at("tail") + "?" + aRequest.query.at("q") + aRequest.body;
+    return response;
+  });
+  BOOST_REQUIRE(server->start());
+  net::HttpClient client(address);
+  BOOST_TEST(client.send({ .target = "/a/x" })->body == "x");
+  BOOST_TEST(client.send({ .method = "PUT", .target = "/rest/b/c?q=1", .body = "!" })->body ==
+             "b/c?1!");
+  BOOST_TEST(client.send({ .target = "/a/x/y" })->status == 404);
+  BOOST_TEST(client.send({ .method = "POST", .target = "/a/x" })->status == 404);
+}
+
+// Guards against an aborted stream that looks complete to its reader.
+BOOST_AUTO_TEST_CASE(abortedStreamIsAnError)
+{
+  auto address = test::unusedAddress();
+  auto server = net::HttpServer::Builder().address(address).build();
+  server->route("GET", "/{end}", [](const net::HttpRequest& aRequest) {
+    net::HttpResponse response;
+    bool complete = aRequest.pathParameters.at("end") == "complete";
+    response.stream = [complete](net::StreamWriter& aWriter) {
+      aWriter.write("one");
+      aWriter.write("two");
+      return complete ? net::StreamEnd::Complete : net::StreamEnd::Abort;
+    };
+    return response;
+  });
+  BOOST_REQUIRE(server->start());
+  net::HttpClient client(address);
+  BOOST_TEST(client.send({ .target = "/complete" })->body == "onetwo");
+  auto cut = client.send({ .target = "/abort" });
+  BOOST_REQUIRE(!cut);
+  BOOST_TEST((cut.error().kind == base::ErrorKind::UnknownOutcome));
+}
+
+// Guards against reporting "may have run" when no connection was made, and the reverse.
+BOOST_AUTO_TEST_CASE(errorsTellWhetherTheRequestWasSent)
+{
+  net::HttpClient unreachable(test::unusedAddress());
+  BOOST_TEST((unreachable.send({ .target = "/" }).error().kind == base::ErrorKind::Unavailable));
+
+  auto address = test::unusedAddress();
+  auto server = net::HttpServer::Builder().address(address).build();
+  server->route("GET", "/slow", [](const net::HttpRequest&) {
+    std::this_thread::sleep_for(300ms);
+    return net::HttpResponse{};
+  });
+  BOOST_REQUIRE(server->start());
+  net::HttpClient impatient(address, { .readTimeout = 50ms });
+  BOOST_TEST(
+    (impatient.send({ .target = "/slow" }).error().kind == base::ErrorKind::UnknownOutcome));
+}
+
+// Guards against a body that drips slowly enough to evade the read timeout for ever.
+BOOST_AUTO_TEST_CASE(totalTimeoutEndsADrippingResponse)
+{
+  auto address = test::unusedAddress();
+  auto server = net::HttpServer::Builder().address(address).build();
+  server->route("GET", "/drip", [](const net::HttpRequest&) {
+    net::HttpResponse response;
+    response.stream = [](net::StreamWriter& aWriter) {
+      for (int i = 0; i < 200 && aWriter.write("x"); ++i) {
+        std::this_thread::sleep_for(20ms);
+      }
+      return net::StreamEnd::Complete;
+    };
+    return response;
+  });
+  BOOST_REQUIRE(server->start());
+  net::HttpClient client(address);
+  auto result = client.send({ .target = "/drip", .totalTimeout = 100ms });
+  BOOST_REQUIRE(!result);
+  BOOST_TEST((result.error().kind == base::ErrorKind::Timeout));
+}
+
+// Guards against a writer that goes on for ever after its reader left.
+BOOST_AUTO_TEST_CASE(writerSeesThatThePeerLeft)
+{
+  auto address = test::unusedAddress();
+  std::atomic<bool> noticed{ false };
+  auto server = net::HttpServer::Builder().address(address).build();
+  server->route("GET", "/endless", [&](const net::HttpRequest&) {
+    net::HttpResponse response;
+    response.stream = [&](net::StreamWriter& aWriter) {
+      for (int i = 0; i < 1000; ++i) {
+        if (!aWriter.write("x")) {
+          noticed = true;
+          return net::StreamEnd::Abort;
+        }
+        std::this_thread::sleep_for(2ms);
+      }
+      return net::StreamEnd::Complete;
+    };
+    return response;
+  });
+  BOOST_REQUIRE(server->start());
+  {
+    net::HttpClient client(address);
+    auto result = client.stream(
+      { .target = "/endless" },
+      [](const net::ClientResponse&) { return true; },
+      [](std::string_view) { return false; });
+    BOOST_TEST((result.error().kind == base::ErrorKind::Cancelled));
+  }
+  server->stop();
+  BOOST_TEST(noticed.load());
+}
+
+// Guards against a burst of connections being dropped by a short listen backlog.
+BOOST_AUTO_TEST_CASE(acceptsABurstOfConnections)
+{
+  auto address = test::unusedAddress();
+  auto server = net::HttpServer::Builder().address(address).maxConnections(128).build();
+  server->route("GET", "/", [](const net::HttpRequest&) { return net::HttpResponse{}; });
+  BOOST_REQUIRE(server->start());
+  std::atomic<int> answered{ 0 };
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 100; ++i) {
+    threads.emplace_back([&] {
+      net::HttpClient client(address);
+      auto response = client.send({ .target = "/" });
+      if (response && response->status == 200) {
+        ++answered;
+      }
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  BOOST_TEST(answered.load() == 100);
+}
+
+// Guards against oversized bodies filling memory.
+BOOST_AUTO_TEST_CASE(rejectsOversizedBodies)
+{
+  auto address = test::unusedAddress();
+  auto server = net::HttpServer::Builder().address(address).maxBodyBytes(1000).build();
+  server->route("POST", "/", [](const net::HttpRequest&) { return net::HttpResponse{}; });
+  BOOST_REQUIRE(server->start());
+  net::HttpClient client(address);
+  BOOST_TEST(
+    client.send({ .method = "POST", .target = "/", .body = std::string(1000, 'x') })->status ==
+    200);
+  BOOST_TEST(
+    client.send({ .method = "POST", .target = "/", .body = std::string(1001, 'x') })->status ==
+    413);
+}
--- /dev/null
+++ b/libs/platform/src/Platform.cpp
@@ -0,0 +1,1 @@
+#include "platform/Platform.h"
--- /dev/null
+++ b/libs/resources/include/resources/Kinds.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace boragepitch::resources {
+
+/** An immutable version of a model or adapter. */
+struct ModelVersion
+{
+  std::string model;
+  std::string version;
+  std::string manifest;  ///< Manifest id: 64 lower-case hexadecimal digits.
+  uint64_t size = 0;     ///< Bytes.
+  std::string origin;    ///< "name/version" at the weight store.
+  std::string adapterOf; ///< Base model; empty for a model of its own.
+};
+
+/** Which version of a model is served where. */
+struct Serving
+{
+  std::string model;
+  std::string version;
+  std::vector<std::string> zones;     ///< Empty means every availability zone.
+  std::vector<std::string> endpoints; ///< Name prefixes; empty means every model endpoint.
+  int minAvailable = 50;              ///< Percent that keep serving while weights move, 0 to 100.
+  int urgency = 5;                    ///< 0 to 9; 9 goes first.
+  std::vector<std::string> adapters;  ///< Names of ModelVersion resources.
+};
+
+struct Zone
+{
+  std::string region;
+  bool inService = true;
+};
+
+struct Vm
+{
+  std::string zone;
+  bool inService = true;
+};
+
+enum class EndpointType
+{
+  Model,
+  Service,
+};
+
+enum class Role
+{
+  General,
+  Prefill,
+  Decode,
+  Drafter,
+};
+
+struct Endpoint
+{
+  std::string vm;
+  EndpointType type = EndpointType::Model;
+  std::string service; ///< Name of a Service when type is Service.
+  Role role = Role::General;
+  bool honoursFencing = true;
+  int coldLimit = 1;  ///< Concurrent requests while cold, 1 to 1024.
+  int warmLimit = 16; ///< Concurrent requests while warm, 1 to 1024.
+};
+
+struct ServiceCall
+{
+  std::string method;
+  std::string path;
+  bool repeatable = false;
+};
+
+/** A plain service; a call that is not listed counts as not repeatable. */
+struct Service
+{
+  std::vector<ServiceCall> calls;
+};
+
+struct Workspace
+{
+  int worth = 1; ///< Per request answered in time, 1 to 1000.
+  int share = 1; ///< Weight of its share under contention, 1 to 1000.
+};
+
+/** Written by the rollout planner only: the endpoints that may switch to a version now. */
+struct Rollout
+{
+  std::string model;
+  std::string version;
+  uint64_t fencing = 0; ///< Fencing number of the planner lease that wrote it.
+  std::vector<std::string> allowed;
+};
+
+using Spec = std::variant<ModelVersion, Serving, Zone, Vm, Endpoint, Service, Workspace, Rollout>;
+
+} // namespace boragepitch::resources
--- /dev/null
+++ b/libs/resources/src/Snapshot.cpp
@@ -0,0 +1,1 @@
+#include "resources/Snapshot.h"
--- /dev/null
+++ b/libs/telemetry/include/telemetry/Log.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace boragepitch::telemetry {
+
+enum class Level
+{
+  Debug,
+  Info,
+  Warn,
+  Error,
+};
+
+/** Starts logging to standard error. aProgram and aNode mark every line. Call once in main(). */
+void startLogging(std::string_view aProgram,
+                  std::string_view aNode,
+                  Level aThreshold = Level::Info);
+
+using Field = std::pair<std::string_view, std::string>;
+
+/**
+ * Writes one line "event=<aEvent> key=value ...". Use it for changes of state only; count
+ * everything else. Values with spaces, quotes or control characters are quoted and escaped.
+ */
+void logEvent(Level aLevel, std::string_view aEvent, std::initializer_list<Field> aFields = {});
+
+/** The line without time and level, as logEvent writes it. */
+std::string formatEvent(std::string_view aEvent, std::initializer_list<Field> aFields);
+
+} // namespace boragepitch::telemetry
