--- /dev/null
+++ b/tools/agent/EndpointController.cpp
@@ -0,0 +1,313 @@
+#include "EndpointController.h"
+
+#include <algorithm>
+
+#include "resources/Validate.h"
+#include "rollout/DesiredState.h"
+#include "telemetry/Log.h"
+
+namespace boragepitch::tools {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// The activation core expects a step at least every 100 ms.
+constexpr auto kStepInterval = 50ms;
+
+/** Zones and endpoints of the Serving that declares a manifest; these VMs share its distribution.
+ */
+void addAudience(const resources::Snapshot& aSnapshot,
+                 weights::Wanted& aWanted,
+                 const std::string& aModel)
+{
+  aSnapshot.each<resources::Serving>(
+    [&](const resources::Resource&, const resources::Serving& aServing) {
+      if (aServing.model == aModel) {
+        aWanted.zones = aServing.zones;
+        aWanted.endpoints = aServing.endpoints;
+      }
+    });
+}
+
+bool sameRecord(const control::NodeState& aLeft, const control::NodeState& aRight)
+{
+  return aLeft.phase == aRight.phase && aLeft.held == aRight.held &&
+         aLeft.fetching == aRight.fetching && aLeft.serving == aRight.serving &&
+         aLeft.instance == aRight.instance && aLeft.cold == aRight.cold &&
+         aLeft.coldLimit == aRight.coldLimit && aLeft.warmLimit == aRight.warmLimit &&
+         aLeft.suspects == aRight.suspects;
+}
+
+} // namespace
+
+EndpointController::EndpointController(EndpointParts aParts,
+                                       EndpointSettings aSettings,
+                                       control::NodeState aSelf)
+  : mParts(aParts)
+  , mSettings(std::move(aSettings))
+  , mEngine(mSettings.engine)
+  , mCore(rollout::ActivationOptions{ .readInterval = mSettings.stateInterval })
+  , mSelf(std::move(aSelf))
+{
+}
+
+EndpointController::~EndpointController()
+{
+  stop();
+}
+
+void EndpointController::start()
+{
+  mThread = std::thread([this] { run(); });
+}
+
+void EndpointController::stop()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mStopping = true;
+  }
+  mWake.notify_all();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void EndpointController::wake()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mWoken = true;
+  }
+  mWake.notify_all();
+}
+
+void EndpointController::setSuspects(std::vector<control::Suspect> aSuspects)
+{
+  {
+    std::lock_guard lock(mMutex);
+    mSelf.suspects = std::move(aSuspects);
+    mWoken = true;
+  }
+  mWake.notify_all();
+}
+
+void EndpointController::startLeaving()
+{
+  control::NodeState self;
+  {
+    std::lock_guard lock(mMutex);
+    mSelf.phase = control::Phase::Leaving;
+    self = mSelf;
+  }
+  // Published here and not by the loop, which may be waiting for the engine.
+  mParts.fleet.publish(self);
+}
+
+bool EndpointController::isServing() const
+{
+  std::lock_guard lock(mMutex);
+  return mSelf.phase == control::Phase::Ready && !mSelf.serving.empty();
+}
+
+Json::Value EndpointController::dump() const
+{
+  std::lock_guard lock(mMutex);
+  Json::Value dump;
+  dump["endpoint"] = mSettings.name;
+  dump["phase"] = std::string(rollout::toString(mCore.phase()));
+  dump["instance"] = mSelf.instance;
+  dump["cold"] = mSelf.cold;
+  dump["serving"] = Json::arrayValue;
+  for (const control::Served& served : mSelf.serving) {
+    dump["serving"].append(served.model + "/" + served.version);
+  }
+  return dump;
+}
+
+void EndpointController::run()
+{
+  std::unique_lock lock(mMutex);
+  while (!mStopping) {
+    mWoken = false;
+    lock.unlock();
+    update(std::chrono::steady_clock::now());
+    lock.lock();
+    mWake.wait_for(lock, kStepInterval, [this] { return mWoken || mStopping; });
+  }
+}
+
+void EndpointController::update(base::TimePoint aNow)
+{
+  auto snapshot = mParts.fleet.config();
+  auto desired = rollout::desiredState(*snapshot, mSettings.name);
+  auto held = mParts.distributor.held();
+  if (snapshot->revision() != mDeclaredRevision || held != mDeclaredHeld) {
+    declareWanted(*snapshot, desired);
+    mDeclaredRevision = snapshot->revision();
+    mDeclaredHeld = held;
+  }
+  rollout::Action action;
+  {
+    std::lock_guard lock(mMutex);
+    mCore.onDesired(std::move(desired));
+    mCore.onHeld({ held.begin(), held.end() });
+    int inFlight = mParts.gateway.running() + mParts.gateway.queued();
+    action = mCore.step(aNow, static_cast<uint64_t>(inFlight));
+  }
+  // The gateway must refuse new work before an order is sent, so admission is applied first.
+  applyAdmission(*snapshot);
+  act(action);
+  applyAdmission(*snapshot);
+  publishIfChanged();
+}
+
+void EndpointController::declareWanted(const resources::Snapshot& aSnapshot,
+                                       const rollout::DesiredState& aDesired)
+{
+  auto held = mParts.distributor.held();
+  std::vector<weights::Wanted> wanted;
+  for (const rollout::WantedManifest& manifest : aDesired.manifests) {
+    bool isHeld = std::find(held.begin(), held.end(), manifest.manifest) != held.end();
+    auto id = weights::ManifestId::parse(manifest.manifest);
+    if (!id || (!manifest.required && !isHeld)) {
+      continue;
+    }
+    weights::Wanted entry;
+    entry.manifest = *id;
+    entry.originName = manifest.origin;
+    entry.urgency = manifest.urgency;
+    // Only the order of these times counts; revisions give the same order on every VM.
+    entry.since = base::TimePoint(base::Milliseconds(manifest.since));
+    addAudience(aSnapshot, entry, manifest.model);
+    wanted.push_back(std::move(entry));
+  }
+  mParts.distributor.want(std::move(wanted));
+}
+
+void EndpointController::act(const rollout::Action& aAction)
+{
+  switch (aAction.kind) {
+    case rollout::ActionKind::None:
+      return;
+    case rollout::ActionKind::TakeEpoch:
+      takeEpoch(aAction.minEpoch);
+      return;
+    case rollout::ActionKind::ReadEngine:
+      readEngine();
+      return;
+    case rollout::ActionKind::SendOrder: {
+      telemetry::logEvent(telemetry::Level::Info,
+                          "order",
+                          { { "model", aAction.order.what.model },
+                            { "version", aAction.order.what.version },
+                            { "fencing", std::to_string(aAction.order.fencing) } });
+      base::Status answer = mEngine.send(aAction.order);
+      if (!answer) {
+        telemetry::logEvent(
+          telemetry::Level::Warn, "order_failed", { { "error", answer.error().describe() } });
+      }
+      std::lock_guard lock(mMutex);
+      mCore.onOrderAnswered(answer, std::chrono::steady_clock::now());
+      return;
+    }
+  }
+}
+
+void EndpointController::readEngine()
+{
+  auto started = std::chrono::steady_clock::now();
+  auto reported = mEngine.readState();
+  std::string before = mReported.state.instance;
+  if (!reported) {
+    std::lock_guard lock(mMutex);
+    mCore.onEngineUnreachable();
+    return;
+  }
+  mReported = *reported;
+  {
+    std::lock_guard lock(mMutex);
+    mCore.onEngineState(reported->state, started);
+  }
+  if (!before.empty() && before != reported->state.instance) {
+    telemetry::logEvent(telemetry::Level::Warn,
+                        "engine_restarted",
+                        { { "instance", reported->state.instance }, { "before", before } });
+    mParts.distributor.hostLost();
+  }
+}
+
+void EndpointController::takeEpoch(uint64_t aAtLeast)
+{
+  auto started = std::chrono::steady_clock::now();
+  auto epoch = mParts.epochs.issue(mSettings.name, aAtLeast);
+  if (!epoch) {
+    return;
+  }
+  std::lock_guard lock(mMutex);
+  mCore.onEpoch({ *epoch, started + mSettings.epochLife });
+}
+
+void EndpointController::applyAdmission(const resources::Snapshot& aSnapshot)
+{
+  gateway::EngineState state;
+  bool draining = false;
+  {
+    std::lock_guard lock(mMutex);
+    state.serving = mCore.served();
+    state.instance = mCore.instance();
+    state.cold = mCore.cold();
+    draining = mCore.phase() == rollout::ActivationPhase::Draining ||
+               mCore.phase() == rollout::ActivationPhase::Ordering ||
+               mCore.phase() == rollout::ActivationPhase::Verifying;
+  }
+  state.coldLimit = mReported.coldLimit;
+  state.warmLimit = mReported.warmLimit;
+  if (const auto* declared = aSnapshot.spec<resources::Endpoint>("Endpoint", mSettings.name)) {
+    state.coldLimit = std::min(state.coldLimit, declared->coldLimit);
+    state.warmLimit = std::min(state.warmLimit, declared->warmLimit);
+  }
+  mParts.gateway.setServing(state);
+  if (draining && !mDraining) {
+    // Only begins to refuse new work; the core waits for the requests in flight.
+    (void)mParts.gateway.drain(0ms);
+  } else if (!draining && mDraining) {
+    mParts.gateway.resume();
+  }
+  mDraining = draining;
+  std::lock_guard lock(mMutex);
+  mSelf.serving = draining ? std::vector<control::Served>{} : state.serving;
+  mSelf.instance = state.instance;
+  mSelf.cold = state.cold;
+  mSelf.coldLimit = state.coldLimit;
+  mSelf.warmLimit = state.warmLimit;
+  if (mSelf.phase != control::Phase::Leaving) {
+    mSelf.phase = state.instance.empty() ? control::Phase::Starting : control::Phase::Ready;
+  }
+}
+
+void EndpointController::publishIfChanged()
+{
+  control::NodeState self;
+  {
+    std::lock_guard lock(mMutex);
+    mSelf.held = mParts.distributor.held();
+    mSelf.fetching = mParts.distributor.fetching();
+    self = mSelf;
+  }
+  if (sameRecord(self, mPublished)) {
+    return;
+  }
+  if (self.serving != mPublished.serving) {
+    std::string names;
+    for (const control::Served& served : self.serving) {
+      names += (names.empty() ? "" : ",") + served.model + "/" + served.version;
+    }
+    telemetry::logEvent(telemetry::Level::Info, "serving", { { "versions", names } });
+  }
+  mPublished = self;
+  mParts.fleet.publish(std::move(self));
+}
+
+} // namespace boragepitch::tools
--- /dev/null
+++ b/tools/common/SharedSettings.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "control/Auth.h"
+#include "control/Fleet.h"
+#include "platform/HttpPlatform.h"
+#include "settings/Settings.h"
+
+namespace boragepitch::tools {
+
+/** Adds the keys that both daemons share: node, platform, fleet, log, keys. */
+void addSharedKeys(settings::Schema::Builder& aBuilder);
+
+control::FleetSettings fleetSettings(const settings::Settings& aSettings);
+
+/** The authenticator of [keys] and fleet.signing_key. */
+base::Result<std::unique_ptr<control::HmacAuthenticator>> makeAuthenticator(
+  const settings::Settings& aSettings);
+
+/** A seed for jitter and random choices that differs between nodes and is fixed for one node id. */
+uint64_t nodeSeed(const settings::Settings& aSettings);
+
+/** Starts logging with log.level and node.id. */
+void startLogging(const settings::Settings& aSettings, const std::string& aProgram);
+
+} // namespace boragepitch::tools
--- /dev/null
+++ b/tools/entry/PlannerLoop.cpp
@@ -0,0 +1,127 @@
+#include "PlannerLoop.h"
+
+#include "StoreAdapter.h"
+#include "rollout/Planner.h"
+#include "telemetry/Log.h"
+
+namespace boragepitch::tools {
+
+FencedTable::FencedTable(platform::LeaseRunner& aLease, platform::TableClient& aTable)
+  : mLease(aLease)
+  , mTable(aTable)
+{
+}
+
+base::Result<uint64_t> FencedTable::commit(const platform::Transaction& aTransaction)
+{
+  return mLease.fencedCommit(aTransaction);
+}
+
+base::Result<std::vector<platform::Row>> FencedTable::read(const std::vector<std::string>& aKeys)
+{
+  return mTable.read(aKeys);
+}
+
+base::Result<std::vector<platform::Row>> FencedTable::scan(std::string_view aPrefix,
+                                                           std::string_view aAfter,
+                                                           size_t aLimit)
+{
+  return mTable.scan(aPrefix, aAfter, aLimit);
+}
+
+/** One term of the lease; a new term starts with a planner that remembers nothing. */
+struct PlannerLoop::Round
+{
+  uint64_t fencing = 0;
+  rollout::Planner planner;
+};
+
+PlannerLoop::PlannerLoop(control::Fleet& aFleet,
+                         platform::LeaseRunner& aLease,
+                         control::ConfigStore& aStore,
+                         base::Milliseconds aInterval)
+  : mFleet(aFleet)
+  , mLease(aLease)
+  , mStore(aStore)
+  , mInterval(aInterval)
+{
+}
+
+PlannerLoop::~PlannerLoop()
+{
+  stop();
+}
+
+void PlannerLoop::start()
+{
+  mThread = std::thread([this] { run(); });
+}
+
+void PlannerLoop::stop()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mStopping = true;
+  }
+  mWake.notify_all();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void PlannerLoop::wake()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mWoken = true;
+  }
+  mWake.notify_all();
+}
+
+void PlannerLoop::run()
+{
+  std::unique_lock lock(mMutex);
+  while (!mStopping) {
+    mWoken = false;
+    lock.unlock();
+    planOnce();
+    lock.lock();
+    mWake.wait_for(lock, mInterval, [this] { return mWoken || mStopping; });
+  }
+}
+
+void PlannerLoop::planOnce()
+{
+  uint64_t fencing = mLease.fencing();
+  auto snapshot = mFleet.config();
+  if (fencing == 0 || snapshot->revision() == 0) {
+    mRound.reset();
+    return;
+  }
+  if (!mRound || mRound->fencing != fencing) {
+    mRound = std::make_unique<Round>();
+    mRound->fencing = fencing;
+    telemetry::logEvent(
+      telemetry::Level::Info, "planner_started", { { "fencing", std::to_string(fencing) } });
+  }
+  auto changes =
+    mRound->planner.plan(*snapshot, *mFleet.nodes(), std::chrono::steady_clock::now(), fencing);
+  if (changes.empty()) {
+    return;
+  }
+  auto entry = mStore.commit(toDeclarations(changes), snapshot->revision());
+  if (!entry) {
+    // A conflict means that the plan was made on an old revision; the next round uses the newer
+    // one.
+    if (entry.error().kind != base::ErrorKind::Conflict) {
+      telemetry::logEvent(
+        telemetry::Level::Warn, "plan_not_written", { { "error", entry.error().describe() } });
+    }
+    return;
+  }
+  mFleet.offerRevision(*entry);
+  telemetry::logEvent(
+    telemetry::Level::Info, "plan_written", { { "revision", std::to_string(entry->revision) } });
+}
+
+} // namespace boragepitch::tools
--- /dev/null
+++ b/tools/entry/main.cpp
@@ -0,0 +1,307 @@
+#include <iostream>
+
+#include "Daemon.h"
+#include "EntrySettings.h"
+#include "PlannerLoop.h"
+#include "SharedSettings.h"
+#include "StoreAdapter.h"
+#include "api/ResourceApi.h"
+#include "base/Json.h"
+#include "gateway/EntryGateway.h"
+#include "resources/Codec.h"
+#include "telemetry/Log.h"
+
+namespace {
+
+using namespace boragepitch;
+using namespace std::chrono_literals;
+
+// Time for the load balancer to see the readiness path fail before new requests are refused.
+constexpr auto kLeaveNotice = 300ms;
+constexpr size_t kControlBodyBytes = 4 << 20;
+
+control::NodeState describeSelf(const settings::Settings& aSettings)
+{
+  control::NodeState self;
+  self.id = aSettings.text("node.id");
+  self.incarnation = tools::wallClockMilliseconds();
+  self.kind = control::NodeKind::Entry;
+  self.zone = aSettings.text("node.zone");
+  self.region = aSettings.text("node.region");
+  self.controlAddress = aSettings.address("node.control");
+  self.dataAddress = aSettings.address("node.public");
+  self.phase = control::Phase::Ready;
+  return self;
+}
+
+std::unique_ptr<routing::EndpointChoice> makeChoice(const std::string& aName)
+{
+  if (aName == "round-robin") {
+    return std::make_unique<routing::RoundRobin>();
+  }
+  if (aName == "least-loaded") {
+    return std::make_unique<routing::LeastLoaded>();
+  }
+  return nullptr;
+}
+
+/** The process: its parts in the order in which they depend on each other. */
+class Entry
+{
+public:
+  Entry(const settings::Settings& aSettings,
+        std::unique_ptr<control::HmacAuthenticator> aAuthenticator)
+    : mSettings(aSettings)
+    , mSelf(describeSelf(aSettings))
+    , mAuthenticator(std::move(aAuthenticator))
+    , mRpcServer(*mAuthenticator, mSelf.controlAddress.toString())
+    , mRpcClient(*mAuthenticator)
+  {
+  }
+
+  base::Status start()
+  {
+    makePlatform();
+    makeFleet();
+    makePlanner();
+    makePublicServer();
+    for (net::HttpServer* server : { mControlServer.get(), mPublicServer.get() }) {
+      if (auto started = server->start(); !started) {
+        return started;
+      }
+    }
+    mFleet->start();
+    mFleet->publish(mSelf);
+    mLease->start();
+    mPlanner->start();
+    return {};
+  }
+
+  void leave()
+  {
+    telemetry::logEvent(telemetry::Level::Info, "leaving");
+    mLeaving = true;
+    mSelf.phase = control::Phase::Leaving;
+    mFleet->publish(mSelf);
+    mPlanner->stop();
+    mLease->stop();
+    std::this_thread::sleep_for(kLeaveNotice);
+    mGateway->startLeaving();
+    mApi->stop();
+    mGateway->waitIdle(mSettings.duration("leave.drain_limit"));
+    mPublicServer->stop();
+    mFleet->stop();
+    mControlServer->stop();
+    telemetry::logEvent(telemetry::Level::Info, "stopped");
+  }
+
+  Json::Value dump() const
+  {
+    Json::Value dump;
+    dump["node"] = mSelf.id;
+    dump["leaving"] = mLeaving.load();
+    dump["fleet"] = mFleet->dumpJson();
+    dump["gateway"] = mGateway->dump();
+    dump["plannerFencing"] = Json::UInt64{ mLease->fencing() };
+    return dump;
+  }
+
+private:
+  std::unique_ptr<control::ConfigStore> makeStore(platform::TableClient& aTable,
+                                                  const std::string& aSuffix)
+  {
+    return control::ConfigStore::Builder()
+      .table(aTable)
+      .clock(mClock)
+      .codec(mCodec)
+      .owner(mSelf.id + "-" + std::to_string(mSelf.incarnation) + aSuffix)
+      .seed(tools::nodeSeed(mSettings))
+      .build();
+  }
+
+  void makePlatform()
+  {
+    uint64_t seed = tools::nodeSeed(mSettings);
+    mTable = platform::HttpTable::Builder()
+               .address(mSettings.address("platform.table"))
+               .seed(seed)
+               .build();
+    mVms =
+      platform::HttpVmList::Builder().address(mSettings.address("platform.vms")).seed(seed).build();
+    mCodec = { &resources::toJson, &resources::fromJson };
+    mStore = makeStore(*mTable, "");
+  }
+
+  void makeFleet()
+  {
+    mControlServer = net::HttpServer::Builder()
+                       .address(mSelf.controlAddress)
+                       .maxBodyBytes(kControlBodyBytes)
+                       .keepAlive(1s)
+                       .build();
+    mFleet = control::Fleet::Builder()
+               .self(mSelf)
+               .seeds(mSettings.addresses("fleet.seeds"))
+               .vmList(mVms.get())
+               .configStore(mStore.get())
+               .codec(mCodec)
+               .rpcClient(mRpcClient)
+               .rpcServer(mRpcServer)
+               .clock(mClock)
+               .seed(tools::nodeSeed(mSettings))
+               .settings(tools::fleetSettings(mSettings))
+               .build();
+    mRpcServer.attach(*mControlServer);
+    tools::addControlRoutes(
+      *mControlServer, mMetrics, [this] { return dump(); }, [this] { return isReady(); });
+  }
+
+  void makePlanner()
+  {
+    mLease = platform::LeaseRunner::Builder()
+               .table(*mTable)
+               .clock(mClock)
+               .lease({ .name = "planner",
+                        .owner = mSelf.id + "-" + std::to_string(mSelf.incarnation),
+                        .duration = mSettings.duration("planner.lease") })
+               .seed(tools::nodeSeed(mSettings))
+               .build();
+    mFencedTable = std::make_unique<tools::FencedTable>(*mLease, *mTable);
+    mPlannerStore = makeStore(*mFencedTable, "-planner");
+    mPlanner = std::make_unique<tools::PlannerLoop>(
+      *mFleet, *mLease, *mPlannerStore, mSettings.duration("planner.interval"));
+    mFleet->onConfigChange([this] { mPlanner->wake(); });
+  }
+
+  void makePublicServer()
+  {
+    mPublicServer = net::HttpServer::Builder()
+                      .address(mSettings.address("node.public"))
+                      .maxConnections(static_cast<size_t>(mSettings.integer("limits.connections")))
+                      .maxBodyBytes(static_cast<size_t>(mSettings.integer("limits.body_bytes")))
+                      .build();
+    mStoreAdapter = std::make_unique<tools::StoreAdapter>(*mStore, *mFleet);
+    std::vector<std::string> keys;
+    for (const auto& [name, key] : mSettings.section("operators")) {
+      keys.push_back(key);
+    }
+    mApi = api::ResourceApi::Builder()
+             .store(*mStoreAdapter)
+             .fleet(*mFleet)
+             .operatorKeys(std::move(keys))
+             .progress([this] { return progress(); })
+             .build();
+    mApi->attach(*mPublicServer);
+    gateway::EntryLimits limits;
+    limits.defaultDeadline = mSettings.duration("limits.default_deadline");
+    limits.progressTimeout = mSettings.duration("limits.progress_timeout");
+    limits.maxAttempts = static_cast<int>(mSettings.integer("limits.attempts"));
+    auto builder = gateway::EntryGateway::Builder();
+    builder.fleet(*mFleet)
+      .table(*mTable)
+      .metrics(mMetrics)
+      .place(mSelf.id, mSelf.zone, mSelf.region)
+      .limits(limits)
+      .seed(tools::nodeSeed(mSettings));
+    if (auto choice = makeChoice(mSettings.text("routing.choice"))) {
+      builder.choice(std::move(choice));
+    }
+    mGateway = builder.build();
+    mGateway->attach(*mPublicServer);
+  }
+
+  bool isReady() const
+  {
+    return !mLeaving && mFleet->config()->revision() > 0 && mFleet->mayStartNewWork(mClock.now());
+  }
+
+  /** What each agent holds and serves; bytes and expected times are at GET /progress of the agents.
+   */
+  Json::Value progress() const
+  {
+    Json::Value list(Json::arrayValue);
+    for (const auto& [id, node] : *mFleet->nodes()) {
+      if (node.state.kind != control::NodeKind::Agent) {
+        continue;
+      }
+      Json::Value row;
+      row["node"] = id;
+      row["endpoint"] = node.state.endpoint;
+      row["zone"] = node.state.zone;
+      row["control"] = node.state.controlAddress.toString();
+      row["alive"] = node.liveness == control::Liveness::Alive;
+      row["held"] = Json::arrayValue;
+      row["fetching"] = Json::arrayValue;
+      row["serving"] = Json::arrayValue;
+      for (const std::string& manifest : node.state.held) {
+        row["held"].append(manifest);
+      }
+      for (const std::string& manifest : node.state.fetching) {
+        row["fetching"].append(manifest);
+      }
+      for (const control::Served& served : node.state.serving) {
+        row["serving"].append(served.model + "/" + served.version);
+      }
+      list.append(row);
+    }
+    return list;
+  }
+
+  const settings::Settings& mSettings;
+  base::SteadyClock mClock;
+  telemetry::Registry mMetrics;
+  control::NodeState mSelf;
+  std::unique_ptr<control::HmacAuthenticator> mAuthenticator;
+  rpc::RpcServer mRpcServer;
+  rpc::RpcClient mRpcClient;
+  control::ResourceCodec mCodec;
+  std::unique_ptr<platform::TableClient> mTable;
+  std::unique_ptr<platform::VmList> mVms;
+  std::unique_ptr<control::ConfigStore> mStore;
+  std::unique_ptr<control::Fleet> mFleet;
+  std::unique_ptr<platform::LeaseRunner> mLease;
+  std::unique_ptr<tools::FencedTable> mFencedTable;
+  std::unique_ptr<control::ConfigStore> mPlannerStore;
+  std::unique_ptr<tools::PlannerLoop> mPlanner;
+  std::unique_ptr<tools::StoreAdapter> mStoreAdapter;
+  std::unique_ptr<api::ResourceApi> mApi;
+  std::unique_ptr<gateway::EntryGateway> mGateway;
+  std::atomic<bool> mLeaving{ false };
+  // Servers go first at destruction, since their handlers use everything above.
+  std::unique_ptr<net::HttpServer> mPublicServer;
+  std::unique_ptr<net::HttpServer> mControlServer;
+};
+
+int run(const settings::Settings& aSettings)
+{
+  tools::SignalLoop signals;
+  tools::startLogging(aSettings, "bp-entry");
+  auto authenticator = tools::makeAuthenticator(aSettings);
+  if (!authenticator) {
+    std::cerr << authenticator.error().describe() << "\n";
+    return static_cast<int>(tools::ExitCode::BadSettings);
+  }
+  Entry entry(aSettings, std::move(*authenticator));
+  if (auto started = entry.start(); !started) {
+    telemetry::logEvent(
+      telemetry::Level::Error, "cannot_start", { { "error", started.error().describe() } });
+    return static_cast<int>(tools::ExitCode::CannotStart);
+  }
+  telemetry::logEvent(telemetry::Level::Info, "started");
+  signals.waitForTermination([&] {
+    telemetry::logEvent(
+      telemetry::Level::Info, "dump", { { "state", base::writeJson(entry.dump()) } });
+  });
+  entry.leave();
+  return static_cast<int>(tools::ExitCode::Success);
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  auto commandLine = tools::parseCommandLine(aCount, aArguments, "bp-entry");
+  int exitCode = 0;
+  auto settings = tools::loadSettings(commandLine, tools::entrySchema(), exitCode);
+  return settings ? run(*settings) : exitCode;
+}
