--- /dev/null
+++ b/libs/control/include/control/ConfigStore.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <json/value.h>
+
+#include "base/Error.h"
+#include "base/Time.h"
+#include "platform/Platform.h"
+#include "resources/Snapshot.h"
+
+namespace boragepitch::control {
+
+/** The JSON form of resources, as resources/Codec.h gives it. */
+struct ResourceCodec
+{
+  std::function<Json::Value(const resources::Resource&)> encode;
+  std::function<base::Result<resources::Resource>(const Json::Value&)> decode;
+};
+
+/** One resource as it is after a commit; resource is null when it was deleted. */
+struct Change
+{
+  std::string kind;
+  std::string name;
+  std::shared_ptr<const resources::Resource> resource;
+};
+
+/** One entry of the change log. */
+struct LogEntry
+{
+  uint64_t revision = 0;
+  std::string transaction;
+  std::vector<Change> changes;
+};
+
+Json::Value encodeEntry(const LogEntry& aEntry, const ResourceCodec& aCodec);
+base::Result<LogEntry> decodeEntry(const Json::Value& aValue, const ResourceCodec& aCodec);
+
+enum class DeclarationKind
+{
+  Create,  ///< The resource must not exist.
+  Replace, ///< The resource must exist at resourceVersion.
+  Delete,  ///< The resource must exist at resourceVersion.
+};
+
+/** One change that an operator asks for. For Delete, only kind and name of the resource count. */
+struct Declaration
+{
+  DeclarationKind kind = DeclarationKind::Create;
+  resources::Resource resource;
+  uint64_t resourceVersion = 0; ///< Compared for Replace and Delete.
+};
+
+/**
+ * The configuration in the table service: rows res/<kind>/<name>, rev and log/<revision>
+ * (docs/design.md, section 6.1). Thread-safe.
+ */
+class ConfigStore
+{
+public:
+  class Builder
+  {
+  public:
+    /** The table and the clock must outlive the store. */
+    Builder& table(platform::TableClient& aTable);
+    Builder& clock(const base::Clock& aClock);
+    Builder& codec(ResourceCodec aCodec);
+    /** Prefix of transaction ids; unique for each start of a process. */
+    Builder& owner(std::string aOwner);
+    Builder& seed(uint64_t aSeed);
+    /** Longest time that commit() tries to find out the outcome (default 4 s). */
+    Builder& deadline(base::Milliseconds aDeadline);
+    /** Entries of the change log that are kept (default 1,000). */
+    Builder& retention(uint64_t aEntries);
+    std::unique_ptr<ConfigStore> build();
+
+  private:
+    friend class ConfigStore;
+    platform::TableClient* mTable = nullptr;
+    const base::Clock* mClock = nullptr;
+    ResourceCodec mCodec;
+    std::string mOwner;
+    uint64_t mSeed = 1;
+    base::Milliseconds mDeadline{ 4000 };
+    uint64_t mRetention = 1000;
+  };
+
+  virtual ~ConfigStore() = default;
+
+  /**
+   * Applies all declarations in one transaction, or none. Errors: Conflict (field "kind/name") when
+   * a resource is not at the given version; NotFound; Invalid for an empty or contradictory batch;
+   * Unavailable when nothing was written; UnknownOutcome when the store stayed away before the
+   * outcome was found.
+   */
+  virtual base::Result<LogEntry> commit(const std::vector<Declaration>& aDeclarations) = 0;
+
+  virtual base::Result<resources::Resource> read(std::string_view aKind,
+                                                 std::string_view aName) = 0;
+  /** The current revision; 0 when nothing was ever committed. */
+  virtual base::Result<uint64_t> revision() = 0;
+  /** All resources at one revision. */
+  virtual base::Result<std::shared_ptr<const resources::Snapshot>> load() = 0;
+  /**
+   * Up to aLimit entries after aRevision without a gap. NotFound when the log no longer reaches
+   * back that far (load the whole configuration instead).
+   */
+  virtual base::Result<std::vector<LogEntry>> entriesAfter(uint64_t aRevision, size_t aLimit) = 0;
+};
+
+} // namespace boragepitch::control
--- /dev/null
+++ b/libs/control/include/control/Fleet.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <json/value.h>
+
+#include "base/Time.h"
+#include "control/ConfigStore.h"
+#include "control/FleetView.h"
+#include "net/Address.h"
+#include "platform/Platform.h"
+#include "rpc/Rpc.h"
+
+namespace boragepitch::control {
+
+struct FleetSettings
+{
+  size_t fanout = 4; ///< Peers that a new revision is pushed to.
+  base::Milliseconds gossipInterval{ 1000 };
+  base::Milliseconds suspicionTimeout{ 3000 };
+  base::Milliseconds isolationLimit{ 3000 };
+  base::Milliseconds pauseLimit{ 2000 };
+  double pollBudget = 40;                     ///< Reads a second of the whole fleet.
+  base::Milliseconds pollCap{ 16000 };        ///< Longest period of one process.
+  base::Milliseconds vmListInterval{ 10000 }; ///< Period of reading the VM list.
+  base::Milliseconds vmListGrace{ 60000 };    ///< From leaving the VM list to removal.
+  base::Milliseconds deadRetention{ 30000 };  ///< From death to removal.
+  double newsBytesPerSecond = 5000;           ///< Node records sent; bursts of 8 s.
+  int controlPort = 7001;                     ///< Control port of the VMs of the VM list.
+};
+
+/**
+ * This process's part in the control plane: gossip, failure detection, configuration, freshness.
+ * Built before the HTTP server of aRpcServer starts, and started after it.
+ */
+class Fleet : public FleetView
+{
+public:
+  class Builder
+  {
+  public:
+    /** id, kind, zone, region and addresses must be set. incarnation 0 takes the wall clock. */
+    Builder& self(NodeState aSelf);
+    /** Control addresses to contact first. */
+    Builder& seeds(std::vector<net::Address> aSeeds);
+    /** Optional. All references and pointers must outlive the fleet. */
+    Builder& vmList(platform::VmList* aVmList);
+    /** Optional: without it, configuration comes from peers alone. */
+    Builder& configStore(ConfigStore* aStore);
+    Builder& codec(ResourceCodec aCodec);
+    Builder& rpcClient(rpc::RpcClient& aClient);
+    /** build() adds the methods "fleet.*"; attach the server after it. */
+    Builder& rpcServer(rpc::RpcServer& aServer);
+    Builder& clock(const base::Clock& aClock);
+    Builder& seed(uint64_t aSeed);
+    Builder& settings(FleetSettings aSettings);
+    std::unique_ptr<Fleet> build();
+
+  private:
+    friend class Fleet;
+    friend class FleetImpl;
+    NodeState mSelf;
+    std::vector<net::Address> mSeeds;
+    platform::VmList* mVmList = nullptr;
+    ConfigStore* mStore = nullptr;
+    ResourceCodec mCodec;
+    rpc::RpcClient* mClient = nullptr;
+    rpc::RpcServer* mServer = nullptr;
+    const base::Clock* mClock = nullptr;
+    uint64_t mSeed = 1;
+    FleetSettings mSettings;
+  };
+
+  using Callback = std::function<void()>;
+
+  virtual void start() = 0;
+  /** Ends all threads. The destructor calls it. Idempotent. */
+  virtual void stop() = 0;
+  /** Takes over a change that this process has just committed and pushes it to peers at once. */
+  virtual void offerRevision(const LogEntry& aEntry) = 0;
+  /** Callbacks run on a thread of the fleet, without locks; add them before start(). */
+  virtual void onConfigChange(Callback aCallback) = 0;
+  virtual void onNodesChange(Callback aCallback) = 0;
+  virtual Json::Value dumpJson() const = 0;
+};
+
+} // namespace boragepitch::control
