--- a/libs/platform/include/platform/Lease.h
+++ b/libs/platform/include/platform/Lease.h
@@ -60,6 +60,8 @@
                 const base::Result<uint64_t>& aAnswer,
                 base::TimePoint aNow);
 
+  /** True when the row must be read before plan() can decide well. */
+  bool needsRead() const;
   /** True while this process may act as the lease holder. */
   bool holds(base::TimePoint aNow) const;
   /** Fencing number of the held lease; 0 when not held. */
@@ -88,6 +90,8 @@
   std::optional<uint64_t> mSeenVersion;     ///< Empty until the row has been read.
   LeaseRow mSeen;
   base::TimePoint mSeenSince{};
+  bool mUnreadable = false;
+  bool mReleased = false;
   bool mHeld = false;
   uint64_t mFencing = 0;
   uint64_t mVersion = 0;
