Declare the routing cores and the gateways of entry and agent

The programs are built on these headers at the same time as their implementations. libs/gateway holds the I/O around the pure cores of libs/routing, so that the cores stay free of threads and sockets.

--- /dev/null
+++ b/libs/gateway/src/AgentGateway.cpp
@@ -0,0 +1,1 @@
+#include "gateway/AgentGateway.h"
--- /dev/null
+++ b/libs/gateway/src/EntryGateway.cpp
@@ -0,0 +1,1 @@
+#include "gateway/EntryGateway.h"
--- /dev/null
+++ b/libs/routing/src/AdaptiveLimit.cpp
@@ -0,0 +1,1 @@
+#include "routing/AdaptiveLimit.h"
--- /dev/null
+++ b/libs/routing/src/Admission.cpp
@@ -0,0 +1,1 @@
+#include "routing/Admission.h"
--- /dev/null
+++ b/libs/routing/src/CacheHints.cpp
@@ -0,0 +1,1 @@
+#include "routing/CacheHints.h"
--- /dev/null
+++ b/libs/routing/src/ClaimStore.cpp
@@ -0,0 +1,1 @@
+#include "routing/ClaimStore.h"
--- /dev/null
+++ b/libs/routing/src/EndpointChoice.cpp
@@ -0,0 +1,1 @@
+#include "routing/EndpointChoice.h"
--- /dev/null
+++ b/libs/routing/src/EndpointTable.cpp
@@ -0,0 +1,1 @@
+#include "routing/EndpointTable.h"
--- /dev/null
+++ b/libs/routing/src/FairShare.cpp
@@ -0,0 +1,1 @@
+#include "routing/FairShare.h"
--- /dev/null
+++ b/libs/routing/src/PoisonTracker.cpp
@@ -0,0 +1,1 @@
+#include "routing/PoisonTracker.h"
--- /dev/null
+++ b/libs/routing/src/StreamAssembler.cpp
@@ -0,0 +1,1 @@
+#include "routing/StreamAssembler.h"
