Implement the pure cores of request routing and the claim store

A claim whose answer was lost is resolved by reading its row; sending it again is safe because its check lets only one of two copies take effect.

--- a/libs/routing/src/Admission.cpp
+++ b/libs/routing/src/Admission.cpp
@@ -1,1 +1,177 @@
 #include "routing/Admission.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace boragepitch::routing {
+
+namespace {
+
+constexpr double kServiceTimeWeight = 0.2; ///< Weight of the newest request in the average.
+constexpr base::Duration kLeastRetryAfter = std::chrono::milliseconds(50);
+
+base::Duration seconds(double aSeconds)
+{
+  return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(aSeconds));
+}
+
+Decision refuse(std::string aReason, base::Duration aRetryAfter)
+{
+  return { Verdict::Refused, std::move(aReason), std::max(aRetryAfter, kLeastRetryAfter) };
+}
+
+} // namespace
+
+bool Admission::Order::operator()(const Queued& aLeft, const Queued& aRight) const
+{
+  return std::tuple(-aLeft.work.priority, aLeft.work.deadline, aLeft.work.id) <
+         std::tuple(-aRight.work.priority, aRight.work.deadline, aRight.work.id);
+}
+
+Admission::Admission(AdmissionLimits aLimits)
+  : mLimits(aLimits)
+{
+}
+
+int Admission::limit() const
+{
+  return std::max(1, mLimits.cold ? mLimits.coldLimit : mLimits.warmLimit);
+}
+
+bool Admission::mayStart(const Work& aWork) const
+{
+  if (mClosedReason.empty() && !mAloneRuns) {
+    return aWork.alone ? mRunning.empty() : running() < limit();
+  }
+  return false;
+}
+
+base::Duration Admission::waitBehind(size_t aAhead) const
+{
+  double rounds = static_cast<double>(aAhead + 1) / limit();
+  return seconds(rounds * mServiceSeconds);
+}
+
+base::Duration Admission::expectedWait(int aPriority) const
+{
+  size_t ahead = 0;
+  for (const Queued& queued : mQueue) {
+    ahead += queued.work.priority >= aPriority ? 1 : 0;
+  }
+  return mQueue.empty() && running() < limit() ? base::Duration::zero() : waitBehind(ahead);
+}
+
+bool Admission::cannotFinish(const Work& aWork, base::Duration aWait, base::TimePoint aNow) const
+{
+  if (aWork.deadline == base::TimePoint::max()) {
+    return false;
+  }
+  return aNow + aWait + seconds(mServiceSeconds) > aWork.deadline;
+}
+
+Decision Admission::offer(const Work& aWork, base::TimePoint aNow)
+{
+  if (!mClosedReason.empty()) {
+    return refuse(mClosedReason, mClosedRetry);
+  }
+  if (aWork.deadline <= aNow) {
+    return refuse("deadline has passed", base::Duration::zero());
+  }
+  if (mQueue.empty() && mayStart(aWork)) {
+    mRunning.emplace(aWork.id, aWork.alone);
+    mAloneRuns = aWork.alone;
+    return { Verdict::Run, {}, {} };
+  }
+  base::Duration wait = expectedWait(aWork.priority);
+  if (mQueue.size() >= mLimits.maxQueue) {
+    return refuse("queue is full", wait);
+  }
+  if (wait > mLimits.maxQueueWait || cannotFinish(aWork, wait, aNow)) {
+    return refuse("cannot finish in time", wait);
+  }
+  auto [position, inserted] = mQueue.insert({ aWork, aNow });
+  mQueuedById[aWork.id] = position;
+  return { Verdict::Queued, {}, {} };
+}
+
+void Admission::startWhatFits(Changes& aChanges)
+{
+  while (!mQueue.empty() && mayStart(mQueue.begin()->work)) {
+    const Work& work = mQueue.begin()->work;
+    mRunning.emplace(work.id, work.alone);
+    mAloneRuns = work.alone;
+    aChanges.started.push_back(work.id);
+    mQueuedById.erase(work.id);
+    mQueue.erase(mQueue.begin());
+  }
+}
+
+void Admission::refuseLate(Changes& aChanges, base::TimePoint aNow)
+{
+  for (auto it = mQueue.begin(); it != mQueue.end();) {
+    bool tooLong = aNow - it->since > mLimits.maxQueueWait;
+    if (!tooLong && !cannotFinish(it->work, base::Duration::zero(), aNow)) {
+      ++it;
+      continue;
+    }
+    aChanges.refused.push_back({ it->work.id, "cannot finish in time", waitBehind(mQueue.size()) });
+    mQueuedById.erase(it->work.id);
+    it = mQueue.erase(it);
+  }
+}
+
+Admission::Changes Admission::finish(uint64_t aId,
+                                     base::Duration aServiceTime,
+                                     base::TimePoint aNow)
+{
+  Changes changes;
+  if (auto found = mRunning.find(aId); found != mRunning.end()) {
+    mAloneRuns = mAloneRuns && !found->second;
+    mRunning.erase(found);
+    double took = std::chrono::duration<double>(aServiceTime).count();
+    if (took > 0) {
+      double weight = mServiceSeconds == 0 ? 1 : kServiceTimeWeight;
+      mServiceSeconds += weight * (took - mServiceSeconds);
+    }
+  } else if (auto queued = mQueuedById.find(aId); queued != mQueuedById.end()) {
+    mQueue.erase(queued->second);
+    mQueuedById.erase(queued);
+  }
+  refuseLate(changes, aNow);
+  startWhatFits(changes);
+  return changes;
+}
+
+Admission::Changes Admission::tick(base::TimePoint aNow)
+{
+  Changes changes;
+  refuseLate(changes, aNow);
+  startWhatFits(changes);
+  return changes;
+}
+
+Admission::Changes Admission::setLimits(AdmissionLimits aLimits, base::TimePoint aNow)
+{
+  mLimits = aLimits;
+  return tick(aNow);
+}
+
+Admission::Changes Admission::close(std::string aReason,
+                                    base::Duration aRetryAfter,
+                                    base::TimePoint aNow)
+{
+  mClosedReason = std::move(aReason);
+  mClosedRetry = aRetryAfter;
+  Changes changes;
+  if (mClosedReason.empty()) {
+    return tick(aNow);
+  }
+  for (const Queued& queued : mQueue) {
+    changes.refused.push_back({ queued.work.id, mClosedReason, mClosedRetry });
+  }
+  mQueue.clear();
+  mQueuedById.clear();
+  return changes;
+}
+
+} // namespace boragepitch::routing
--- a/libs/routing/src/CacheHints.cpp
+++ b/libs/routing/src/CacheHints.cpp
@@ -1,1 +1,96 @@
 #include "routing/CacheHints.h"
+
+#include "base/Digest.h"
+
+namespace boragepitch::routing {
+
+namespace {
+
+/** Prompts that agree in this many characters share a useful part of the cache. */
+constexpr size_t kPrefixCharacters = 256;
+constexpr size_t kShortestPrompt = 32;
+
+} // namespace
+
+CacheHints::CacheHints(size_t aMaxPrefixes, base::Duration aMaxAge)
+  : mMaxPrefixes(aMaxPrefixes)
+  , mMaxAge(aMaxAge)
+{
+}
+
+void CacheHints::apply(const CacheEvent& aEvent, base::TimePoint aNow)
+{
+  std::lock_guard lock(mMutex);
+  // Endpoints come and go; forgetting all sources costs some hits and bounds the memory.
+  if (mSources.size() >= mMaxPrefixes && !mSources.contains(aEvent.endpoint)) {
+    mSources.clear();
+    mHints.clear();
+    mOldestFirst.clear();
+  }
+  Source& source = mSources[aEvent.endpoint];
+  bool other = source.instance != aEvent.instance;
+  bool gap = aEvent.sequence != 0 && source.sequence != 0 && aEvent.sequence > source.sequence + 1;
+  if (!other && aEvent.sequence != 0 && aEvent.sequence <= source.sequence) {
+    return;
+  }
+  if (other || gap) {
+    ++source.generation;
+    source.instance = aEvent.instance;
+    source.sequence = 0;
+  }
+  if (aEvent.sequence != 0) {
+    source.sequence = aEvent.sequence;
+  }
+  insert(aEvent, source.generation, aNow);
+}
+
+void CacheHints::insert(const CacheEvent& aEvent, uint64_t aGeneration, base::TimePoint aNow)
+{
+  auto found = mHints.find(aEvent.prefix);
+  bool sameEndpoint = found != mHints.end() && found->second.endpoint == aEvent.endpoint;
+  if (aEvent.dropped && !sameEndpoint) {
+    return;
+  }
+  if (found != mHints.end()) {
+    mOldestFirst.erase(found->second.age);
+    mHints.erase(found);
+  }
+  if (aEvent.dropped) {
+    return;
+  }
+  if (mHints.size() >= mMaxPrefixes) {
+    mHints.erase(mOldestFirst.front());
+    mOldestFirst.pop_front();
+  }
+  mOldestFirst.push_back(aEvent.prefix);
+  mHints[aEvent.prefix] = Hint{ aEvent.endpoint, aGeneration, aNow, std::prev(mOldestFirst.end()) };
+}
+
+std::string CacheHints::find(uint64_t aPrefix, base::TimePoint aNow) const
+{
+  std::lock_guard lock(mMutex);
+  auto found = mHints.find(aPrefix);
+  if (found == mHints.end() || aNow - found->second.noted > mMaxAge) {
+    return {};
+  }
+  auto source = mSources.find(found->second.endpoint);
+  bool valid = source != mSources.end() && source->second.generation == found->second.generation;
+  return valid ? found->second.endpoint : std::string();
+}
+
+size_t CacheHints::size() const
+{
+  std::lock_guard lock(mMutex);
+  return mHints.size();
+}
+
+uint64_t prefixHash(std::string_view aModel, std::string_view aPrompt)
+{
+  if (aPrompt.size() < kShortestPrompt) {
+    return 0;
+  }
+  uint64_t seed = base::fastHash(base::asBytes(aModel));
+  return base::fastHash(base::asBytes(aPrompt.substr(0, kPrefixCharacters)), seed);
+}
+
+} // namespace boragepitch::routing
--- a/libs/routing/src/ClaimStore.cpp
+++ b/libs/routing/src/ClaimStore.cpp
@@ -1,1 +1,346 @@
 #include "routing/ClaimStore.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+#include "base/Digest.h"
+#include "base/Json.h"
+#include "routing/ClaimCore.h"
+
+namespace boragepitch::routing {
+
+namespace {
+
+using base::ErrorKind;
+
+tl::unexpected<base::Error> unavailable(const std::string& aField, const std::string& aMessage)
+{
+  auto error = base::fail(ErrorKind::Unavailable, aField, aMessage, "nothing was run; retry later");
+  error.value().retryAfter = std::chrono::seconds(1);
+  return error;
+}
+
+/** Keys are the callers' text; the length bound keeps row keys within the table's limits. */
+std::string boundedName(std::string_view aText)
+{
+  constexpr size_t kLongest = 200;
+  if (aText.size() <= kLongest) {
+    return std::string(aText);
+  }
+  return "sha256:" + base::toHex(base::sha256(base::asBytes(aText)));
+}
+
+} // namespace
+
+std::string claimKey(std::string_view aWorkspace, std::string_view aKey)
+{
+  // Workspace names contain no slash, so no two pairs share a row.
+  return "claim/" + boundedName(aWorkspace) + "/" + boundedName(aKey);
+}
+
+std::string encodeClaim(const Claim& aClaim)
+{
+  Json::Value value;
+  value["state"] = aClaim.state == ClaimState::Done ? "done" : "claimed";
+  value["id"] = aClaim.id;
+  value["owner"] = aClaim.owner;
+  value["fingerprint"] = aClaim.fingerprint;
+  if (aClaim.state == ClaimState::Done) {
+    value["status"] = aClaim.answer.status;
+    value["type"] = aClaim.answer.contentType;
+    value["kept"] = aClaim.answerKept;
+    // Bodies may hold any bytes, which JSON text cannot.
+    value["body"] = base::toHex(base::asBytes(aClaim.answer.body));
+  }
+  return base::writeJson(value);
+}
+
+namespace {
+
+std::optional<std::string> fromHex(const std::string& aHex)
+{
+  std::string bytes;
+  auto digit = [](char aChar) {
+    return aChar >= '0' && aChar <= '9'   ? aChar - '0'
+           : aChar >= 'a' && aChar <= 'f' ? aChar - 'a' + 10
+                                          : -1;
+  };
+  if (aHex.size() % 2 != 0) {
+    return std::nullopt;
+  }
+  for (size_t i = 0; i < aHex.size(); i += 2) {
+    if (digit(aHex[i]) < 0 || digit(aHex[i + 1]) < 0) {
+      return std::nullopt;
+    }
+    bytes += static_cast<char>(digit(aHex[i]) * 16 + digit(aHex[i + 1]));
+  }
+  return bytes;
+}
+
+} // namespace
+
+base::Result<Claim> decodeClaim(const platform::Row& aRow)
+{
+  constexpr size_t kLargestRow = 1 << 20;
+  auto corrupt = [&] {
+    return base::fail(ErrorKind::Corrupt, aRow.key, "row is not a claim", "inspect the row");
+  };
+  auto value = base::parseJson(aRow.value, { .bytes = kLargestRow });
+  if (!value || !value->isObject()) {
+    return corrupt();
+  }
+  Claim claim;
+  std::string state = base::stringOr(*value, "state");
+  auto body = fromHex(base::stringOr(*value, "body"));
+  if ((state != "done" && state != "claimed") || !body) {
+    return corrupt();
+  }
+  claim.state = state == "done" ? ClaimState::Done : ClaimState::InProgress;
+  claim.id = base::stringOr(*value, "id");
+  claim.owner = base::stringOr(*value, "owner");
+  claim.fingerprint = base::stringOr(*value, "fingerprint");
+  claim.answer.status = static_cast<int>(base::intOr(*value, "status", 0));
+  claim.answer.contentType = base::stringOr(*value, "type");
+  claim.answer.body = *body;
+  claim.answerKept = base::boolOr(*value, "kept", true);
+  claim.version = aRow.version;
+  return claim;
+}
+
+struct ClaimStore::Impl
+{
+  Impl(platform::TableClient& aTable, Options aOptions)
+    : table(aTable)
+    , options(std::move(aOptions))
+    , core(options.batch, options.transactionsPerSecond, options.retryEvery)
+  {
+    thread = std::thread([this] { run(); });
+  }
+
+  /** Hands a write to the thread and waits for its result, at most until aWaitUntil. */
+  std::optional<WriteResult> write(RowWrite aWrite, base::TimePoint aWaitUntil)
+  {
+    std::unique_lock lock(mutex);
+    if (stopping || core.pending() >= options.maxQueue) {
+      return std::nullopt;
+    }
+    uint64_t id = ++lastId;
+    aWrite.id = id;
+    awaited.insert(id);
+    core.submit(std::move(aWrite));
+    wake.notify_all();
+    answered.wait_until(lock, aWaitUntil, [&] { return stopping || results.contains(id); });
+    awaited.erase(id);
+    auto found = results.find(id);
+    if (found == results.end()) {
+      return std::nullopt;
+    }
+    WriteResult result = std::move(found->second);
+    results.erase(found);
+    return result;
+  }
+
+  /** Removes a claim that was given up while its transaction may still take effect. */
+  void removeLater(const Claim& aClaim, const std::string& aKey)
+  {
+    std::lock_guard lock(mutex);
+    if (abandoned.size() < options.maxQueue) {
+      abandoned.emplace(aKey, aClaim.id);
+    }
+  }
+
+  void store(std::vector<WriteResult> aResults)
+  {
+    for (WriteResult& result : aResults) {
+      if (awaited.contains(result.id)) {
+        results[result.id] = std::move(result);
+      }
+    }
+    answered.notify_all();
+  }
+
+  void run()
+  {
+    std::unique_lock lock(mutex);
+    while (!stopping) {
+      auto now = std::chrono::steady_clock::now();
+      store(core.expire(now));
+      if (!step(lock, now) && !stopping) {
+        auto until = std::min(core.nextWake(now), now + std::chrono::seconds(1));
+        wake.wait_until(lock, until);
+      }
+    }
+  }
+
+  /** One read or transaction; false when there was nothing to do. */
+  bool step(std::unique_lock<std::mutex>& aLock, base::TimePoint aNow)
+  {
+    auto keys = core.keysToRead();
+    if (!keys.empty() && aNow >= readNotBefore) {
+      aLock.unlock();
+      auto rows = table.read(keys);
+      aLock.lock();
+      auto now = std::chrono::steady_clock::now();
+      readNotBefore = rows ? now : now + options.retryEvery;
+      store(core.rowsRead(rows, now));
+      return true;
+    }
+    auto transaction = core.takeTransaction(aNow);
+    if (!transaction.checks.empty()) {
+      transaction.id = options.owner + "-" + options.incarnation + "-" + transaction.id;
+      aLock.unlock();
+      auto committed = table.commit(transaction);
+      aLock.lock();
+      store(core.committed(committed, std::chrono::steady_clock::now()));
+      return true;
+    }
+    return removeAbandoned(aLock, aNow);
+  }
+
+  bool removeAbandoned(std::unique_lock<std::mutex>& aLock, base::TimePoint aNow)
+  {
+    if (abandoned.empty() || aNow < cleanNotBefore) {
+      return false;
+    }
+    cleanNotBefore = aNow + std::chrono::seconds(1);
+    auto [key, id] = *abandoned.begin();
+    aLock.unlock();
+    auto rows = table.read({ key });
+    aLock.lock();
+    if (!rows) {
+      return true;
+    }
+    abandoned.erase(key);
+    if (!rows->empty()) {
+      auto claim = decodeClaim(rows->front());
+      if (claim && claim->id == id && claim->state == ClaimState::InProgress) {
+        core.submit({ ++lastId, key, {}, claim->version, aNow + options.keepTrying });
+      }
+    }
+    return true;
+  }
+
+  platform::TableClient& table;
+  const Options options;
+  std::mutex mutex;
+  std::condition_variable wake;
+  std::condition_variable answered;
+  ClaimCore core;
+  uint64_t lastId = 0;
+  uint64_t lastClaim = 0;
+  std::set<uint64_t> awaited;
+  std::map<uint64_t, WriteResult> results;
+  std::map<std::string, std::string> abandoned; ///< Row key and claim id.
+  base::TimePoint readNotBefore;
+  base::TimePoint cleanNotBefore;
+  bool stopping = false;
+  std::thread thread;
+};
+
+ClaimStore::ClaimStore(platform::TableClient& aTable, Options aOptions)
+  : mImpl(std::make_unique<Impl>(aTable, std::move(aOptions)))
+{
+}
+
+ClaimStore::~ClaimStore()
+{
+  stop();
+}
+
+void ClaimStore::stop()
+{
+  {
+    std::lock_guard lock(mImpl->mutex);
+    mImpl->stopping = true;
+  }
+  mImpl->wake.notify_all();
+  mImpl->answered.notify_all();
+  if (mImpl->thread.joinable()) {
+    mImpl->thread.join();
+  }
+}
+
+base::Result<ClaimResult> ClaimStore::acquire(std::string_view aWorkspace,
+                                              std::string_view aKey,
+                                              std::string_view aFingerprint,
+                                              base::Duration aTimeout)
+{
+  Claim claim;
+  claim.state = ClaimState::InProgress;
+  claim.owner = mImpl->options.owner;
+  claim.fingerprint = aFingerprint;
+  {
+    std::lock_guard lock(mImpl->mutex);
+    claim.id =
+      claim.owner + "-" + mImpl->options.incarnation + "-" + std::to_string(++mImpl->lastClaim);
+  }
+  std::string key = claimKey(aWorkspace, aKey);
+  auto deadline = std::chrono::steady_clock::now() + aTimeout;
+  auto result = mImpl->write({ 0, key, encodeClaim(claim), 0, deadline }, deadline);
+  if (!result || result->outcome == WriteOutcome::GivenUp) {
+    mImpl->removeLater(claim, key);
+    return unavailable(key, "the table service did not confirm the claim in time");
+  }
+  if (result->outcome == WriteOutcome::Written) {
+    claim.version = result->row.version;
+    return ClaimResult{ true, std::move(claim) };
+  }
+  if (result->row.version == 0) {
+    return unavailable(key, "the claim changed at the same time");
+  }
+  auto other = decodeClaim(result->row);
+  if (!other) {
+    return tl::make_unexpected(other.error());
+  }
+  return ClaimResult{ false, std::move(*other) };
+}
+
+bool ClaimStore::finish(std::string_view aWorkspace,
+                        std::string_view aKey,
+                        const Claim& aClaim,
+                        Answer aAnswer,
+                        base::Duration aTimeout)
+{
+  Claim done = aClaim;
+  done.state = ClaimState::Done;
+  done.answerKept = aAnswer.body.size() <= mImpl->options.maxAnswerBytes;
+  done.answer = std::move(aAnswer);
+  if (!done.answerKept) {
+    done.answer.body.clear();
+  }
+  auto now = std::chrono::steady_clock::now();
+  auto result = mImpl->write({ 0,
+                               claimKey(aWorkspace, aKey),
+                               encodeClaim(done),
+                               aClaim.version,
+                               now + mImpl->options.keepTrying },
+                             now + aTimeout);
+  return result && result->outcome == WriteOutcome::Written;
+}
+
+bool ClaimStore::release(std::string_view aWorkspace,
+                         std::string_view aKey,
+                         const Claim& aClaim,
+                         base::Duration aTimeout)
+{
+  auto now = std::chrono::steady_clock::now();
+  auto result = mImpl->write(
+    { 0, claimKey(aWorkspace, aKey), {}, aClaim.version, now + mImpl->options.keepTrying },
+    now + aTimeout);
+  return result && result->outcome == WriteOutcome::Written;
+}
+
+base::Result<Claim> ClaimStore::lookUp(std::string_view aWorkspace, std::string_view aKey)
+{
+  std::string key = claimKey(aWorkspace, aKey);
+  auto rows = mImpl->table.read({ key });
+  if (!rows) {
+    return tl::make_unexpected(rows.error());
+  }
+  return rows->empty() ? Claim{} : decodeClaim(rows->front());
+}
+
+} // namespace boragepitch::routing
--- a/libs/routing/src/EndpointTable.cpp
+++ b/libs/routing/src/EndpointTable.cpp
@@ -1,1 +1,191 @@
 #include "routing/EndpointTable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace boragepitch::routing {
+
+namespace {
+
+using resources::Endpoint;
+using resources::EndpointType;
+using resources::Serving;
+using resources::Snapshot;
+
+const EndpointTable::Candidates kNoCandidates;
+
+template<typename Map>
+const EndpointTable::Candidates& candidatesOf(const Map& aMap, std::string_view aName)
+{
+  auto found = aMap.find(aName);
+  return found == aMap.end() ? kNoCandidates : found->second;
+}
+
+bool takesWholeRequests(resources::Role aRole)
+{
+  return aRole == resources::Role::General || aRole == resources::Role::Decode;
+}
+
+bool covers(const Serving& aServing, const std::string& aZone, const std::string& aEndpoint)
+{
+  bool inZone =
+    aServing.zones.empty() ||
+    std::find(aServing.zones.begin(), aServing.zones.end(), aZone) != aServing.zones.end();
+  bool named = aServing.endpoints.empty() || std::any_of(aServing.endpoints.begin(),
+                                                         aServing.endpoints.end(),
+                                                         [&](const std::string& aPrefix) {
+                                                           return aEndpoint.starts_with(aPrefix);
+                                                         });
+  return inZone && named;
+}
+
+/** Calls aVisit(model, serving) for each model and adapter that is declared. */
+template<typename Visit>
+void eachDeclared(const Snapshot& aConfig, Visit&& aVisit)
+{
+  aConfig.each<Serving>([&](const resources::Resource&, const Serving& aServing) {
+    aVisit(aServing.model, aServing);
+    for (const std::string& name : aServing.adapters) {
+      if (const auto* adapter = aConfig.spec<resources::ModelVersion>("ModelVersion", name)) {
+        aVisit(adapter->model, aServing);
+      }
+    }
+  });
+}
+
+std::shared_ptr<EndpointLoad> loadOf(const std::string& aName, const EndpointTable* aPrevious)
+{
+  const EndpointInfo* known = aPrevious == nullptr ? nullptr : aPrevious->find(aName);
+  return known == nullptr ? std::make_shared<EndpointLoad>() : known->load;
+}
+
+EndpointInfo describe(const control::NodeState& aState, const Endpoint& aEndpoint)
+{
+  EndpointInfo info;
+  info.name = aState.endpoint;
+  info.node = aState.id;
+  info.zone = aState.zone;
+  info.region = aState.region;
+  info.data = aState.dataAddress;
+  info.type = aEndpoint.type;
+  info.role = aEndpoint.role;
+  info.serving = aState.serving;
+  info.instance = aState.instance;
+  info.cold = aState.cold;
+  info.limit = std::max(1, aState.cold ? aEndpoint.coldLimit : aEndpoint.warmLimit);
+  return info;
+}
+
+bool isAvailable(const control::NodeEntry& aNode)
+{
+  return aNode.state.kind == control::NodeKind::Agent &&
+         aNode.state.phase == control::Phase::Ready && aNode.liveness != control::Liveness::Dead;
+}
+
+} // namespace
+
+const control::Served* EndpointInfo::served(std::string_view aModel) const
+{
+  for (const control::Served& entry : serving) {
+    if (entry.model == aModel) {
+      return &entry;
+    }
+  }
+  return nullptr;
+}
+
+std::string outOfServiceReason(const Snapshot& aConfig,
+                               const std::string& aEndpoint,
+                               const std::string& aZone)
+{
+  const auto* endpoint = aConfig.spec<Endpoint>("Endpoint", aEndpoint);
+  if (endpoint == nullptr) {
+    return "endpoint is not declared";
+  }
+  const auto* vm = aConfig.spec<resources::Vm>("Vm", endpoint->vm);
+  if (vm == nullptr || !vm->inService) {
+    return vm == nullptr ? "VM is not declared" : "VM is out of service";
+  }
+  const auto* zone = aConfig.spec<resources::Zone>("Zone", aZone);
+  if (zone == nullptr || !zone->inService) {
+    return zone == nullptr ? "zone is not declared" : "zone is out of service";
+  }
+  // A VM that is declared in another zone than its process was started in follows both switches.
+  const auto* declared = aConfig.spec<resources::Zone>("Zone", vm->zone);
+  if (vm->zone != aZone && (declared == nullptr || !declared->inService)) {
+    return "declared zone of the VM is out of service";
+  }
+  return {};
+}
+
+std::shared_ptr<const EndpointTable> EndpointTable::build(const Snapshot& aConfig,
+                                                          const control::NodeTable& aNodes,
+                                                          const EndpointTable* aPrevious)
+{
+  auto table = std::make_shared<EndpointTable>();
+  table->mRevision = aConfig.revision();
+  std::map<std::string, uint64_t> incarnations;
+  for (const auto& [id, node] : aNodes) {
+    const control::NodeState& state = node.state;
+    if (!isAvailable(node) || !outOfServiceReason(aConfig, state.endpoint, state.zone).empty()) {
+      continue;
+    }
+    // After a replacement two nodes may claim one endpoint; the younger process is the real one.
+    if (table->mEndpoints.contains(state.endpoint) &&
+        incarnations[state.endpoint] > state.incarnation) {
+      continue;
+    }
+    incarnations[state.endpoint] = state.incarnation;
+    EndpointInfo info = describe(state, *aConfig.spec<Endpoint>("Endpoint", state.endpoint));
+    info.load = loadOf(info.name, aPrevious);
+    table->mEndpoints[info.name] = std::move(info);
+  }
+  eachDeclared(aConfig, [&](const std::string& aModel, const Serving& aServing) {
+    Candidates& candidates = table->mByModel[aModel];
+    for (const auto& [name, info] : table->mEndpoints) {
+      bool fits = info.type == EndpointType::Model && takesWholeRequests(info.role) &&
+                  info.served(aModel) != nullptr && covers(aServing, info.zone, name);
+      if (fits && std::find(candidates.begin(), candidates.end(), &info) == candidates.end()) {
+        candidates.push_back(&info);
+      }
+    }
+  });
+  for (const auto& [name, info] : table->mEndpoints) {
+    if (info.type == EndpointType::Service) {
+      table->mByService[aConfig.spec<Endpoint>("Endpoint", name)->service].push_back(&info);
+    }
+  }
+  return table;
+}
+
+const EndpointTable::Candidates& EndpointTable::forModel(std::string_view aModel) const
+{
+  return candidatesOf(mByModel, aModel);
+}
+
+const EndpointTable::Candidates& EndpointTable::forService(std::string_view aService) const
+{
+  return candidatesOf(mByService, aService);
+}
+
+bool EndpointTable::isDeclared(std::string_view aModel) const
+{
+  return mByModel.contains(aModel);
+}
+
+const EndpointInfo* EndpointTable::find(std::string_view aName) const
+{
+  auto found = mEndpoints.find(aName);
+  return found == mEndpoints.end() ? nullptr : &found->second;
+}
+
+int EndpointTable::totalLimit() const
+{
+  int total = 0;
+  for (const auto& [name, info] : mEndpoints) {
+    total += info.limit;
+  }
+  return total;
+}
+
+} // namespace boragepitch::routing
