--- /dev/null
+++ b/libs/resources/src/Validate.cpp
@@ -0,0 +1,391 @@
+#include "resources/Validate.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace boragepitch::resources {
+
+namespace {
+
+using base::ErrorKind;
+using Key = Snapshot::Key;
+
+std::string label(const std::string& aKind, const std::string& aName)
+{
+  return aKind + "/" + aName;
+}
+
+std::string label(const Resource& aResource)
+{
+  return label(aResource.kind, aResource.name);
+}
+
+base::Error error(ErrorKind aKind, std::string aField, std::string aMessage, std::string aRemedy)
+{
+  return base::fail(aKind, std::move(aField), std::move(aMessage), std::move(aRemedy)).value();
+}
+
+/** A fault across resources. `missing` is the absent resource when the fault is a reference. */
+struct Fault
+{
+  std::string user; ///< Label of the resource at fault.
+  std::string field;
+  std::string message;
+  std::string remedy;
+  Key missing;
+
+  auto operator<=>(const Fault&) const = default;
+};
+
+std::string modelLabel(const std::string& aModel, const std::string& aVersion)
+{
+  return "model " + aModel + " version " + aVersion;
+}
+
+class FaultFinder
+{
+public:
+  explicit FaultFinder(const Snapshot& aSnapshot)
+    : mSnapshot(aSnapshot)
+  {
+    indexModels();
+  }
+
+  std::set<Fault> find()
+  {
+    mSnapshot.each<Vm>([&](const Resource& aUser, const Vm& aVm) {
+      requireNamed(aUser, "spec.zone", "Zone", aVm.zone);
+    });
+    mSnapshot.each<Endpoint>(
+      [&](const Resource& aUser, const Endpoint& aSpec) { checkEndpoint(aUser, aSpec); });
+    mSnapshot.each<ModelVersion>(
+      [&](const Resource& aUser, const ModelVersion& aSpec) { checkModel(aUser, aSpec); });
+    mSnapshot.each<Serving>(
+      [&](const Resource& aUser, const Serving& aSpec) { checkServing(aUser, aSpec); });
+    checkOverlaps();
+    return std::move(mFaults);
+  }
+
+private:
+  void indexModels()
+  {
+    mSnapshot.each<ModelVersion>([&](const Resource& aResource, const ModelVersion& aSpec) {
+      if (aSpec.adapterOf.empty()) {
+        mBaseModels.insert(aSpec.model);
+      }
+      auto [first, isNew] = mVersions.try_emplace({ aSpec.model, aSpec.version }, &aResource);
+      if (!isNew) {
+        add(aResource,
+            "spec.version",
+            label(*first->second) + " already declares " + modelLabel(aSpec.model, aSpec.version),
+            "give another version, since a version never changes");
+      }
+    });
+  }
+
+  void add(const Resource& aUser,
+           std::string aField,
+           std::string aMessage,
+           std::string aRemedy,
+           Key aMissing = {})
+  {
+    mFaults.insert({ label(aUser),
+                     std::move(aField),
+                     std::move(aMessage),
+                     std::move(aRemedy),
+                     std::move(aMissing) });
+  }
+
+  void requireNamed(const Resource& aUser,
+                    const std::string& aField,
+                    const std::string& aKind,
+                    const std::string& aName)
+  {
+    if (mSnapshot.find(aKind, aName) == nullptr) {
+      add(aUser,
+          aField,
+          label(aKind, aName) + " does not exist",
+          "create it first, or in the same batch",
+          { aKind, aName });
+    }
+  }
+
+  void checkEndpoint(const Resource& aUser, const Endpoint& aSpec)
+  {
+    requireNamed(aUser, "spec.vm", "Vm", aSpec.vm);
+    if (aSpec.type == EndpointType::Service) {
+      requireNamed(aUser, "spec.service", "Service", aSpec.service);
+    }
+    if (aSpec.coldLimit > aSpec.warmLimit) {
+      add(aUser,
+          "spec.coldLimit",
+          "is greater than warmLimit",
+          "give a coldLimit of at most warmLimit");
+    }
+  }
+
+  void checkModel(const Resource& aUser, const ModelVersion& aSpec)
+  {
+    if (!aSpec.adapterOf.empty() && !mBaseModels.contains(aSpec.adapterOf)) {
+      add(aUser,
+          "spec.adapterOf",
+          "no ModelVersion of the model " + aSpec.adapterOf + " exists",
+          "create one first, or in the same batch",
+          { "model", aSpec.adapterOf });
+    }
+  }
+
+  void checkServing(const Resource& aUser, const Serving& aSpec)
+  {
+    auto version = mVersions.find({ aSpec.model, aSpec.version });
+    if (version == mVersions.end()) {
+      add(aUser,
+          "spec.version",
+          "no ModelVersion declares " + modelLabel(aSpec.model, aSpec.version),
+          "create it first, or in the same batch",
+          { "model", aSpec.model + "/" + aSpec.version });
+    } else if (!std::get<ModelVersion>(version->second->spec).adapterOf.empty()) {
+      add(aUser,
+          "spec.model",
+          aSpec.model + " is an adapter",
+          "serve its base model and list the adapter in spec.adapters");
+    }
+    for (size_t i = 0; i < aSpec.zones.size(); ++i) {
+      requireNamed(aUser, "spec.zones[" + std::to_string(i) + "]", "Zone", aSpec.zones[i]);
+    }
+    checkAdapters(aUser, aSpec);
+  }
+
+  void checkAdapters(const Resource& aUser, const Serving& aSpec)
+  {
+    std::set<std::string> models;
+    for (size_t i = 0; i < aSpec.adapters.size(); ++i) {
+      std::string field = "spec.adapters[" + std::to_string(i) + "]";
+      requireNamed(aUser, field, "ModelVersion", aSpec.adapters[i]);
+      const auto* adapter = mSnapshot.spec<ModelVersion>("ModelVersion", aSpec.adapters[i]);
+      if (adapter == nullptr) {
+        continue;
+      }
+      if (adapter->adapterOf != aSpec.model) {
+        add(aUser,
+            field,
+            aSpec.adapters[i] + " is not an adapter of " + aSpec.model,
+            "list ModelVersions whose adapterOf is " + aSpec.model);
+      }
+      if (!models.insert(adapter->model).second) {
+        add(aUser, field, "a second version of adapter " + adapter->model, "list one version");
+      }
+    }
+  }
+
+  void checkOverlaps()
+  {
+    std::map<std::pair<std::string, std::string>, std::string> owners;
+    mSnapshot.each<Serving>([&](const Resource& aUser, const Serving& aServing) {
+      mSnapshot.each<Endpoint>([&](const Resource& aEndpoint, const Endpoint& aSpec) {
+        if (!covers(mSnapshot, aServing, aEndpoint.name, aSpec)) {
+          return;
+        }
+        auto [owner, isNew] = owners.try_emplace({ aServing.model, aEndpoint.name }, label(aUser));
+        if (!isNew) {
+          addOverlap(aUser, owner->second, aEndpoint.name);
+        }
+      });
+    });
+  }
+
+  void addOverlap(const Resource& aUser, const std::string& aOwner, const std::string& aEndpoint)
+  {
+    // One fault for each pair of Servings; a fault for each endpoint would hide the others.
+    if (mOverlaps.insert({ label(aUser), aOwner }).second) {
+      add(aUser,
+          "spec.endpoints",
+          aOwner + " already declares this model on Endpoint/" + aEndpoint,
+          "make the zones or endpoint prefixes of the two Servings disjoint");
+    }
+  }
+
+  const Snapshot& mSnapshot;
+  std::set<Fault> mFaults;
+  std::set<std::string> mBaseModels;
+  std::map<std::pair<std::string, std::string>, const Resource*> mVersions;
+  std::set<std::pair<std::string, std::string>> mOverlaps;
+};
+
+/** Keys under which a removed resource may be missing to others. */
+std::vector<Key> keysOf(const Resource& aResource)
+{
+  std::vector<Key> keys{ { aResource.kind, aResource.name } };
+  if (const auto* model = std::get_if<ModelVersion>(&aResource.spec)) {
+    keys.emplace_back("model", model->model);
+    keys.emplace_back("model", model->model + "/" + model->version);
+  }
+  return keys;
+}
+
+std::map<Key, std::string> removedKeys(const Snapshot& aBase, const std::vector<Change>& aChanges)
+{
+  std::map<Key, std::string> removed;
+  for (const Change& change : aChanges) {
+    const Resource* stored = aBase.find(change.resource.kind, change.resource.name);
+    if (change.type == ChangeType::Remove && stored != nullptr) {
+      for (const Key& key : keysOf(*stored)) {
+        removed[key] = label(*stored);
+      }
+    }
+  }
+  return removed;
+}
+
+void checkVersion(const Snapshot& aBase, const Change& aChange, std::vector<base::Error>& aErrors)
+{
+  const Resource& wanted = aChange.resource;
+  const Resource* stored = aBase.find(wanted.kind, wanted.name);
+  if (aChange.type == ChangeType::Create) {
+    if (stored != nullptr) {
+      aErrors.push_back(error(ErrorKind::Conflict,
+                              label(wanted),
+                              "exists already",
+                              "replace it with its resourceVersion, or choose another name"));
+    }
+    return;
+  }
+  if (stored == nullptr) {
+    aErrors.push_back(
+      error(ErrorKind::NotFound, label(wanted), "does not exist", "check kind and name"));
+  } else if (stored->resourceVersion != wanted.resourceVersion) {
+    aErrors.push_back(error(ErrorKind::Conflict,
+                            label(wanted) + " resourceVersion",
+                            "is " + std::to_string(stored->resourceVersion) + ", not " +
+                              std::to_string(wanted.resourceVersion),
+                            "read the resource again, decide again, and repeat with its version"));
+  }
+}
+
+bool isSameModel(const ModelVersion& aLeft, const ModelVersion& aRight)
+{
+  return aLeft.model == aRight.model && aLeft.version == aRight.version &&
+         aLeft.manifest == aRight.manifest && aLeft.size == aRight.size &&
+         aLeft.origin == aRight.origin && aLeft.adapterOf == aRight.adapterOf;
+}
+
+void checkKind(const Snapshot& aBase,
+               const Change& aChange,
+               Writer aWriter,
+               std::vector<base::Error>& aErrors)
+{
+  const Resource& wanted = aChange.resource;
+  if (wanted.kind == "Rollout" && aWriter != Writer::Planner) {
+    aErrors.push_back(error(ErrorKind::Invalid,
+                            label(wanted),
+                            "Rollout resources are written by the planner only",
+                            "change the Serving resource instead"));
+  }
+  const auto* stored = aBase.spec<ModelVersion>(wanted.kind, wanted.name);
+  const auto* replaced = std::get_if<ModelVersion>(&wanted.spec);
+  if (aChange.type == ChangeType::Replace && stored != nullptr && replaced != nullptr &&
+      !isSameModel(*stored, *replaced)) {
+    aErrors.push_back(error(ErrorKind::Invalid,
+                            label(wanted) + " spec",
+                            "a ModelVersion never changes",
+                            "create a ModelVersion with a new version"));
+  }
+}
+
+void checkRepeats(const std::vector<Change>& aChanges, std::vector<base::Error>& aErrors)
+{
+  std::set<Key> seen;
+  for (const Change& change : aChanges) {
+    if (!seen.insert({ change.resource.kind, change.resource.name }).second) {
+      aErrors.push_back(error(ErrorKind::Invalid,
+                              label(change.resource),
+                              "occurs twice in one batch",
+                              "give each resource once"));
+    }
+  }
+}
+
+base::Error toError(const Fault& aFault, const std::map<Key, std::string>& aRemoved)
+{
+  auto removed = aRemoved.find(aFault.missing);
+  if (removed != aRemoved.end()) {
+    return error(ErrorKind::Invalid,
+                 removed->second,
+                 "is still used by " + aFault.user + " (" + aFault.field + ")",
+                 "change or delete " + aFault.user + " first, or in the same batch");
+  }
+  return error(ErrorKind::Invalid, aFault.user + " " + aFault.field, aFault.message, aFault.remedy);
+}
+
+} // namespace
+
+std::vector<base::Error> validate(const Snapshot& aBase,
+                                  const std::vector<Change>& aChanges,
+                                  Writer aWriter)
+{
+  std::vector<base::Error> errors;
+  checkRepeats(aChanges, errors);
+  for (const Change& change : aChanges) {
+    checkVersion(aBase, change, errors);
+    checkKind(aBase, change, aWriter, errors);
+  }
+  if (!errors.empty()) {
+    return errors;
+  }
+  Snapshot after = applyChanges(aBase, aChanges, aBase.revision() + 1);
+  std::set<Fault> before = FaultFinder(aBase).find();
+  auto removed = removedKeys(aBase, aChanges);
+  for (const Fault& fault : FaultFinder(after).find()) {
+    if (!before.contains(fault)) {
+      errors.push_back(toError(fault, removed));
+    }
+  }
+  return errors;
+}
+
+const Resource* findModelVersion(const Snapshot& aSnapshot,
+                                 std::string_view aModel,
+                                 std::string_view aVersion)
+{
+  const Resource* found = nullptr;
+  aSnapshot.each<ModelVersion>([&](const Resource& aResource, const ModelVersion& aSpec) {
+    if (found == nullptr && aSpec.model == aModel && aSpec.version == aVersion) {
+      found = &aResource;
+    }
+  });
+  return found;
+}
+
+bool covers(const Snapshot& aSnapshot,
+            const Serving& aServing,
+            std::string_view aEndpointName,
+            const Endpoint& aEndpoint)
+{
+  if (aEndpoint.type != EndpointType::Model) {
+    return false;
+  }
+  bool isNamed =
+    aServing.endpoints.empty() ||
+    std::any_of(aServing.endpoints.begin(),
+                aServing.endpoints.end(),
+                [&](const std::string& aPrefix) { return aEndpointName.starts_with(aPrefix); });
+  if (!isNamed || aServing.zones.empty()) {
+    return isNamed;
+  }
+  const Vm* vm = aSnapshot.spec<Vm>("Vm", aEndpoint.vm);
+  return vm != nullptr &&
+         std::find(aServing.zones.begin(), aServing.zones.end(), vm->zone) != aServing.zones.end();
+}
+
+bool isInService(const Snapshot& aSnapshot, const Endpoint& aEndpoint)
+{
+  const Vm* vm = aSnapshot.spec<Vm>("Vm", aEndpoint.vm);
+  if (vm == nullptr || !vm->inService) {
+    return false;
+  }
+  const Zone* zone = aSnapshot.spec<Zone>("Zone", vm->zone);
+  return zone != nullptr && zone->inService;
+}
+
+} // namespace boragepitch::resources
