--- /dev/null
+++ b/standins/common/BlobContent.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace boragepitch::standin {
+
+/** Fills aTarget with the bytes at aOffset of the endless pseudo-random content of aSeed. */
+void fillBlob(uint64_t aSeed, uint64_t aOffset, std::span<std::byte> aTarget);
+
+} // namespace boragepitch::standin
