Add fault-proxy

Integration tests need links that delay, stall, go silent without a reset or are cut. One process serves many listen/target pairs on plain sockets; faults are set for one pair or all by POST /fault on the admin port, and GET /stats counts bytes in each direction, which also measures inter-region traffic.

--- /dev/null
+++ b/standins/fault-proxy/Link.cpp
@@ -0,0 +1,82 @@
+#include "fault-proxy/Link.h"
+
+#include <algorithm>
+
+#include "base/Json.h"
+
+namespace boragepitch::standin {
+
+namespace {
+
+/** Bytes that may pass at once before the rate applies. */
+constexpr double kBurstBytes = 16 << 10;
+/** Bytes taken from the bucket at once, so that connections share the rate evenly. */
+constexpr size_t kPieceBytes = 8 << 10;
+/** Stands for "no limit" in the buckets, which need a positive rate. */
+constexpr double kIdleRate = 1;
+
+base::TokenBucket idleBucket()
+{
+  return { kIdleRate, kBurstBytes, std::chrono::steady_clock::now() };
+}
+
+} // namespace
+
+Link::Link(net::Address aListen, net::Address aTarget)
+  : mListen(std::move(aListen))
+  , mTarget(std::move(aTarget))
+  , mBuckets{ idleBucket(), idleBucket() }
+{
+}
+
+void Link::apply(const Json::Value& aFault)
+{
+  if (aFault.isMember("delayMs")) {
+    mDelayUs = int64_t(aFault["delayMs"].asDouble() * 1000);
+  }
+  if (aFault.isMember("rate")) {
+    std::lock_guard lock(mMutex);
+    mRate = aFault["rate"].asDouble();
+    for (base::TokenBucket& bucket : mBuckets) {
+      bucket.setRate(mRate > 0 ? mRate : kIdleRate, std::chrono::steady_clock::now());
+    }
+  }
+  std::string silence = base::stringOr(aFault, "silence");
+  if (silence == "open") {
+    ++mSilenceEpoch;
+  } else if (!silence.empty()) {
+    mSilenceAll = silence == "all";
+  }
+  if (base::boolOr(aFault, "cut", false)) {
+    ++mCutEpoch;
+  }
+}
+
+size_t Link::takeRate(Direction aDirection, size_t aWanted, base::Duration& aWait)
+{
+  std::lock_guard lock(mMutex);
+  if (mRate <= 0) {
+    return aWanted;
+  }
+  base::TokenBucket& bucket = mBuckets[size_t(aDirection)];
+  size_t piece = std::min(aWanted, kPieceBytes);
+  auto now = std::chrono::steady_clock::now();
+  if (bucket.tryTake(double(piece), now)) {
+    return piece;
+  }
+  aWait = bucket.timeUntilAvailable(now);
+  return 0;
+}
+
+Json::Value Link::stats() const
+{
+  Json::Value body;
+  body["listen"] = mListen.toString();
+  body["target"] = mTarget.toString();
+  body["connections"] = Json::UInt64(mConnections);
+  body["bytesToTarget"] = Json::UInt64(mBytes[size_t(Direction::ToTarget)]);
+  body["bytesToClient"] = Json::UInt64(mBytes[size_t(Direction::ToClient)]);
+  return body;
+}
+
+} // namespace boragepitch::standin
