--- /dev/null
+++ b/libs/weights/include/weights/EngineWeightHost.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "net/HttpClient.h"
+#include "weights/WeightHost.h"
+
+namespace boragepitch::weights {
+
+/** Host over the engine's HTTP interface (docs/design.md, section 11: /staging). */
+class EngineWeightHost final : public WeightHost
+{
+public:
+  explicit EngineWeightHost(net::Address aEngine, net::ClientOptions aOptions = {});
+
+  base::Status allocate(const Manifest& aManifest) override;
+  base::Status write(const ManifestId& aId,
+                     uint32_t aChunk,
+                     std::span<const std::byte> aBytes) override;
+  base::Result<size_t> read(const ManifestId& aId,
+                            uint32_t aChunk,
+                            std::span<std::byte> aTarget) override;
+  base::Status release(const ManifestId& aId) override;
+
+private:
+  base::Result<net::ClientResponse> call(const net::ClientRequest& aRequest);
+
+  net::Address mEngine;
+  net::ClientPool mClients;
+};
+
+} // namespace boragepitch::weights
