Add piece selection, transfer state and limits of weight distribution

Pure cores: four selections, the state of all manifests of a VM, the peers to avoid and the gate towards the origin. The importers of a region are a group of at most importersPerRegion VMs, so that the origin sends few chunks at a time and the first ones spread early.

--- a/libs/weights/include/weights/Distributor.h
+++ b/libs/weights/include/weights/Distributor.h
@@ -40,6 +40,7 @@
   Whole,
   OriginChanged, ///< The origin's bytes repeatedly differ from the manifest; peers are still asked.
   NoRoom,        ///< The host has no room; retried.
+  Failed,        ///< The manifest contradicts itself; it is never whole.
 };
 
 std::string_view toString(TransferState aState);
--- a/libs/weights/include/weights/PieceSelection.h
+++ b/libs/weights/include/weights/PieceSelection.h
@@ -62,6 +62,7 @@
   const Bitmap& own;
   const Bitmap& inFlight;
   const std::vector<PeerView>& peers;
+  bool mayImport = true;        ///< False until the peers of the region were asked what they hold.
   bool originUsable = true;     ///< The origin may be asked now.
   bool originFailed = false;    ///< The origin will not deliver (OriginChanged).
   base::TimePoint started;      ///< When this VM began to fetch the manifest.
--- /dev/null
+++ b/libs/weights/src/PeerBook.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "base/Limits.h"
+#include "base/Rng.h"
+#include "base/Time.h"
+
+namespace boragepitch::weights {
+
+/** What is known of peers across manifests: who is avoided, who asked to come back later. */
+class PeerBook
+{
+public:
+  struct Limits
+  {
+    size_t fetchesPerPeer = 2;
+    base::Duration avoidTime{};
+    base::Duration backoffBase{};
+    base::Duration backoffCap{};
+  };
+
+  struct Peer
+  {
+    uint32_t inFlight = 0;
+    uint32_t load = 0;
+    uint64_t corruptChunks = 0;
+    base::TimePoint avoidUntil{};
+    base::TimePoint notBefore{};
+    base::Backoff backoff;
+  };
+
+  explicit PeerBook(Limits aLimits);
+
+  bool trusted(const std::string& aId, base::TimePoint aNow) const;
+  bool usable(const std::string& aId, base::TimePoint aNow) const;
+  uint32_t inFlight(const std::string& aId) const;
+  uint32_t load(const std::string& aId) const;
+
+  void begin(const std::string& aId);
+  void end(const std::string& aId);
+  void noteLoad(const std::string& aId, uint32_t aLoad);
+  void noteSuccess(const std::string& aId);
+  void noteBusy(const std::string& aId, base::TimePoint aUntil);
+  void noteFailure(const std::string& aId, base::TimePoint aNow, base::Rng& aRng);
+  /** Avoids the sender of a corrupt chunk; a repeated offence doubles the time. */
+  void noteCorrupt(const std::string& aId, base::TimePoint aNow);
+
+  const std::map<std::string, Peer>& peers() const { return mPeers; }
+
+private:
+  Peer& at(const std::string& aId);
+  const Peer* find(const std::string& aId) const;
+
+  Limits mLimits;
+  std::map<std::string, Peer> mPeers;
+};
+
+/** Decides when the origin may be asked: bounded requests, backoff with jitter, retry budget. */
+class OriginGate
+{
+public:
+  struct Limits
+  {
+    size_t connections = 2;
+    base::Duration backoffBase{};
+    base::Duration backoffCap{};
+  };
+
+  explicit OriginGate(Limits aLimits);
+
+  /** Delays the first contact, so that VMs that start together spread out. */
+  void holdUntil(base::TimePoint aTime) { mNotBefore = std::max(mNotBefore, aTime); }
+  bool usable(base::TimePoint aNow) const;
+  void begin();
+  void end(bool aSuccess, base::TimePoint aNow, base::Rng& aRng);
+  void endWithoutResult() { --mInFlight; }
+  size_t inFlight() const { return mInFlight; }
+  uint32_t failures() const { return mBackoff.failures(); }
+
+private:
+  Limits mLimits;
+  size_t mInFlight = 0;
+  base::TimePoint mNotBefore{};
+  base::Backoff mBackoff;
+  base::RetryBudget mRetries;
+};
+
+} // namespace boragepitch::weights
--- /dev/null
+++ b/libs/weights/src/SelectionLines.cpp
@@ -0,0 +1,154 @@
+#include <algorithm>
+
+#include "Selection.h"
+
+namespace boragepitch::weights {
+
+namespace {
+
+class OriginSelection final : public PieceSelection
+{
+public:
+  std::optional<Choice> next(const SelectionInput& aInput, base::Rng& /*aRng*/) const override
+  {
+    return chooseFromLineage(aInput, {}, [](uint32_t) { return true; });
+  }
+
+  std::vector<std::string> neighbours(const Place& /*aPlace*/,
+                                      const Members& /*aMembers*/,
+                                      uint32_t /*aChunkCount*/) const override
+  {
+    return {};
+  }
+};
+
+class ChainSelection final : public PieceSelection
+{
+public:
+  std::optional<Choice> next(const SelectionInput& aInput, base::Rng& /*aRng*/) const override
+  {
+    return chooseFromLineage(
+      aInput, lineage(aInput.place, aInput.members), [](uint32_t) { return true; });
+  }
+
+  std::vector<std::string> neighbours(const Place& aPlace,
+                                      const Members& aMembers,
+                                      uint32_t /*aChunkCount*/) const override
+  {
+    auto ids = lineage(aPlace, aMembers);
+    sortUnique(ids, aPlace.id);
+    return ids;
+  }
+
+private:
+  /** Predecessors tried before the origin: one that stalls is passed over. */
+  static constexpr size_t kPredecessors = 3;
+
+  static std::vector<std::string> lineage(const Place& aPlace, const Members& aMembers)
+  {
+    std::vector<std::string> line;
+    for (const std::string& region : regionOrder(aPlace, aMembers, aPlace.manifestSeed)) {
+      const auto& ids = membersOf(aMembers, region);
+      line.insert(line.end(), ids.begin(), ids.end());
+    }
+    auto self = std::find(line.begin(), line.end(), aPlace.id);
+    auto count = std::min<size_t>(kPredecessors, self - line.begin());
+    std::vector<std::string> before(self - static_cast<ptrdiff_t>(count), self);
+    std::reverse(before.begin(), before.end());
+    return before;
+  }
+};
+
+/**
+ * One tree for each stripe and region. The members of a region are rotated for each stripe, so that
+ * the inner VMs of the stripes differ; a root outside the origin's region reads from the root of
+ * the same stripe in the origin's region.
+ */
+class TreesSelection final : public PieceSelection
+{
+public:
+  std::optional<Choice> next(const SelectionInput& aInput, base::Rng& aRng) const override
+  {
+    uint32_t first = base::uniformBelow(aRng, kStripes);
+    for (uint32_t i = 0; i < kStripes; ++i) {
+      uint32_t stripe = (first + i) % kStripes;
+      auto choice =
+        chooseFromLineage(aInput,
+                          lineage(aInput.place, aInput.members, stripe),
+                          [stripe](uint32_t aChunk) { return aChunk % kStripes == stripe; });
+      if (choice) {
+        return choice;
+      }
+    }
+    return std::nullopt;
+  }
+
+  std::vector<std::string> neighbours(const Place& aPlace,
+                                      const Members& aMembers,
+                                      uint32_t /*aChunkCount*/) const override
+  {
+    std::vector<std::string> ids;
+    for (uint32_t stripe = 0; stripe < kStripes; ++stripe) {
+      auto ancestors = lineage(aPlace, aMembers, stripe);
+      ids.insert(ids.end(), ancestors.begin(), ancestors.end());
+    }
+    sortUnique(ids, aPlace.id);
+    return ids;
+  }
+
+private:
+  /** Stripes, and children of an inner VM: each VM then sends about one copy. */
+  static constexpr uint32_t kStripes = 4;
+  static constexpr size_t kAncestors = 2;
+
+  static std::vector<std::string> stripeOrder(const Place& aPlace,
+                                              const std::vector<std::string>& aIds,
+                                              uint32_t aStripe)
+  {
+    auto ids = rendezvousOrder(aIds, aPlace.manifestSeed);
+    if (!ids.empty()) {
+      std::rotate(ids.begin(),
+                  ids.begin() + static_cast<ptrdiff_t>(ids.size() * aStripe / kStripes),
+                  ids.end());
+    }
+    return ids;
+  }
+
+  static std::vector<std::string> lineage(const Place& aPlace,
+                                          const Members& aMembers,
+                                          uint32_t aStripe)
+  {
+    auto ids = stripeOrder(aPlace, membersOf(aMembers, aPlace.region), aStripe);
+    auto position = static_cast<size_t>(std::find(ids.begin(), ids.end(), aPlace.id) - ids.begin());
+    std::vector<std::string> ancestors;
+    while (position > 0 && ancestors.size() < kAncestors) {
+      position = (position - 1) / kStripes;
+      ancestors.push_back(ids[position]);
+    }
+    auto regions = regionOrder(aPlace, aMembers, aPlace.manifestSeed);
+    if (position == 0 && !regions.empty() && regions.front() != aPlace.region) {
+      auto first = stripeOrder(aPlace, membersOf(aMembers, regions.front()), aStripe);
+      ancestors.push_back(first.front());
+    }
+    return ancestors;
+  }
+};
+
+} // namespace
+
+std::unique_ptr<PieceSelection> makeOriginSelection()
+{
+  return std::make_unique<OriginSelection>();
+}
+
+std::unique_ptr<PieceSelection> makeChainSelection()
+{
+  return std::make_unique<ChainSelection>();
+}
+
+std::unique_ptr<PieceSelection> makeTreesSelection()
+{
+  return std::make_unique<TreesSelection>();
+}
+
+} // namespace boragepitch::weights
--- /dev/null
+++ b/libs/weights/src/SelectionSwarm.cpp
@@ -0,0 +1,301 @@
+#include <algorithm>
+#include <limits>
+
+#include "Selection.h"
+
+namespace boragepitch::weights {
+
+namespace {
+
+/** Starvation, in importer timeouts, after which an importer asks the origin although it is not its
+ * region's task. */
+constexpr int kDesperateTimeouts = 4;
+/** Peers of other regions that a VM follows which is no importer. */
+constexpr size_t kOutsideSpare = 1;
+/** A region with at most this many more members than the neighbour limit is followed whole. */
+constexpr size_t kNeighbourSlack = 4;
+
+std::vector<std::string> importersOf(const Place& aPlace,
+                                     const Members& aMembers,
+                                     const std::string& aRegion)
+{
+  auto ids = rendezvousOrder(membersOf(aMembers, aRegion), aPlace.manifestSeed);
+  ids.resize(std::min(ids.size(), aPlace.importersPerRegion));
+  return ids;
+}
+
+/** Work of one decision. */
+class SwarmDecision
+{
+public:
+  SwarmDecision(const SelectionInput& aInput, base::Rng& aRng)
+    : mInput(aInput)
+    , mRng(aRng)
+    , mStarvation(aInput.now - aInput.lastProgress)
+  {
+    const Place& place = aInput.place;
+    auto ids = rendezvousOrder(membersOf(aInput.members, place.region), place.manifestSeed);
+    mGroupSize = std::min(ids.size(), place.importersPerRegion);
+    for (size_t i = 0; i < ids.size(); ++i) {
+      mRanking.push_back({ idHash(ids[i]), ids[i], findPeer(aInput.peers, ids[i]) });
+      if (ids[i] == place.id) {
+        mSelf = i;
+      }
+    }
+    for (const PeerView& peer : aInput.peers) {
+      (peer.region == place.region ? mLocal : mOutside).push_back(&peer);
+    }
+  }
+
+  std::optional<Choice> decide()
+  {
+    scan();
+    if (auto import = chooseImport()) {
+      return import;
+    }
+    return chooseLocal();
+  }
+
+private:
+  struct Ranked
+  {
+    uint64_t hash;
+    std::string id;
+    const PeerView* view;
+  };
+
+  /** Splits the open chunks into those that a local peer holds and those that must be imported. */
+  void scan()
+  {
+    for (uint32_t chunk = mInput.own.firstMissing(); chunk < mInput.own.size(); ++chunk) {
+      if (!isOpen(mInput, chunk)) {
+        continue;
+      }
+      uint32_t holders = 0;
+      bool usable = false;
+      for (const PeerView* peer : mLocal) {
+        if (peer->trusted && peer->have.test(chunk)) {
+          ++holders;
+          usable = usable || peer->usable;
+        }
+      }
+      if (holders == 0) {
+        mAbsent.push_back(chunk);
+      } else if (usable) {
+        offerRarest(chunk, holders);
+      }
+    }
+  }
+
+  void offerRarest(uint32_t aChunk, uint32_t aHolders)
+  {
+    if (aHolders > mRarestHolders) {
+      return;
+    }
+    mTies = aHolders < mRarestHolders ? 1 : mTies + 1;
+    mRarestHolders = aHolders;
+    // Reservoir sampling: each of the equally rare chunks is chosen with the same probability.
+    if (base::uniformBelow(mRng, mTies) == 0) {
+      mRarest = aChunk;
+    }
+  }
+
+  std::optional<Choice> chooseImport()
+  {
+    if (!mInput.mayImport || mSelf >= mRanking.size() || mAbsent.empty()) {
+      return std::nullopt;
+    }
+    std::shuffle(mAbsent.begin(), mAbsent.end(), mRng);
+    std::optional<Choice> best;
+    size_t bestRank = std::numeric_limits<size_t>::max();
+    for (uint32_t chunk : mAbsent) {
+      size_t rank = rankFor(chunk);
+      if (rank >= bestRank || !mayImport(chunk, rank)) {
+        continue;
+      }
+      if (auto choice = importSource(chunk)) {
+        best = choice;
+        bestRank = rank;
+      }
+      if (bestRank == 0) {
+        break;
+      }
+    }
+    return best;
+  }
+
+  bool precedes(size_t aLeft, size_t aRight, uint64_t aKey) const
+  {
+    return std::pair(mixed(mRanking[aLeft].hash, aKey), aLeft) <
+           std::pair(mixed(mRanking[aRight].hash, aKey), aRight);
+  }
+
+  uint64_t keyOf(uint32_t aChunk) const { return mixed(mInput.place.manifestSeed, aChunk); }
+
+  /** How many VMs come before this one as the importer of a chunk. */
+  size_t rankFor(uint32_t aChunk) const
+  {
+    if (mSelf >= mGroupSize) {
+      return mSelf;
+    }
+    size_t rank = 0;
+    for (size_t i = 0; i < mGroupSize; ++i) {
+      if (i != mSelf && precedes(i, mSelf, keyOf(aChunk))) {
+        ++rank;
+      }
+    }
+    return rank;
+  }
+
+  bool mayImport(uint32_t aChunk, size_t aRank) const
+  {
+    if (aRank == 0) {
+      return true;
+    }
+    if (mSelf >= mGroupSize) {
+      return mayStandIn();
+    }
+    for (size_t i = 0; i < mGroupSize; ++i) {
+      if (i != mSelf && precedes(i, mSelf, keyOf(aChunk)) && !hasStalled(mRanking[i])) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  bool hasStalled(const Ranked& aMember) const
+  {
+    if (aMember.view == nullptr) {
+      return mStarvation >= mInput.place.importerTimeout;
+    }
+    return isStalled(*aMember.view, mInput);
+  }
+
+  /**
+   * VMs outside the group stand in one after the other at doubling intervals, so that a long outage
+   * of the origin does not end with the whole region asking it.
+   */
+  bool mayStandIn() const
+  {
+    size_t doublings = std::min<size_t>(mSelf - mGroupSize + 1, 20);
+    return mStarvation >= mInput.place.importerTimeout * (uint64_t{ 1 } << doublings);
+  }
+
+  std::optional<Choice> importSource(uint32_t aChunk)
+  {
+    auto regions = regionOrder(mInput.place, mInput.members, keyOf(aChunk));
+    auto own = std::find(regions.begin(), regions.end(), mInput.place.region);
+    bool first = own == regions.begin();
+    bool desperate = mStarvation >= mInput.place.importerTimeout * kDesperateTimeouts;
+    if ((first || desperate) && mInput.originUsable) {
+      return Choice{ aChunk, "" };
+    }
+    const std::string* parent = first ? nullptr : &*std::prev(own);
+    bool anyRegion = first || mStarvation >= mInput.place.importerTimeout / 2;
+    const PeerView* holder = leastLoaded(mOutside, aChunk, [&](const PeerView& aPeer) {
+      return anyRegion || aPeer.region == *parent;
+    });
+    if (holder == nullptr || (first && !mInput.originFailed && !desperate)) {
+      return std::nullopt;
+    }
+    return Choice{ aChunk, holder->id };
+  }
+
+  std::optional<Choice> chooseLocal()
+  {
+    if (mTies == 0) {
+      return std::nullopt;
+    }
+    const PeerView* holder = leastLoaded(mLocal, mRarest, [](const PeerView&) { return true; });
+    return Choice{ mRarest, holder->id };
+  }
+
+  template<typename Filter>
+  const PeerView* leastLoaded(const std::vector<const PeerView*>& aPeers,
+                              uint32_t aChunk,
+                              const Filter& aFilter)
+  {
+    const PeerView* best = nullptr;
+    uint32_t bestLoad = 0;
+    uint32_t ties = 0;
+    for (const PeerView* peer : aPeers) {
+      if (!peer->usable || !peer->trusted || !peer->have.test(aChunk) || !aFilter(*peer)) {
+        continue;
+      }
+      uint32_t load = peer->load + 2 * peer->inFlight;
+      if (best == nullptr || load < bestLoad) {
+        best = peer;
+        bestLoad = load;
+        ties = 1;
+      } else if (load == bestLoad && base::uniformBelow(mRng, ++ties) == 0) {
+        best = peer;
+      }
+    }
+    return best;
+  }
+
+  const SelectionInput& mInput;
+  base::Rng& mRng;
+  base::Duration mStarvation;
+  std::vector<Ranked> mRanking;
+  size_t mGroupSize = 0;
+  size_t mSelf = std::numeric_limits<size_t>::max();
+  std::vector<const PeerView*> mLocal;
+  std::vector<const PeerView*> mOutside;
+  std::vector<uint32_t> mAbsent;
+  uint32_t mRarest = 0;
+  uint32_t mRarestHolders = std::numeric_limits<uint32_t>::max();
+  uint32_t mTies = 0;
+};
+
+/**
+ * Rarest chunk first from the least loaded holder in the region. Chunks that no followed peer of
+ * the region holds are brought in by the designated importers alone. The importers of a region are
+ * a small group: the origin then sends few chunks at a time, so that the first ones spread while
+ * the others are still read.
+ */
+class SwarmSelection final : public PieceSelection
+{
+public:
+  std::optional<Choice> next(const SelectionInput& aInput, base::Rng& aRng) const override
+  {
+    return SwarmDecision(aInput, aRng).decide();
+  }
+
+  std::vector<std::string> neighbours(const Place& aPlace,
+                                      const Members& aMembers,
+                                      uint32_t /*aChunkCount*/) const override
+  {
+    uint64_t ownKey = idHash(aPlace.id);
+    auto ids = membersOf(aMembers, aPlace.region);
+    if (ids.size() > aPlace.neighbours + kNeighbourSlack) {
+      ids = rendezvousOrder(ids, ownKey);
+      ids.resize(aPlace.neighbours);
+    }
+    auto importers = importersOf(aPlace, aMembers, aPlace.region);
+    bool imports = std::find(importers.begin(), importers.end(), aPlace.id) != importers.end();
+    if (imports) {
+      ids.insert(ids.end(), importers.begin(), importers.end());
+    }
+    for (const auto& [region, members] : aMembers) {
+      if (region == aPlace.region) {
+        continue;
+      }
+      auto outside =
+        imports ? importersOf(aPlace, aMembers, region) : rendezvousOrder(members, ownKey);
+      outside.resize(imports ? outside.size() : std::min(outside.size(), kOutsideSpare));
+      ids.insert(ids.end(), outside.begin(), outside.end());
+    }
+    sortUnique(ids, aPlace.id);
+    return ids;
+  }
+};
+
+} // namespace
+
+std::unique_ptr<PieceSelection> makeSwarmSelection()
+{
+  return std::make_unique<SwarmSelection>();
+}
+
+} // namespace boragepitch::weights
--- /dev/null
+++ b/libs/weights/src/TransferCore.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "PeerBook.h"
+#include "weights/Distributor.h"
+
+namespace boragepitch::weights {
+
+/** How a request for a chunk ended. */
+enum class FetchOutcome
+{
+  Stored,     ///< Verified and written to the host.
+  Corrupt,    ///< The bytes do not match the digest.
+  Busy,       ///< The peer refused for now.
+  Missing,    ///< The peer does not hold the chunk.
+  Failed,     ///< The connection broke or stalled, or the origin did not deliver.
+  HostFailed, ///< The bytes are right but the host did not take them.
+  Cancelled,  ///< The manifest is no longer wanted.
+};
+
+/** A chunk request to make. */
+struct Assignment
+{
+  std::shared_ptr<const Manifest> manifest;
+  uint64_t generation = 0;
+  std::string originName;
+  Choice choice;
+  bool crossRegion = false;
+};
+
+/** One manifest that this VM fetches or holds. */
+struct Task
+{
+  Wanted wanted;
+  bool isWanted = true; ///< False for a whole manifest that is kept for a rollback.
+  std::shared_ptr<const Manifest> manifest;
+  TransferState state = TransferState::NeedsManifest;
+  uint64_t generation = 0; ///< Differs after each restart; results of older requests are dropped.
+  uint64_t version = 1;    ///< Rises with each change of `own`.
+  Bitmap own;
+  Bitmap inFlight;
+  Members members;
+  std::vector<PeerView> peers;
+  std::set<std::string> answered; ///< Followed peers that told what they hold, or failed to.
+  uint32_t originMismatches = 0;
+  bool originFailed = false;
+  base::TimePoint created;
+  base::TimePoint started;
+  base::TimePoint lastProgress;
+  base::TimePoint retryAt; ///< Earliest next try to prepare.
+  base::Backoff prepareBackoff{ base::Milliseconds(100), base::Milliseconds(5000) };
+  uint64_t fromOrigin = 0;
+  uint64_t fromPeers = 0;
+  uint64_t fromOtherRegions = 0;
+  std::optional<base::Error> error;
+};
+
+/**
+ * State of all manifests of one VM and the decisions on them. No I/O, not thread-safe; time and
+ * randomness are arguments.
+ */
+class TransferCore
+{
+public:
+  TransferCore(const DistributorOptions& aOptions, Place aPlace);
+
+  /** Replaces the wanted set. Returns the manifests to release from the host. */
+  std::vector<ManifestId> want(std::vector<Wanted> aWanted, base::TimePoint aNow, base::Rng& aRng);
+  /** Drops the least recently wanted whole manifest that is no longer wanted. */
+  std::optional<ManifestId> evictKept();
+  /** Everything must be prepared again. */
+  void hostLost(base::TimePoint aNow);
+
+  void setManifest(const ManifestId& aId, std::shared_ptr<const Manifest> aManifest);
+  /** Ends preparation: aOwn is what the host holds and was verified. */
+  void beginFetching(const ManifestId& aId,
+                     uint64_t aGeneration,
+                     Bitmap aOwn,
+                     base::TimePoint aNow);
+  void prepareFailed(const ManifestId& aId,
+                     uint64_t aGeneration,
+                     TransferState aState,
+                     base::Error aError,
+                     base::TimePoint aNow,
+                     base::Rng& aRng);
+  /** Sets the live VMs; bitmaps of peers that are no longer followed are dropped. */
+  void setMembers(const ManifestId& aId, Members aMembers, base::TimePoint aNow);
+
+  /** aProgress tells whether the peer received bytes since its last answer. */
+  void noteHave(const ManifestId& aId,
+                const std::string& aPeer,
+                const Bitmap& aHave,
+                uint32_t aLoad,
+                bool aProgress,
+                base::TimePoint aNow);
+  /** The peer does not have the manifest (yet), or cannot be asked. */
+  void noteNoHave(const ManifestId& aId, const std::string& aPeer);
+
+  /** Next request of the most urgent manifest that has one; it counts as in flight until finish().
+   */
+  std::optional<Assignment> next(base::TimePoint aNow, base::Rng& aRng);
+  /** Takes back or completes an assignment. aRetryAfter counts for Busy, aBytes is what arrived. */
+  void finish(const Assignment& aAssignment,
+              FetchOutcome aOutcome,
+              base::Duration aRetryAfter,
+              uint64_t aBytes,
+              base::TimePoint aNow,
+              base::Rng& aRng);
+
+  /** A chunk read back from the host differs: it is fetched again. */
+  void chunkLost(const ManifestId& aId, uint64_t aGeneration, uint32_t aChunk);
+  void noteWhole(const ManifestId& aId, uint64_t aGeneration);
+  void noteFailed(const ManifestId& aId, uint64_t aGeneration, base::Error aError);
+
+  /** True while results for the generation still count. */
+  bool isCurrent(const ManifestId& aId, uint64_t aGeneration) const;
+  const Task* find(const ManifestId& aId) const;
+  /** Tasks by urgency, then age. */
+  std::vector<const Task*> ordered() const;
+  std::vector<std::string> held() const;
+  std::vector<std::string> fetching() const;
+  /** Peers whose bitmaps are needed for unfinished manifests. */
+  std::set<std::string> followed() const;
+  const PeerBook& peerBook() const { return mPeers; }
+  const OriginGate& origin() const { return mOrigin; }
+
+private:
+  Task* findMutable(const ManifestId& aId);
+  Task* current(const ManifestId& aId, uint64_t aGeneration);
+  Place placeFor(const Task& aTask) const;
+  size_t crossRegionLimit() const;
+  void refreshViews(Task& aTask, base::TimePoint aNow);
+  bool mayImport(const Task& aTask, base::TimePoint aNow) const;
+  void finishOrigin(Task* aTask, FetchOutcome aOutcome, base::TimePoint aNow, base::Rng& aRng);
+  void finishPeer(Task* aTask,
+                  const Choice& aChoice,
+                  FetchOutcome aOutcome,
+                  base::Duration aRetryAfter,
+                  base::TimePoint aNow,
+                  base::Rng& aRng);
+  void store(Task& aTask, uint32_t aChunk, base::TimePoint aNow);
+
+  DistributorOptions mOptions;
+  Place mPlace;
+  std::unique_ptr<PieceSelection> mSelection;
+  PeerBook mPeers;
+  OriginGate mOrigin;
+  uint64_t mGenerations = 0;
+  size_t mCrossRegionInFlight = 0;
+  bool mOriginContacted = false;
+  std::map<ManifestId, Task> mTasks;
+};
+
+} // namespace boragepitch::weights
--- /dev/null
+++ b/libs/weights/src/UploadGate.cpp
@@ -0,0 +1,63 @@
+#include "UploadGate.h"
+
+namespace boragepitch::weights {
+
+UploadGate::Ticket::Ticket(UploadGate& aGate, uint64_t aNumber)
+  : mGate(aGate)
+  , mNumber(aNumber)
+{
+}
+
+UploadGate::Ticket::~Ticket()
+{
+  {
+    std::lock_guard lock(mGate.mMutex);
+    if (mHasSlot) {
+      --mGate.mActive;
+    } else {
+      mGate.mWaiting.erase(mNumber);
+    }
+  }
+  mGate.mChanged.notify_all();
+}
+
+UploadGate::UploadGate(size_t aSlots, size_t aMaxWaiting)
+  : mSlots(aSlots)
+  , mMaxWaiting(aMaxWaiting)
+{
+}
+
+std::shared_ptr<UploadGate::Ticket> UploadGate::tryAdmit()
+{
+  std::lock_guard lock(mMutex);
+  bool full = mActive + mWaiting.size() >= mSlots + mMaxWaiting;
+  if (mStopped || full) {
+    return nullptr;
+  }
+  uint64_t number = mNextNumber++;
+  mWaiting.insert(number);
+  return std::make_shared<Ticket>(*this, number);
+}
+
+size_t UploadGate::load() const
+{
+  std::lock_guard lock(mMutex);
+  return mActive + mWaiting.size();
+}
+
+void UploadGate::setMaxWaiting(size_t aCount)
+{
+  std::lock_guard lock(mMutex);
+  mMaxWaiting = aCount;
+}
+
+void UploadGate::stop()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mStopped = true;
+  }
+  mChanged.notify_all();
+}
+
+} // namespace boragepitch::weights
