--- a/libs/control/include/control/ConfigStore.h
+++ b/libs/control/include/control/ConfigStore.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -97,9 +98,11 @@
    * Applies all declarations in one transaction, or none. Errors: Conflict (field "kind/name") when
    * a resource is not at the given version; NotFound; Invalid for an empty or contradictory batch;
    * Unavailable when nothing was written; UnknownOutcome when the store stayed away before the
-   * outcome was found.
+   * outcome was found. With aBaseRevision, the commit also fails with Conflict (field "revision")
+   * when the configuration is at another revision, so that checks across resources stay valid.
    */
-  virtual base::Result<LogEntry> commit(const std::vector<Declaration>& aDeclarations) = 0;
+  virtual base::Result<LogEntry> commit(const std::vector<Declaration>& aDeclarations,
+                                        std::optional<uint64_t> aBaseRevision = std::nullopt) = 0;
 
   virtual base::Result<resources::Resource> read(std::string_view aKind,
                                                  std::string_view aName) = 0;
--- a/libs/control/src/ConfigStore.cpp
+++ b/libs/control/src/ConfigStore.cpp
@@ -72,7 +72,8 @@
   {
   }
 
-  base::Result<LogEntry> commit(const std::vector<Declaration>& aDeclarations) override;
+  base::Result<LogEntry> commit(const std::vector<Declaration>& aDeclarations,
+                                std::optional<uint64_t> aBaseRevision) override;
   base::Result<Resource> read(std::string_view aKind, std::string_view aName) override;
   base::Result<uint64_t> revision() override;
   base::Result<std::shared_ptr<const Snapshot>> load() override;
@@ -255,7 +256,8 @@
   return true;
 }
 
-base::Result<LogEntry> ConfigStoreImpl::commit(const std::vector<Declaration>& aDeclarations)
+base::Result<LogEntry> ConfigStoreImpl::commit(const std::vector<Declaration>& aDeclarations,
+                                               std::optional<uint64_t> aBaseRevision)
 {
   if (auto fits = checkBatch(aDeclarations); !fits) {
     return tl::make_unexpected(fits.error());
@@ -267,6 +269,13 @@
     if (!drafted) {
       return tl::make_unexpected(drafted.error());
     }
+    if (aBaseRevision && drafted->base.revision != *aBaseRevision) {
+      return base::fail(ErrorKind::Conflict,
+                        "revision",
+                        "the configuration has moved on from revision " +
+                          std::to_string(*aBaseRevision),
+                        "read the resources again and repeat the change");
+    }
     auto settled = settle(*drafted, backoff, end);
     // Conflict without a field: another change moved rev. The preconditions are checked again.
     bool overtaken =
