Add the fleet: gossip, failure detection, freshness and polling

Answers between processes are authenticated too, each bound to the request that it answers: an unsigned answer from a reused address could otherwise feed a process records or evidence.

--- a/libs/control/include/control/Fleet.h
+++ b/libs/control/include/control/Fleet.h
@@ -53,7 +53,8 @@
     Builder& configStore(ConfigStore* aStore);
     Builder& codec(ResourceCodec aCodec);
     Builder& rpcClient(rpc::RpcClient& aClient);
-    /** build() adds the methods "fleet.*"; attach the server after it. */
+    /** build() adds the methods "fleet.*"; attach the server after it, and stop its HTTP server
+     * before the fleet is destroyed. */
     Builder& rpcServer(rpc::RpcServer& aServer);
     Builder& clock(const base::Clock& aClock);
     Builder& seed(uint64_t aSeed);
--- /dev/null
+++ b/libs/control/src/FleetImpl.cpp
@@ -0,0 +1,320 @@
+#include "FleetImpl.h"
+
+#include <algorithm>
+
+#include "telemetry/Log.h"
+
+namespace boragepitch::control {
+
+namespace {
+
+constexpr base::Milliseconds kTick{ 50 };
+// Copying the table costs about a millisecond at full size.
+constexpr base::Milliseconds kTableInterval{ 20 };
+// Exchanges, polls and the VM list hold a thread each for seconds when the other side is silent, so
+// pushes have threads of their own.
+constexpr size_t kThreads = 5;
+constexpr size_t kPushThreads = 4;
+constexpr size_t kMaxQueued = 64;
+constexpr base::Milliseconds kFirstPollSpread{ 1000 };
+constexpr size_t kMaxExchanging = 3;
+// Every so often a listed address that no live process has is tried, so that a healed partition is
+// found even when each side has forgotten the other.
+constexpr uint64_t kSeedRound = 8;
+
+NodeState completed(NodeState aSelf)
+{
+  if (aSelf.incarnation == 0) {
+    auto wall = std::chrono::system_clock::now().time_since_epoch();
+    aSelf.incarnation =
+      static_cast<uint64_t>(std::chrono::duration_cast<base::Milliseconds>(wall).count());
+  }
+  return aSelf;
+}
+
+} // namespace
+
+FleetImpl::FleetImpl(Builder aOptions)
+  : mOptions(std::move(aOptions))
+  , mSettings(mOptions.mSettings)
+  , mClock(*mOptions.mClock)
+  , mClient(*mOptions.mClient)
+  , mRng(mOptions.mSeed)
+  , mCore(completed(mOptions.mSelf), mSettings, mOptions.mCodec, mClock.now())
+  , mPause(mSettings.pauseLimit)
+  , mPolls(mSettings.pollBudget, mSettings.pollCap)
+  , mConfig(mCore.config().snapshot())
+  , mNodes(std::make_shared<const NodeTable>(mCore.nodes().table()))
+{
+  addMethods();
+}
+
+FleetImpl::~FleetImpl()
+{
+  stop();
+}
+
+bool FleetImpl::mayStartNewWork(base::TimePoint aNow) const
+{
+  // Right after a pause the evidence still looks as it did before; the missing tick tells.
+  return aNow < mFreshUntil.load() && aNow - mLastTick.load() <= mSettings.pauseLimit;
+}
+
+void FleetImpl::publish(NodeState aSelf)
+{
+  Lock lock(mMutex);
+  mCore.publish(std::move(aSelf));
+  publishTable(lock);
+  afterChange(lock);
+}
+
+void FleetImpl::offerRevision(const LogEntry& aEntry)
+{
+  Lock lock(mMutex);
+  mCore.adopt({ aEntry });
+  if (mCore.config().revision() < aEntry.revision) {
+    mPolls.hurry(now());
+  }
+  afterChange(lock);
+}
+
+void FleetImpl::onConfigChange(Callback aCallback)
+{
+  Lock lock(mMutex);
+  mConfigCallbacks.push_back(std::move(aCallback));
+}
+
+void FleetImpl::onNodesChange(Callback aCallback)
+{
+  Lock lock(mMutex);
+  mNodesCallbacks.push_back(std::move(aCallback));
+}
+
+void FleetImpl::start()
+{
+  Lock lock(mMutex);
+  if (mThread.joinable() || mStopped) {
+    return;
+  }
+  base::TimePoint start = now();
+  mLastTick = start;
+  mNextGossip = start;
+  mNextVmList = start;
+  mNextEvidence = start + mSettings.isolationLimit / 2;
+  bool alone = mOptions.mSeeds.empty() && mOptions.mVmList == nullptr;
+  if (!alone) {
+    // When a whole fleet starts at once, most processes get the configuration from peers.
+    mPolls.postpone(start, kFirstPollSpread, mRng);
+  }
+  mPool = std::make_unique<WorkPool>(kThreads, kMaxQueued);
+  mPushPool = std::make_unique<WorkPool>(kPushThreads, kMaxQueued);
+  mThread = std::thread([this] { run(); });
+}
+
+void FleetImpl::stop()
+{
+  {
+    Lock lock(mMutex);
+    mStopped = true;
+  }
+  mWake.notify_all();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+  if (mPool) {
+    mPool->stop();
+    mPushPool->stop();
+  }
+  mFreshUntil = base::TimePoint::min();
+}
+
+void FleetImpl::run()
+{
+  Lock lock(mMutex);
+  while (!mStopped) {
+    tick(lock);
+    runCallbacks(lock);
+    mWake.wait_for(lock, kTick, [this] { return mStopped || mConfigCallbackDue; });
+  }
+}
+
+void FleetImpl::tick(Lock& aLock)
+{
+  base::TimePoint at = now();
+  if (auto pause = mPause.tick(at)) {
+    mCore.paused(at);
+    mFreshUntil = base::TimePoint::min();
+    ++mCounters.pauses;
+    mPolls.hurry(at);
+    mNextGossip = at;
+    telemetry::logEvent(telemetry::Level::Warn,
+                        "process-paused",
+                        { { "ms", std::to_string(base::toMilliseconds(*pause)) } });
+  }
+  mLastTick = at;
+  mCore.tick(at);
+  startDueTasks(at);
+  if (mTableChanged && at - mTablePublished >= kTableInterval) {
+    publishTable(aLock);
+  }
+  afterChange(aLock);
+}
+
+void FleetImpl::startDueTasks(base::TimePoint aNow)
+{
+  if (aNow >= mNextGossip) {
+    mNextGossip = aNow + mSettings.gossipInterval;
+    ++mRounds;
+    startExchange(choosePartner(aNow));
+  } else if (aNow >= mNextEvidence &&
+             mCore.freshness().freshUntil() < aNow + mSettings.isolationLimit / 2) {
+    // Half of the limit has gone without fresh evidence: ask again before it runs out.
+    mNextEvidence = aNow + mSettings.isolationLimit / 10;
+    bool abroad = mCore.freshness().needsOtherRegions();
+    auto ids = choosePeers(mCore.nodes().table(),
+                           mCore.nodes().self(),
+                           abroad ? PeerScope::OtherRegions : PeerScope::OwnZone,
+                           1,
+                           mRng);
+    const NodeEntry* peer = ids.empty() ? nullptr : mCore.nodes().find(ids.front());
+    startExchange(peer ? std::optional(Partner{ ids.front(), peer->state.controlAddress })
+                       : chooseSeed());
+  }
+  if (mOptions.mStore != nullptr && !mPolling && mPolls.isDue(aNow)) {
+    mPolling = mPool->submit([this] { pollStore(); });
+  }
+  if (mOptions.mVmList != nullptr && !mReadingVmList && aNow >= mNextVmList) {
+    mNextVmList = aNow + mSettings.vmListInterval;
+    mReadingVmList = mPool->submit([this] { readVmList(); });
+  }
+}
+
+void FleetImpl::startExchange(std::optional<Partner> aPartner)
+{
+  if (!aPartner || mExchanging >= kMaxExchanging) {
+    return;
+  }
+  if (mPool->submit([this, partner = *aPartner] { exchange(partner); })) {
+    ++mExchanging;
+  }
+}
+
+std::optional<FleetImpl::Partner> FleetImpl::choosePartner(base::TimePoint)
+{
+  if (!mJoined || mRounds % kSeedRound == 0) {
+    if (auto seed = chooseSeed()) {
+      return seed;
+    }
+  }
+  // Alternating instead of drawing: evidence of contact needs other regions at regular times.
+  PeerScope scope = mRounds % 2 == 0 ? PeerScope::OwnZone : PeerScope::OtherZones;
+  auto ids = choosePeers(mCore.nodes().table(), mCore.nodes().self(), scope, 1, mRng);
+  if (ids.empty()) {
+    return chooseSeed();
+  }
+  return Partner{ ids.front(), mCore.nodes().find(ids.front())->state.controlAddress };
+}
+
+std::optional<FleetImpl::Partner> FleetImpl::chooseSeed()
+{
+  std::set<net::Address> known{ mCore.nodes().self().controlAddress };
+  for (const auto& [id, entry] : mCore.nodes().table()) {
+    if (entry.liveness == Liveness::Alive) {
+      known.insert(entry.state.controlAddress);
+    }
+  }
+  std::vector<net::Address> unknown;
+  auto isUnknown = [&](const net::Address& aSeed) { return known.count(aSeed) == 0; };
+  const auto& seeds = mOptions.mSeeds;
+  std::copy_if(seeds.begin(), seeds.end(), std::back_inserter(unknown), isUnknown);
+  std::copy_if(mListed.begin(), mListed.end(), std::back_inserter(unknown), isUnknown);
+  if (unknown.empty()) {
+    return std::nullopt;
+  }
+  return Partner{ "", unknown[base::uniformBelow(mRng, unknown.size())] };
+}
+
+void FleetImpl::afterChange(const Lock& aLock)
+{
+  (void)aLock;
+  Effects effects = mCore.takeEffects();
+  if (mStopped) {
+    return;
+  }
+  mFreshUntil = mCore.freshness().freshUntil();
+  if (effects.configChanged) {
+    mConfig = mCore.config().snapshot();
+    mConfigCallbackDue = true;
+    mWake.notify_all();
+  }
+  mTableChanged = mTableChanged || effects.nodesChanged;
+  if (!mPool) {
+    return;
+  }
+  bool urgent = !effects.urgentNodes.empty() || !effects.urgentHeads.empty();
+  if (mCore.config().revision() > mPushed || urgent) {
+    uint64_t after = std::exchange(mPushed, mCore.config().revision());
+    push(after, effects);
+  }
+  if (effects.pullFrom && !mPulling) {
+    mPool->submit([this, peer = *effects.pullFrom] { pull(peer, false); });
+  }
+}
+
+void FleetImpl::publishTable(const Lock& aLock)
+{
+  (void)aLock;
+  mNodes = std::make_shared<const NodeTable>(mCore.nodes().table());
+  mTablePublished = now();
+  mTableChanged = false;
+  mNodesCallbackDue = true;
+}
+
+void FleetImpl::runCallbacks(Lock& aLock)
+{
+  bool config = std::exchange(mConfigCallbackDue, false);
+  bool nodes = std::exchange(mNodesCallbackDue, false);
+  if (!config && !nodes) {
+    return;
+  }
+  std::vector<Callback> configCallbacks = config ? mConfigCallbacks : std::vector<Callback>();
+  std::vector<Callback> nodesCallbacks = nodes ? mNodesCallbacks : std::vector<Callback>();
+  aLock.unlock();
+  for (const Callback& callback : configCallbacks) {
+    callback();
+  }
+  for (const Callback& callback : nodesCallbacks) {
+    callback();
+  }
+  aLock.lock();
+}
+
+Json::Value FleetImpl::dumpJson() const
+{
+  static constexpr const char* kLiveness[] = { "alive", "suspect", "dead" };
+  Lock lock(mMutex);
+  base::TimePoint at = now();
+  Json::Value dump;
+  dump["id"] = mCore.nodes().self().id;
+  dump["revision"] = Json::UInt64(mCore.config().revision());
+  dump["mayStartNewWork"] = mayStartNewWork(at);
+  dump["evidence"] = encodeAges(mCore.freshness().ages(at));
+  for (const auto& [id, entry] : mCore.nodes().table()) {
+    Json::Value node = encodeNode(entry.state);
+    node["liveness"] = kLiveness[static_cast<int>(entry.liveness)];
+    dump["nodes"].append(std::move(node));
+  }
+  Json::Value& counters = dump["counters"];
+  counters["exchanges"] = Json::UInt64(mCounters.exchanges);
+  counters["exchangesFailed"] = Json::UInt64(mCounters.exchangesFailed);
+  counters["pushes"] = Json::UInt64(mCounters.pushes);
+  counters["pulls"] = Json::UInt64(mCounters.pulls);
+  counters["polls"] = Json::UInt64(mCounters.polls);
+  counters["pollsFailed"] = Json::UInt64(mCounters.pollsFailed);
+  counters["pauses"] = Json::UInt64(mCounters.pauses);
+  counters["bytesSent"] = Json::UInt64(mClient.bytesSent());
+  counters["bytesReceived"] = Json::UInt64(mClient.bytesReceived());
+  return dump;
+}
+
+} // namespace boragepitch::control
--- /dev/null
+++ b/libs/control/src/FleetTasks.cpp
@@ -0,0 +1,264 @@
+#include "FleetImpl.h"
+
+#include "base/Json.h"
+#include "telemetry/Log.h"
+
+namespace boragepitch::control {
+
+namespace {
+
+constexpr const char* kExchange = "fleet.exchange";
+constexpr const char* kDeliver = "fleet.deliver";
+constexpr const char* kPull = "fleet.pull";
+constexpr const char* kPing = "fleet.ping";
+constexpr const char* kProbe = "fleet.probe";
+
+constexpr size_t kProbeHelpers = 2;
+constexpr size_t kEntriesPerRead = 200;
+
+const Json::Value kNothing(Json::objectValue);
+
+/** An answer of the peer itself, even an error, shows that it is alive. */
+bool isTransportFailure(const base::Error& aError)
+{
+  return aError.kind == base::ErrorKind::Unavailable || aError.kind == base::ErrorKind::Timeout ||
+         aError.kind == base::ErrorKind::UnknownOutcome;
+}
+
+base::Result<Json::Value> malformed(const std::string& aField)
+{
+  return base::fail(base::ErrorKind::Invalid, aField, "malformed message", "send a valid message");
+}
+
+} // namespace
+
+void FleetImpl::addMethods()
+{
+  rpc::RpcServer& server = *mOptions.mServer;
+  auto add = [&](const char* aName, auto aMethod) {
+    server.addMethod(aName, [aMethod](const Json::Value& aParams) -> base::Result<Json::Value> {
+      try {
+        return aMethod(aParams);
+      } catch (const Json::Exception&) {
+        return malformed("params");
+      }
+    });
+  };
+  add(kExchange, [this](const Json::Value& aParams) {
+    Lock lock(mMutex);
+    auto answer = mCore.answerExchange(aParams, now(), mRng);
+    afterChange(lock);
+    return answer;
+  });
+  add(kDeliver, [this](const Json::Value& aParams) {
+    Lock lock(mMutex);
+    auto answer = mCore.answerDeliver(aParams, now());
+    afterChange(lock);
+    return answer;
+  });
+  add(kPull, [this](const Json::Value& aParams) {
+    Lock lock(mMutex);
+    return mCore.answerPull(aParams);
+  });
+  add(kPing, [this](const Json::Value&) -> base::Result<Json::Value> {
+    Json::Value answer;
+    answer["id"] = mOptions.mSelf.id;
+    return answer;
+  });
+  add(kProbe, [this](const Json::Value& aParams) -> base::Result<Json::Value> {
+    auto target = net::parseAddress(base::stringOr(aParams, "target"));
+    if (!target) {
+      return malformed("target");
+    }
+    auto reached = mClient.call(*target, kPing, kNothing);
+    Json::Value answer;
+    answer["id"] = reached ? base::stringOr(*reached, "id") : "";
+    return answer;
+  });
+}
+
+void FleetImpl::exchange(const Partner& aPartner)
+{
+  Lock lock(mMutex);
+  Json::Value request = mCore.exchangeRequest(aPartner.id);
+  bool join = !mJoined;
+  ++mCounters.exchanges;
+  lock.unlock();
+  base::TimePoint sent = now();
+  auto answer = mClient.call(aPartner.address, kExchange, request);
+  bool silent = !answer && isTransportFailure(answer.error());
+  lock.lock();
+  auto taken =
+    answer ? mCore.takeExchangeAnswer(*answer, sent, now()) : tl::make_unexpected(answer.error());
+  bool behind = taken && taken->revision > mCore.config().revision();
+  if (!taken) {
+    ++mCounters.exchangesFailed;
+  }
+  afterChange(lock);
+  lock.unlock();
+  if (silent && !aPartner.id.empty()) {
+    probeThroughOthers(aPartner);
+  } else if (taken) {
+    if (behind || join) {
+      pull(aPartner.address, join);
+    }
+    lock.lock();
+    mCore.applyEvidence(*taken);
+    afterChange(lock);
+    lock.unlock();
+    if (taken->reconcile && !join) {
+      reconcile(aPartner.address, *taken->reconcile);
+    }
+  }
+  lock.lock();
+  --mExchanging;
+}
+
+void FleetImpl::reconcile(const net::Address& aPeer, const Json::Value& aRequest)
+{
+  auto answer = mClient.call(aPeer, kDeliver, aRequest);
+  if (!answer) {
+    return;
+  }
+  Lock lock(mMutex);
+  auto more = mCore.takeDeliverAnswer(*answer, now());
+  afterChange(lock);
+  lock.unlock();
+  if (more && *more) {
+    (void)mClient.call(aPeer, kDeliver, **more);
+  }
+}
+
+void FleetImpl::probeThroughOthers(const Partner& aPartner)
+{
+  std::vector<net::Address> helpers;
+  {
+    Lock lock(mMutex);
+    const NodeTable& table = mCore.nodes().table();
+    auto ids =
+      choosePeers(table, mCore.nodes().self(), PeerScope::OtherZones, kProbeHelpers + 1, mRng);
+    std::erase(ids, aPartner.id);
+    for (size_t i = 0; i < std::min(ids.size(), kProbeHelpers); ++i) {
+      helpers.push_back(table.at(ids[i]).state.controlAddress);
+    }
+  }
+  Json::Value request;
+  request["target"] = aPartner.address.toString();
+  for (const net::Address& helper : helpers) {
+    auto answer = mClient.call(helper, kProbe, request);
+    if (answer && base::stringOr(*answer, "id") == aPartner.id) {
+      return;
+    }
+  }
+  Lock lock(mMutex);
+  mCore.reportUnreachable(aPartner.id, now());
+  afterChange(lock);
+}
+
+void FleetImpl::push(uint64_t aAfter, const Effects& aEffects)
+{
+  auto request = mCore.pushRequest(aAfter, aEffects, now());
+  if (!request) {
+    return;
+  }
+  const NodeTable& table = mCore.nodes().table();
+  for (const std::string& id :
+       choosePushPeers(table, mCore.nodes().self(), mSettings.fanout, mRng)) {
+    net::Address peer = table.at(id).state.controlAddress;
+    ++mCounters.pushes;
+    // A lost push is made up for by the next exchanges.
+    mPool->submit(
+      [this, peer, message = *request] { (void)mClient.call(peer, kDeliver, message); });
+  }
+}
+
+void FleetImpl::pull(const net::Address& aPeer, bool aWithNodes)
+{
+  Lock lock(mMutex);
+  if (mPulling) {
+    return;
+  }
+  mPulling = true;
+  Json::Value request = mCore.pullRequest(aWithNodes);
+  ++mCounters.pulls;
+  lock.unlock();
+  auto answer = mClient.call(aPeer, kPull, request);
+  lock.lock();
+  if (answer) {
+    auto taken = mCore.takePullAnswer(*answer, now());
+    mJoined = mJoined || (taken && aWithNodes);
+    if (!taken) {
+      telemetry::logEvent(telemetry::Level::Warn,
+                          "pull-rejected",
+                          { { "peer", aPeer.toString() }, { "error", taken.error().describe() } });
+    }
+  }
+  mPulling = false;
+  afterChange(lock);
+}
+
+void FleetImpl::pollStore()
+{
+  base::TimePoint sent = now();
+  auto revision = mOptions.mStore->revision();
+  bool done = revision && refreshFromStore(*revision);
+  Lock lock(mMutex);
+  ++mCounters.polls;
+  if (done) {
+    mCore.storeAnswered(*revision, sent);
+    mPolls.succeeded(mCore.liveNodes(), now(), mRng);
+  } else {
+    ++mCounters.pollsFailed;
+    mPolls.failed(mCore.liveNodes(), now(), mRng);
+  }
+  mPolling = false;
+  afterChange(lock);
+}
+
+bool FleetImpl::refreshFromStore(uint64_t aRevision)
+{
+  while (true) {
+    uint64_t known = config()->revision();
+    if (known >= aRevision) {
+      return true;
+    }
+    base::Result<std::vector<LogEntry>> entries = std::vector<LogEntry>();
+    if (known > 0) {
+      entries = mOptions.mStore->entriesAfter(known, kEntriesPerRead);
+    }
+    bool whole = known == 0 || (!entries && entries.error().kind == base::ErrorKind::NotFound);
+    if (whole) {
+      auto loaded = mOptions.mStore->load();
+      if (!loaded) {
+        return false;
+      }
+      Lock lock(mMutex);
+      mCore.adopt(std::move(*loaded));
+      afterChange(lock);
+    } else if (!entries || entries->empty()) {
+      return false;
+    } else {
+      Lock lock(mMutex);
+      mCore.adopt(*entries);
+      afterChange(lock);
+    }
+  }
+}
+
+void FleetImpl::readVmList()
+{
+  auto vms = mOptions.mVmList->list();
+  Lock lock(mMutex);
+  mReadingVmList = false;
+  if (!vms) {
+    return;
+  }
+  mCore.takeVmList(*vms, now());
+  mListed.clear();
+  for (const platform::ListedVm& vm : *vms) {
+    mListed.push_back({ vm.address, mSettings.controlPort });
+  }
+  afterChange(lock);
+}
+
+} // namespace boragepitch::control
--- /dev/null
+++ b/libs/control/src/NodeCodec.cpp
@@ -0,0 +1,243 @@
+#include "NodeCodec.h"
+
+#include <array>
+#include <string_view>
+
+#include "base/Json.h"
+
+namespace boragepitch::control {
+
+namespace {
+
+using base::ErrorKind;
+
+constexpr size_t kMaxText = 256;
+constexpr Json::ArrayIndex kMaxItems = 256;
+constexpr int kMaxLimit = 1 << 20;
+constexpr std::array<std::string_view, 2> kKinds{ "entry", "agent" };
+constexpr std::array<std::string_view, 3> kPhases{ "starting", "ready", "leaving" };
+
+tl::unexpected<base::Error> malformed(const std::string& aField)
+{
+  return base::fail(ErrorKind::Invalid,
+                    "node." + aField,
+                    "missing, malformed or too long",
+                    "run the same version in all processes");
+}
+
+void put(Json::Value& aTarget, const char* aKey, const std::string& aText)
+{
+  if (!aText.empty()) {
+    aTarget[aKey] = aText;
+  }
+}
+
+void put(Json::Value& aTarget, const char* aKey, const net::Address& aAddress)
+{
+  if (aAddress.port != 0) {
+    aTarget[aKey] = aAddress.toString();
+  }
+}
+
+void put(Json::Value& aTarget, const char* aKey, const std::vector<std::string>& aList)
+{
+  for (const std::string& item : aList) {
+    aTarget[aKey].append(item);
+  }
+}
+
+bool take(const Json::Value& aSource, const char* aKey, std::string& aText)
+{
+  if (!aSource.isMember(aKey)) {
+    return true;
+  }
+  if (!aSource[aKey].isString()) {
+    return false;
+  }
+  aText = aSource[aKey].asString();
+  return aText.size() <= kMaxText;
+}
+
+bool take(const Json::Value& aSource, const char* aKey, net::Address& aAddress)
+{
+  if (!aSource.isMember(aKey)) {
+    return true;
+  }
+  auto parsed = net::parseAddress(base::stringOr(aSource, aKey));
+  if (parsed) {
+    aAddress = *parsed;
+  }
+  return parsed.has_value();
+}
+
+bool takeItem(const Json::Value& aItem, std::string& aText)
+{
+  if (!aItem.isString()) {
+    return false;
+  }
+  aText = aItem.asString();
+  return aText.size() <= kMaxText;
+}
+
+bool takeItem(const Json::Value& aItem, Served& aServed)
+{
+  return aItem.isArray() && aItem.size() == 3 && takeItem(aItem[0], aServed.model) &&
+         takeItem(aItem[1], aServed.version) && takeItem(aItem[2], aServed.manifest);
+}
+
+bool takeItem(const Json::Value& aItem, Suspect& aSuspect)
+{
+  return aItem.isArray() && aItem.size() == 2 && takeItem(aItem[0], aSuspect.fingerprint) &&
+         takeItem(aItem[1], aSuspect.crashId);
+}
+
+template<typename T>
+bool takeList(const Json::Value& aSource, const char* aKey, std::vector<T>& aList)
+{
+  if (!aSource.isMember(aKey)) {
+    return true;
+  }
+  const Json::Value& items = aSource[aKey];
+  if (!items.isArray() || items.size() > kMaxItems) {
+    return false;
+  }
+  aList.resize(items.size());
+  for (Json::ArrayIndex i = 0; i < items.size(); ++i) {
+    if (!takeItem(items[i], aList[i])) {
+      return false;
+    }
+  }
+  return true;
+}
+
+template<typename Enum, size_t kCount>
+bool takeName(const Json::Value& aSource,
+              const char* aKey,
+              const std::array<std::string_view, kCount>& aNames,
+              Enum& aValue)
+{
+  std::string name = base::stringOr(aSource, aKey);
+  for (size_t i = 0; i < kCount; ++i) {
+    if (aNames[i] == name) {
+      aValue = static_cast<Enum>(i);
+      return true;
+    }
+  }
+  return false;
+}
+
+bool takeCount(const Json::Value& aItem, uint64_t& aCount)
+{
+  if (!aItem.isUInt64() || aItem.asUInt64() > kMaxCount) {
+    return false;
+  }
+  aCount = aItem.asUInt64();
+  return true;
+}
+
+} // namespace
+
+RecordHead headOf(const NodeEntry& aEntry)
+{
+  return { aEntry.state.id, aEntry.state.incarnation, aEntry.state.sequence, aEntry.liveness };
+}
+
+Json::Value encodeNode(const NodeState& aState)
+{
+  Json::Value value;
+  value["id"] = aState.id;
+  value["inc"] = Json::UInt64(aState.incarnation);
+  value["seq"] = Json::UInt64(aState.sequence);
+  value["kind"] = std::string(kKinds[static_cast<size_t>(aState.kind)]);
+  value["phase"] = std::string(kPhases[static_cast<size_t>(aState.phase)]);
+  put(value, "zone", aState.zone);
+  put(value, "region", aState.region);
+  put(value, "control", aState.controlAddress);
+  put(value, "data", aState.dataAddress);
+  put(value, "weights", aState.weightsAddress);
+  put(value, "endpoint", aState.endpoint);
+  put(value, "instance", aState.instance);
+  put(value, "held", aState.held);
+  put(value, "fetching", aState.fetching);
+  for (const Served& served : aState.serving) {
+    Json::Value item(Json::arrayValue);
+    item.append(served.model);
+    item.append(served.version);
+    item.append(served.manifest);
+    value["serving"].append(item);
+  }
+  for (const Suspect& suspect : aState.suspects) {
+    Json::Value item(Json::arrayValue);
+    item.append(suspect.fingerprint);
+    item.append(suspect.crashId);
+    value["suspects"].append(item);
+  }
+  value["cold"] = aState.cold;
+  value["coldLimit"] = aState.coldLimit;
+  value["warmLimit"] = aState.warmLimit;
+  return value;
+}
+
+base::Result<NodeState> decodeNode(const Json::Value& aValue)
+{
+  NodeState state;
+  if (!aValue.isObject() || !take(aValue, "id", state.id) || state.id.empty()) {
+    return malformed("id");
+  }
+  if (!takeCount(aValue["inc"], state.incarnation) || !takeCount(aValue["seq"], state.sequence)) {
+    return malformed("seq");
+  }
+  if (!takeName(aValue, "kind", kKinds, state.kind) ||
+      !takeName(aValue, "phase", kPhases, state.phase)) {
+    return malformed("phase");
+  }
+  if (!take(aValue, "zone", state.zone) || !take(aValue, "region", state.region) ||
+      !take(aValue, "endpoint", state.endpoint) || !take(aValue, "instance", state.instance)) {
+    return malformed("zone");
+  }
+  if (!take(aValue, "control", state.controlAddress) || state.controlAddress.port == 0 ||
+      !take(aValue, "data", state.dataAddress) || !take(aValue, "weights", state.weightsAddress)) {
+    return malformed("control");
+  }
+  if (!takeList(aValue, "held", state.held) || !takeList(aValue, "fetching", state.fetching) ||
+      !takeList(aValue, "serving", state.serving) ||
+      !takeList(aValue, "suspects", state.suspects)) {
+    return malformed("serving");
+  }
+  auto coldLimit = base::requireInt(aValue, "coldLimit", 0, kMaxLimit);
+  auto warmLimit = base::requireInt(aValue, "warmLimit", 0, kMaxLimit);
+  if (!coldLimit || !warmLimit) {
+    return malformed("coldLimit");
+  }
+  state.cold = base::boolOr(aValue, "cold", true);
+  state.coldLimit = static_cast<int>(*coldLimit);
+  state.warmLimit = static_cast<int>(*warmLimit);
+  return state;
+}
+
+Json::Value encodeHead(const RecordHead& aHead)
+{
+  Json::Value value(Json::arrayValue);
+  value.append(aHead.id);
+  value.append(Json::UInt64(aHead.incarnation));
+  value.append(Json::UInt64(aHead.sequence));
+  value.append(static_cast<int>(aHead.liveness));
+  return value;
+}
+
+base::Result<RecordHead> decodeHead(const Json::Value& aValue)
+{
+  RecordHead head;
+  if (!aValue.isArray() || aValue.size() != 4 || !takeItem(aValue[0], head.id) ||
+      !takeCount(aValue[1], head.incarnation) || !takeCount(aValue[2], head.sequence)) {
+    return malformed("head");
+  }
+  constexpr int kMostDead = static_cast<int>(Liveness::Dead);
+  if (!aValue[3].isInt() || aValue[3].asInt() < 0 || aValue[3].asInt() > kMostDead) {
+    return malformed("liveness");
+  }
+  head.liveness = static_cast<Liveness>(aValue[3].asInt());
+  return head;
+}
+
+} // namespace boragepitch::control
--- a/libs/rpc/src/Rpc.cpp
+++ b/libs/rpc/src/Rpc.cpp
@@ -15,6 +15,13 @@
 constexpr int kErrorCodeBase = -40000;
 constexpr const char* kAuthHeader = "X-BP-Auth";
 
+/** What stands for the receiver of an answer: the header of its request, so that an answer fits
+ * one request only. */
+std::string answerReceiver(std::string_view aRequestHeader)
+{
+  return "answer to " + std::string(aRequestHeader);
+}
+
 class OpenAuthenticator final : public Authenticator
 {
 public:
@@ -82,14 +89,16 @@
 {
   aServer.route("POST", "/rpc", [this](const net::HttpRequest& aRequest) {
     net::HttpResponse response;
-    auto verified = mImpl->authenticator.verify(
-      aRequest.header(kAuthHeader).value_or(""), mImpl->self, aRequest.body);
+    std::string header = aRequest.header(kAuthHeader).value_or("");
+    auto verified = mImpl->authenticator.verify(header, mImpl->self, aRequest.body);
     if (!verified) {
       response.status = 401;
       response.body = R"({"error":{"kind":"unauthorized"}})";
       return response;
     }
     response.body = mImpl->dispatcher.handle(aRequest.body);
+    response.headers.emplace_back(kAuthHeader,
+                                  mImpl->authenticator.sign(answerReceiver(header), response.body));
     return response;
   });
 }
@@ -121,7 +130,8 @@
                              .writeTimeout = mImpl->timeout });
     net::ClientRequest request{ .method = "POST", .target = "/rpc", .body = aRequest };
     request.totalTimeout = 2 * mImpl->timeout;
-    request.headers.emplace(kAuthHeader, mImpl->authenticator.sign(aServer.toString(), aRequest));
+    std::string header = mImpl->authenticator.sign(aServer.toString(), aRequest);
+    request.headers.emplace(kAuthHeader, header);
     auto response = client.send(request);
     mImpl->sent += aRequest.size();
     if (!response) {
@@ -139,6 +149,12 @@
       transportError = refused;
       return refused.message;
     }
+    auto verified = mImpl->authenticator.verify(
+      response->header(kAuthHeader).value_or(""), answerReceiver(header), response->body);
+    if (!verified) {
+      transportError = verified.error();
+      return verified.error().message;
+    }
     aResponse = std::move(response->body);
     return std::string();
   };
