--- /dev/null
+++ b/libs/platform/tests/HttpPlatformTest.cpp
@@ -0,0 +1,256 @@
+#define BOOST_TEST_MODULE platformHttp
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+
+#include "base/Digest.h"
+#include "base/Json.h"
+#include "net/HttpServer.h"
+#include "platform/HttpPlatform.h"
+#include "support/TestAddress.h"
+
+using namespace boragepitch;
+using base::ErrorKind;
+using base::Milliseconds;
+
+namespace {
+
+constexpr platform::RetrySettings kQuick{ .attemptTimeout = Milliseconds(2000),
+                                          .deadline = Milliseconds(20000),
+                                          .backoffBase = Milliseconds(2),
+                                          .backoffCap = Milliseconds(10) };
+
+/** A server that answers every request with the handler of the test, and counts. */
+struct Service
+{
+  explicit Service(net::HttpHandler aHandler)
+  {
+    server = net::HttpServer::Builder().address(address).build();
+    server->route("*", "/{rest...}", [this, handler = std::move(aHandler)](const auto& aRequest) {
+      ++calls;
+      return handler(aRequest);
+    });
+    BOOST_REQUIRE(server->start());
+  }
+
+  ~Service() { server->stop(); }
+
+  template<typename Client>
+  auto client()
+  {
+    return typename Client::Builder().address(address).retry(kQuick).build();
+  }
+
+  net::Address address = test::unusedAddress();
+  std::unique_ptr<net::HttpServer> server;
+  std::atomic<int> calls{ 0 };
+};
+
+net::HttpResponse status(int aStatus, std::string aBody = "{}")
+{
+  net::HttpResponse response;
+  response.status = aStatus;
+  response.body = std::move(aBody);
+  return response;
+}
+
+net::HttpResponse cut()
+{
+  net::HttpResponse response;
+  response.stream = [](net::StreamWriter& aWriter) {
+    aWriter.write("{");
+    return net::StreamEnd::Abort;
+  };
+  return response;
+}
+
+const platform::Transaction kTransaction{ "t", { { "a", 3 } }, { { "a", "1" } }, { "b" } };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(table)
+
+// Guards against a wire form that differs from the table service's.
+BOOST_AUTO_TEST_CASE(sendsTransactionsAndReadsRows)
+{
+  std::string sent;
+  Service service([&](const net::HttpRequest& aRequest) {
+    if (aRequest.path == "/txn") {
+      sent = aRequest.body;
+      return status(200, R"({"committed":true,"version":9})");
+    }
+    return status(200, R"({"rows":[{"key":"a","value":"1","version":9}],"sequence":9})");
+  });
+  auto client = service.client<platform::HttpTable>();
+  BOOST_TEST(client->commit(kTransaction).value() == 9);
+  BOOST_TEST(sent == R"({"checks":[{"key":"a","version":3}],"deletes":["b"],"id":"t",)"
+                     R"("puts":[{"key":"a","value":"1"}]})");
+  auto rows = client->scan("a", "", 10).value();
+  BOOST_REQUIRE(rows.size() == 1);
+  BOOST_TEST(rows[0].version == 9);
+  BOOST_TEST(client->read({ "a" }).value()[0].value == "1");
+}
+
+// Guards against a write that is sent again after it may have taken effect.
+BOOST_AUTO_TEST_CASE(neverRepeatsAWriteWhoseAnswerWasLost)
+{
+  Service service([](const net::HttpRequest&) { return cut(); });
+  auto answer = service.client<platform::HttpTable>()->commit(kTransaction);
+  BOOST_REQUIRE(!answer);
+  BOOST_TEST((answer.error().kind == ErrorKind::UnknownOutcome));
+  BOOST_TEST(service.calls == 1);
+}
+
+// Guards against an internal error of the service being taken for "nothing written".
+BOOST_AUTO_TEST_CASE(takesServerErrorsOfAWriteForUnknown)
+{
+  Service service([](const net::HttpRequest&) { return status(500); });
+  auto answer = service.client<platform::HttpTable>()->commit(kTransaction);
+  BOOST_TEST((answer.error().kind == ErrorKind::UnknownOutcome));
+  BOOST_TEST(service.calls == 1);
+}
+
+// Guards against giving up on a write that was refused by the rate limit.
+BOOST_AUTO_TEST_CASE(repeatsARefusedWrite)
+{
+  std::atomic<int> refusals{ 3 };
+  Service service([&](const net::HttpRequest&) {
+    return refusals-- > 0 ? status(429) : status(200, R"({"committed":true,"version":4})");
+  });
+  BOOST_TEST(service.client<platform::HttpTable>()->commit(kTransaction).value() == 4);
+  BOOST_TEST(service.calls == 4);
+}
+
+// Guards against conflicts that do not tell which row changed.
+BOOST_AUTO_TEST_CASE(namesTheConflictingRow)
+{
+  Service service([](const net::HttpRequest&) {
+    return status(409, R"({"committed":false,"conflicts":[{"key":"a","version":5}]})");
+  });
+  auto answer = service.client<platform::HttpTable>()->commit(kTransaction);
+  BOOST_TEST((answer.error().kind == ErrorKind::Conflict));
+  BOOST_TEST(answer.error().field == "a");
+}
+
+// Guards against reads that fail on one lost answer, and against retries without bound.
+BOOST_AUTO_TEST_CASE(repeatsReadsWithinTheBudget)
+{
+  std::atomic<int> losses{ 3 };
+  Service service([&](const net::HttpRequest&) {
+    return losses-- > 0 ? cut() : status(200, R"({"rows":[],"sequence":1})");
+  });
+  auto client = service.client<platform::HttpTable>();
+  BOOST_TEST(client->read({ "a" }).has_value());
+  losses = 1 << 20;
+  service.calls = 0;
+  auto answer = client->read({ "a" });
+  BOOST_REQUIRE(!answer);
+  BOOST_TEST((answer.error().kind == ErrorKind::Unavailable));
+  // The reserve of the budget is 10 retries, of which the first read used three.
+  BOOST_TEST(service.calls <= 9);
+}
+
+// Guards against confusing a table that nobody serves with a lost answer.
+BOOST_AUTO_TEST_CASE(reportsARefusedConnectionAsUnavailable)
+{
+  auto client = platform::HttpTable::Builder().address(test::unusedAddress()).retry(kQuick).build();
+  BOOST_TEST((client->commit(kTransaction).error().kind == ErrorKind::Unavailable));
+}
+
+// Guards against malformed answers crashing the client or passing as rows.
+BOOST_AUTO_TEST_CASE(rejectsMalformedAnswers)
+{
+  std::string body;
+  Service service([&](const net::HttpRequest&) { return status(200, body); });
+  auto client = service.client<platform::HttpTable>();
+  for (const char* text :
+       { "", "[]", "{}", R"({"rows":1})", R"({"rows":[1]})", R"({"rows":[{}]})" }) {
+    body = text;
+    BOOST_TEST(!client->read({ "a" }).has_value(), text);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(others)
+
+// Guards against keys that are not escaped, and objects beyond the reader's bound.
+BOOST_AUTO_TEST_CASE(storesAndFetchesObjects)
+{
+  std::map<std::string, std::string> objects;
+  Service service([&](const net::HttpRequest& aRequest) {
+    if (aRequest.method == "PUT") {
+      objects[aRequest.path] = aRequest.body;
+      return status(200);
+    }
+    auto found = objects.find(aRequest.path);
+    return found == objects.end() ? status(404) : status(200, found->second);
+  });
+  auto client = service.client<platform::HttpObjects>();
+  BOOST_TEST(client->put("manifests/a b", "bytes").has_value());
+  BOOST_TEST(client->fetch("manifests/a b", 100).value() == "bytes");
+  BOOST_TEST((client->fetch("manifests/a b", 2).error().kind == ErrorKind::TooLarge));
+  BOOST_TEST((client->fetch("manifests/c", 100).error().kind == ErrorKind::NotFound));
+}
+
+// Guards against mixing the bytes of two contents of one blob.
+BOOST_AUTO_TEST_CASE(detectsABlobThatChanges)
+{
+  const std::string blob = "0123456789";
+  std::atomic<int> tag{ 1 };
+  Service service([&](const net::HttpRequest& aRequest) {
+    BOOST_TEST(aRequest.header("Range").has_value());
+    auto response = status(206, blob); // The server library cuts the range out of the body.
+    response.headers.emplace_back("ETag", "tag-" + std::to_string(tag));
+    return response;
+  });
+  auto origin = service.client<platform::HttpWeightOrigin>();
+  std::string chunk(4, ' ');
+  auto target = std::as_writable_bytes(std::span(chunk));
+  BOOST_TEST(origin->size("model/1").value() == 10);
+  BOOST_TEST(origin->read("model/1", 3, target).has_value());
+  BOOST_TEST(chunk == "3456");
+  tag = 2;
+  auto changed = origin->read("model/1", 0, target);
+  BOOST_REQUIRE(!changed);
+  BOOST_TEST((changed.error().kind == ErrorKind::Corrupt));
+  BOOST_TEST(changed.error().remedy.find("new version") != std::string::npos);
+  BOOST_TEST(origin->read("model/1", 0, target).has_value());
+  BOOST_TEST((origin->read("model", 0, target).error().kind == ErrorKind::Invalid));
+}
+
+// Guards against a chunk that is filled only in part.
+BOOST_AUTO_TEST_CASE(rejectsAChunkOfAnotherLength)
+{
+  std::string body = "123";
+  Service service([&](const net::HttpRequest&) {
+    auto response = status(206);
+    response.stream = [&](net::StreamWriter& aWriter) {
+      aWriter.write(body);
+      return net::StreamEnd::Complete;
+    };
+    return response;
+  });
+  auto origin = service.client<platform::HttpWeightOrigin>();
+  std::string chunk(4, ' ');
+  auto target = std::as_writable_bytes(std::span(chunk));
+  BOOST_TEST(!origin->read("model/1", 0, target).has_value());
+  body = "12345";
+  BOOST_TEST(!origin->read("model/1", 0, target).has_value());
+}
+
+// Guards against VMs lost between the list and its reader.
+BOOST_AUTO_TEST_CASE(readsTheVmList)
+{
+  Service service([](const net::HttpRequest&) {
+    return status(200,
+                  R"({"vms":[{"name":"v1","address":"127.0.0.9","zone":"z","region":"r",)"
+                  R"("kind":"entry","state":"leaving"}]})");
+  });
+  auto vms = service.client<platform::HttpVmList>()->list().value();
+  BOOST_REQUIRE(vms.size() == 1);
+  BOOST_TEST(vms[0].address == "127.0.0.9");
+  BOOST_TEST(vms[0].leaving);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
