Add the distributor: chunk server, fetch threads, pollers, verifier

Each followed peer has a long poll of its own; bitmaps of peers, the own bitmap and state changes wake different threads, since the first change often.

--- a/libs/weights/include/weights/Distributor.h
+++ b/libs/weights/include/weights/Distributor.h
@@ -82,6 +82,9 @@
   size_t importersPerRegion = 8; ///< VMs of a region among which imported chunks are spread.
   size_t uploadSlots = 3;        ///< Chunks sent at once; more wait.
   base::Milliseconds uploadQueue{ 1000 }; ///< Longest uplink queue before requests are refused.
+  /** Shortest time between two answers of a peer about its chunks; several new chunks are then
+   * announced together. */
+  base::Milliseconds announceInterval{ 20 };
   base::Milliseconds importerTimeout{ 3000 };
   base::Milliseconds stallTimeout{ 3000 }; ///< Longest silence of a peer during a chunk.
   base::Milliseconds avoidTime{ 30000 };   ///< How long the sender of a corrupt chunk is avoided.
--- a/libs/weights/include/weights/EngineWeightHost.h
+++ b/libs/weights/include/weights/EngineWeightHost.h
@@ -11,6 +11,7 @@
 public:
   explicit EngineWeightHost(net::Address aEngine, net::ClientOptions aOptions = {});
 
+  bool mayHold(const ManifestId& aId) override;
   base::Status allocate(const Manifest& aManifest) override;
   base::Status write(const ManifestId& aId,
                      uint32_t aChunk,
--- a/libs/weights/include/weights/WeightHost.h
+++ b/libs/weights/include/weights/WeightHost.h
@@ -16,6 +16,8 @@
 {
 public:
   virtual ~WeightHost() = default;
+  /** False when the host certainly holds no chunk of the manifest; spares asking for each. */
+  virtual bool mayHold(const ManifestId& /*aId*/) { return true; }
   /** Makes room. Chunks of the same manifest that the host holds already are kept. TooLarge when
    * there is no room. */
   virtual base::Status allocate(const Manifest& aManifest) = 0;
--- /dev/null
+++ b/libs/weights/src/Context.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "ChunkMemory.h"
+#include "Links.h"
+#include "TransferCore.h"
+#include "UploadGate.h"
+#include "net/HttpClient.h"
+#include "telemetry/Metrics.h"
+
+namespace boragepitch::weights {
+
+/** Request header with the region of the VM that asks for a chunk. */
+inline constexpr const char* kRegionHeader = "X-Region";
+/** Response header with the time in milliseconds after which a refused request may come back. */
+inline constexpr const char* kRetryAfterHeader = "X-Retry-After-Ms";
+
+struct TransferMetrics
+{
+  explicit TransferMetrics(telemetry::Registry& aRegistry);
+
+  telemetry::Counter& originBytes;
+  telemetry::Counter& peerBytes;
+  telemetry::Counter& interRegionBytes;
+  telemetry::Counter& sentBytes;
+  telemetry::Counter& corruptChunks;
+  telemetry::Counter& refusedUploads;
+  telemetry::Counter& failedFetches;
+  telemetry::Counter& hostMismatches;
+  telemetry::Counter& cacheMisses;
+  telemetry::Gauge& memoryBytes;
+  telemetry::LatencyHistogram& chunkSeconds;
+};
+
+/** What the threads of one Distributor share. `core` and `rng` are guarded by `mutex`. */
+struct Context
+{
+  Context(DistributorOptions aOptions,
+          const Place& aPlace,
+          uint64_t aSeed,
+          telemetry::Registry& aMetrics);
+
+  /** A peer's bitmap changed: a fetch thread may find work. */
+  void notifyWork() { work.notify_one(); }
+  /** The own bitmap changed: peers that wait for it get their answer. */
+  void notifyOwn();
+  /** The set of manifests, a state or `stopping` changed: every thread looks again. */
+  void notifyAll();
+  /** Waits up to aTime or until stop; false when stopping. */
+  bool pause(base::Duration aTime);
+  /** Waits up to aTime or until notifyAll(). */
+  void idle(base::Duration aTime);
+  /** Address of a peer's chunk server; empty when it is not known. */
+  std::optional<net::Address> addressOf(const std::string& aPeer) const;
+  bool isCurrent(const ManifestId& aId, uint64_t aGeneration) const;
+
+  const DistributorOptions options;
+  const Place place;
+  const control::FleetView* fleet = nullptr;
+  platform::WeightOrigin* origin = nullptr;
+  platform::ObjectClient* objects = nullptr;
+  WeightHost* host = nullptr;
+  TransferMetrics metrics;
+
+  mutable std::mutex mutex;
+  // Separate conditions, since bitmaps of peers change often and concern few threads.
+  std::condition_variable work;      ///< Fetch threads.
+  std::condition_variable announced; ///< Long polls of peers.
+  std::condition_variable control;   ///< All other threads.
+  TransferCore core;
+  base::Rng rng;
+
+  Links links;
+  ChunkMemory memory;
+  std::atomic<bool> stopping{ false };
+  std::atomic<uint64_t> receivedBytes{ 0 };
+};
+
+/** Reads a chunk from the host and verifies it. Corrupt when the bytes differ. */
+base::Result<std::shared_ptr<ChunkBlock>> readVerified(Context& aContext,
+                                                       const Manifest& aManifest,
+                                                       uint32_t aChunk);
+
+} // namespace boragepitch::weights
--- a/libs/weights/src/EngineWeightHost.cpp
+++ b/libs/weights/src/EngineWeightHost.cpp
@@ -62,6 +62,24 @@
   return response;
 }
 
+bool EngineWeightHost::mayHold(const ManifestId& aId)
+{
+  auto response = call({ .target = "/state" });
+  if (!response || response->status != 200) {
+    return true;
+  }
+  auto state = base::parseJson(response->body);
+  if (!state || !state->isObject() || !(*state)["staged"].isArray()) {
+    return true;
+  }
+  for (const Json::Value& staged : (*state)["staged"]) {
+    if (staged.isObject() && base::stringOr(staged, "manifest") == aId.toString()) {
+      return true;
+    }
+  }
+  return false;
+}
+
 base::Status EngineWeightHost::allocate(const Manifest& aManifest)
 {
   Json::Value body;
--- /dev/null
+++ b/libs/weights/src/Membership.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+
+#include "control/NodeState.h"
+#include "weights/Distributor.h"
+
+namespace boragepitch::weights {
+
+/**
+ * Live VMs that want or hold a manifest, by region. Wanting follows from the declaration and not
+ * from what the VMs publish, so that all VMs agree on the importers as soon as they know the
+ * declaration. This VM is always among them.
+ */
+Members membersFor(const control::NodeTable& aNodes,
+                   const Wanted& aWanted,
+                   const std::string& aSelf,
+                   const std::string& aRegion);
+
+/** VMs that may serve a manifest: those that publish it as held or being fetched. */
+std::vector<std::string> holdersOf(const control::NodeTable& aNodes,
+                                   const ManifestId& aId,
+                                   const std::string& aSelf);
+
+/** Live agents of a region that have a chunk server. */
+size_t agentsIn(const control::NodeTable& aNodes, const std::string& aRegion);
+
+} // namespace boragepitch::weights
--- /dev/null
+++ b/libs/weights/src/PeerPoller.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "Context.h"
+
+namespace boragepitch::weights {
+
+/** Follows the bitmaps of one peer by long polls on a thread of its own. */
+class PeerPoller
+{
+public:
+  PeerPoller(Context& aContext, std::string aPeer, net::Address aAddress);
+  ~PeerPoller();
+
+  const net::Address& address() const { return mAddress; }
+  /** Ends the poll in progress without waiting for the thread. */
+  void requestStop();
+
+private:
+  struct Poll
+  {
+    std::shared_ptr<const Manifest> manifest;
+    uint64_t since = 0;
+  };
+
+  void run();
+  std::vector<Poll> polls();
+  bool ask(const Poll& aPoll, base::Milliseconds aWait);
+  bool accept(const Poll& aPoll, const net::ClientResponse& aResponse);
+  net::HttpClient& client();
+  void dropClient();
+
+  Context& mContext;
+  const std::string mPeer;
+  const net::Address mAddress;
+  std::atomic<bool> mStopping{ false };
+  std::map<ManifestId, uint64_t> mVersions;
+  std::map<ManifestId, uint64_t> mReceived;
+  std::mutex mClientMutex;
+  std::unique_ptr<net::HttpClient> mClient;
+  std::thread mThread;
+};
+
+} // namespace boragepitch::weights
--- a/libs/weights/src/TransferCore.cpp
+++ b/libs/weights/src/TransferCore.cpp
@@ -256,8 +256,7 @@
 {
   for (const Task* candidate : ordered()) {
     Task& task = mTasks.at(candidate->wanted.manifest);
-    if (!task.isWanted ||
-        (task.state != TransferState::Fetching && task.state != TransferState::OriginChanged)) {
+    if (!task.isFetching()) {
       continue;
     }
     refreshViews(task, aNow);
@@ -279,7 +278,8 @@
     }
     task.inFlight.set(choice->chunk);
     const PeerView* view = findPeer(task.peers, choice->peer);
-    bool crossRegion = view != nullptr && view->region != mPlace.region;
+    const std::string& source = view != nullptr ? view->region : mPlace.originRegion;
+    bool crossRegion = source != mPlace.region;
     mCrossRegionInFlight += crossRegion ? 1 : 0;
     if (choice->peer.empty()) {
       mOrigin.begin();
@@ -475,11 +475,23 @@
   return ids;
 }
 
+bool TransferCore::isFetching() const
+{
+  return std::any_of(
+    mTasks.begin(), mTasks.end(), [](const auto& aEntry) { return aEntry.second.isFetching(); });
+}
+
+bool TransferCore::isFetching(const ManifestId& aId) const
+{
+  const Task* task = find(aId);
+  return task != nullptr && task->isFetching();
+}
+
 std::set<std::string> TransferCore::followed() const
 {
   std::set<std::string> ids;
   for (const auto& [id, task] : mTasks) {
-    if (task.state == TransferState::Fetching || task.state == TransferState::OriginChanged) {
+    if (task.isFetching()) {
       for (const PeerView& view : task.peers) {
         ids.insert(view.id);
       }
--- a/libs/weights/src/TransferCore.h
+++ b/libs/weights/src/TransferCore.h
@@ -60,6 +60,11 @@
   uint64_t fromPeers = 0;
   uint64_t fromOtherRegions = 0;
   std::optional<base::Error> error;
+
+  bool isFetching() const
+  {
+    return isWanted && (state == TransferState::Fetching || state == TransferState::OriginChanged);
+  }
 };
 
 /**
@@ -126,6 +131,9 @@
   std::vector<const Task*> ordered() const;
   std::vector<std::string> held() const;
   std::vector<std::string> fetching() const;
+  /** True while chunks of any manifest, or of aId, are fetched. */
+  bool isFetching() const;
+  bool isFetching(const ManifestId& aId) const;
   /** Peers whose bitmaps are needed for unfinished manifests. */
   std::set<std::string> followed() const;
   const PeerBook& peerBook() const { return mPeers; }
