Serve callers and endpoints through EntryGateway and AgentGateway

Both run the upstream call on a worker thread, so that the connection's thread can probe a silent connection on a new one and notice a caller that left. An attempt that was cancelled before it arrived is remembered and refused, which makes 'not run' a promise.

--- /dev/null
+++ b/libs/gateway/src/EntryCore.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "Messages.h"
+#include "UpstreamCall.h"
+#include "WorkerPool.h"
+#include "base/Limits.h"
+#include "gateway/EntryGateway.h"
+#include "routing/AdaptiveLimit.h"
+#include "routing/CacheHints.h"
+#include "routing/ClaimStore.h"
+#include "routing/FairShare.h"
+#include "routing/PoisonTracker.h"
+
+namespace boragepitch::gateway {
+
+struct EntryOptions
+{
+  control::FleetView* fleet = nullptr;
+  platform::TableClient* table = nullptr;
+  std::string nodeId;
+  std::string zone;
+  std::string region;
+  EntryLimits limits;
+  uint64_t seed = 1;
+};
+
+struct EntryMetrics
+{
+  explicit EntryMetrics(telemetry::Registry& aRegistry);
+
+  telemetry::Counter& requests;
+  telemetry::Counter& answered;
+  telemetry::Counter& refused;
+  telemetry::Counter& retries;
+  telemetry::Counter& resumed;
+  telemetry::Counter& cut;
+  telemetry::Counter& foreign;
+  telemetry::Counter& silent;
+  telemetry::Counter& left;
+  telemetry::LatencyHistogram& firstEvent;
+};
+
+/** What is common to all requests of callers. */
+struct CallerRequest
+{
+  std::string workspace;
+  std::string requestId; ///< The caller's, echoed.
+  std::string runId;     ///< Own and unique; each attempt adds its number.
+  int priority = kDefaultPriority;
+  base::TimePoint started;
+  base::TimePoint deadline;
+};
+
+/** State that the request paths of one entry share. Thread-safe. */
+class EntryCore
+{
+public:
+  EntryCore(EntryOptions aOptions,
+            telemetry::Registry& aMetrics,
+            std::unique_ptr<routing::EndpointChoice> aChoice);
+
+  /** Follows the fleet view. */
+  void refresh();
+  std::shared_ptr<const routing::EndpointTable> table() const { return mTable.load(); }
+
+  /** Reads the common headers; a refusal when they are wrong or no new work is taken. */
+  tl::expected<CallerRequest, Refusal> accept(const net::HttpRequest& aRequest);
+  /** Picks an endpoint and counts the request there until done(). */
+  std::shared_ptr<const routing::EndpointInfo> choose(routing::ChoiceRequest aRequest);
+  void done(const routing::EndpointInfo& aEndpoint) { --aEndpoint.load->inFlight; }
+  /** Keeps new requests off an endpoint for a time. */
+  void avoid(const routing::EndpointInfo& aEndpoint, base::Duration aFor);
+  void noteLoad(const routing::EndpointInfo& aEndpoint, const net::ClientResponse& aHead);
+
+  bool tryStart(const std::string& aWorkspace);
+  void finish(const std::string& aWorkspace, bool aAnswered, bool aOverloaded);
+  bool tryRetry();
+  routing::Suspicion suspicion(const std::string& aFingerprint);
+  bool isAlive(const std::string& aNodeId) const;
+
+  /** GET or DELETE /run/<id> at an agent, on a new connection. */
+  base::Result<Json::Value> askAgent(const net::Address& aAgent,
+                                     const char* aMethod,
+                                     const std::string& aRunId) const;
+  /** Cancels a run without waiting. */
+  void cancelLater(const net::Address& aAgent, const std::string& aRunId);
+
+  void setLeaving() { mLeaving = true; }
+  size_t inFlight() const;
+  bool waitIdle(base::TimePoint aUntil);
+  Json::Value dump() const;
+
+  const EntryOptions options;
+  EntryMetrics metrics;
+  net::ClientPool pool;
+  routing::CacheHints hints;
+  routing::ClaimStore claims;
+
+private:
+  void learnSuspects();
+
+  std::unique_ptr<routing::EndpointChoice> mChoice;
+  std::atomic<std::shared_ptr<const routing::EndpointTable>> mTable;
+  std::atomic<bool> mLeaving{ false };
+  std::atomic<uint64_t> mLastRun{ 0 };
+  const std::string mRunPrefix;
+  std::shared_ptr<const resources::Snapshot> mSeenConfig; ///< Of the refreshing thread.
+  std::shared_ptr<const control::NodeTable> mSeenNodes;
+  std::mutex mRefreshMutex;
+  mutable std::mutex mMutex; ///< Guards the members below.
+  std::condition_variable mIdle;
+  routing::FairShare mShare;
+  routing::AdaptiveLimit mLimit;
+  base::RetryBudget mRetries;
+  routing::PoisonTracker mPoison;
+
+public:
+  WorkerPool workers; ///< Last: its threads use the members above.
+};
+
+/** Ends a request's part of the concurrency limit when it goes. */
+class StartedRequest
+{
+public:
+  StartedRequest(std::shared_ptr<EntryCore> aCore, std::string aWorkspace)
+    : mCore(std::move(aCore))
+    , mWorkspace(std::move(aWorkspace))
+  {
+  }
+  ~StartedRequest() { mCore->finish(mWorkspace, mAnswered, mOverloaded); }
+  StartedRequest(const StartedRequest&) = delete;
+  StartedRequest& operator=(const StartedRequest&) = delete;
+
+  void answered() { mAnswered = true; }
+  void overloaded() { mOverloaded = true; }
+
+private:
+  std::shared_ptr<EntryCore> mCore;
+  std::string mWorkspace;
+  bool mAnswered = false;
+  bool mOverloaded = false;
+};
+
+/** The entry's own refusal, with the caller's request id. */
+net::HttpResponse refuse(EntryCore& aCore, const Refusal& aRefusal, const std::string& aRequestId);
+Refusal overloadRefusal(std::string aMessage, base::Duration aRetryAfter);
+
+net::HttpResponse generate(const std::shared_ptr<EntryCore>& aCore,
+                           const net::HttpRequest& aRequest);
+net::HttpResponse callService(const std::shared_ptr<EntryCore>& aCore,
+                              const net::HttpRequest& aRequest);
+net::HttpResponse outcome(const std::shared_ptr<EntryCore>& aCore,
+                          const net::HttpRequest& aRequest);
+
+/** Hash that identifies a request's content, 32 hexadecimal digits. */
+std::string fingerprintOf(std::initializer_list<std::string_view> aParts);
+
+} // namespace boragepitch::gateway
--- /dev/null
+++ b/libs/gateway/src/EntryService.cpp
@@ -0,0 +1,432 @@
+#include <thread>
+
+#include "EntryCore.h"
+#include "base/Json.h"
+
+namespace boragepitch::gateway {
+
+namespace {
+
+using routing::Answer;
+using routing::Claim;
+using routing::ClaimState;
+
+constexpr size_t kLongestKey = 200;
+constexpr base::Duration kAvoidFor = std::chrono::milliseconds(500);
+/** How long a lost answer is asked for at the agent. */
+constexpr base::Duration kRecoverFor = std::chrono::seconds(3);
+constexpr base::Duration kRecoverPause = std::chrono::milliseconds(50);
+constexpr base::Duration kClaimRetry = std::chrono::milliseconds(500);
+
+/** A path of a Service resource may hold {name} segments. */
+bool pathMatches(std::string_view aPattern, std::string_view aPath)
+{
+  while (aPattern.starts_with('/')) {
+    aPattern.remove_prefix(1);
+  }
+  while (!aPattern.empty() || !aPath.empty()) {
+    std::string_view pattern = aPattern.substr(0, aPattern.find('/'));
+    std::string_view segment = aPath.substr(0, aPath.find('/'));
+    bool any = pattern.starts_with('{') && pattern.ends_with('}') && !segment.empty();
+    if (!any && pattern != segment) {
+      return false;
+    }
+    aPattern.remove_prefix(std::min(pattern.size() + 1, aPattern.size()));
+    aPath.remove_prefix(std::min(segment.size() + 1, aPath.size()));
+  }
+  return true;
+}
+
+bool isRepeatable(const resources::Service& aService,
+                  const std::string& aMethod,
+                  const std::string& aPath)
+{
+  for (const resources::ServiceCall& call : aService.calls) {
+    if (call.method == aMethod && pathMatches(call.path, aPath)) {
+      return call.repeatable;
+    }
+  }
+  return false;
+}
+
+/** What is known after the attempts at a call. */
+struct CallResult
+{
+  std::optional<Answer> answer;
+  Ran ran = Ran::No; ///< When there is no answer.
+  std::string message = "no endpoint takes the call now";
+  base::Duration retryAfter = kAvoidFor;
+  bool overloaded = false;
+};
+
+/** The attempts at one service call. */
+class ServiceSession
+{
+public:
+  ServiceSession(EntryCore& aCore,
+                 const net::HttpRequest& aRequest,
+                 const CallerRequest& aCaller,
+                 bool aRepeatable)
+    : mCore(aCore)
+    , mRequest(aRequest)
+    , mCaller(aCaller)
+    , mRepeatable(aRepeatable)
+  {
+  }
+
+  CallResult run();
+
+private:
+  CallResult attempt(const routing::EndpointInfo& aEndpoint);
+  net::ClientRequest toAgent() const;
+  CallResult fromHead(const net::ClientResponse& aHead, std::string aBody);
+  CallResult recover(const net::Address& aAgent);
+  bool late() const { return std::chrono::steady_clock::now() >= mCaller.deadline; }
+
+  EntryCore& mCore;
+  const net::HttpRequest& mRequest;
+  const CallerRequest& mCaller;
+  const bool mRepeatable;
+  int mAttempts = 0;
+  bool mChargeRetry = true;
+  std::string mRunId;
+  std::vector<std::string> mExcluded;
+};
+
+CallResult ServiceSession::run()
+{
+  CallResult result;
+  while (mAttempts < mCore.options.limits.maxAttempts && !late()) {
+    if (mAttempts > 0 && mChargeRetry && !mCore.tryRetry()) {
+      break;
+    }
+    routing::ChoiceRequest choice;
+    choice.service = mRequest.pathParameters.at("service");
+    choice.excluded = mExcluded;
+    auto endpoint = mCore.choose(choice);
+    if (!endpoint) {
+      break;
+    }
+    bool overloaded = result.overloaded;
+    Ran earlier = result.ran;
+    result = attempt(*endpoint);
+    mCore.done(*endpoint);
+    result.overloaded |= overloaded;
+    if (result.answer) {
+      break;
+    }
+    // One attempt of unknown outcome makes the whole call's outcome unknown.
+    result.ran = earlier == Ran::Unknown ? Ran::Unknown : result.ran;
+    if (result.ran != Ran::No && !mRepeatable) {
+      break;
+    }
+    mCore.avoid(*endpoint, kAvoidFor);
+    mExcluded.push_back(endpoint->name);
+  }
+  return result;
+}
+
+net::ClientRequest ServiceSession::toAgent() const
+{
+  auto left =
+    std::max(1LL, base::toMilliseconds(mCaller.deadline - std::chrono::steady_clock::now()));
+  net::ClientRequest request;
+  request.method = mRequest.method;
+  request.target =
+    "/run/service" + encodeTarget(mRequest.pathParameters.at("path"), mRequest.query);
+  request.headers = { { kRequestId, mRunId },
+                      { kAttempt, std::to_string(mAttempts) },
+                      { kPriority, std::to_string(mCaller.priority) },
+                      { kDeadline, std::to_string(left) },
+                      { kWorkspace, mCaller.workspace } };
+  if (auto key = mRequest.header(kIdempotencyKey)) {
+    request.headers.emplace(kIdempotencyKey, *key);
+  }
+  request.body = mRequest.body;
+  request.contentType = mRequest.header("Content-Type").value_or("application/json");
+  return request;
+}
+
+CallResult ServiceSession::attempt(const routing::EndpointInfo& aEndpoint)
+{
+  mRunId = mCaller.runId + "." + std::to_string(++mAttempts);
+  mChargeRetry = true;
+  // A connection of its own: on a kept one that the agent has just closed, a call could not be told
+  // from one that ran.
+  auto client = std::make_unique<net::HttpClient>(
+    aEndpoint.data,
+    net::ClientOptions{ .connectTimeout = base::Milliseconds(500),
+                        .readTimeout = base::Milliseconds(60000) });
+  auto call = UpstreamCall::start(mCore.workers, std::move(client), toAgent());
+  std::string body;
+  std::string data;
+  for (;;) {
+    auto until = std::min<base::TimePoint>(
+      mCaller.deadline, std::chrono::steady_clock::now() + mCore.options.limits.progressTimeout);
+    Piece piece = call->next(data, until);
+    if (piece == Piece::Data) {
+      body += data;
+    }
+    if (piece == Piece::End) {
+      mCore.noteLoad(aEndpoint, call->head());
+      return fromHead(call->head(), std::move(body));
+    }
+    if (piece == Piece::Failed && call->error().kind == base::ErrorKind::Unavailable) {
+      mChargeRetry = false;
+      return {};
+    }
+    bool tooLarge = body.size() > mCore.options.limits.maxAnswerBytes;
+    if (piece == Piece::Failed || tooLarge) {
+      call->cancel();
+      return recover(aEndpoint.data);
+    }
+    if (piece == Piece::Timeout) {
+      auto state = mCore.askAgent(aEndpoint.data, "GET", mRunId);
+      std::string known = state ? base::stringOr(*state, "state") : "";
+      if (late() || (known != "running" && known != "queued")) {
+        mCore.metrics.silent.add();
+        call->cancel();
+        return recover(aEndpoint.data);
+      }
+    }
+  }
+}
+
+CallResult ServiceSession::fromHead(const net::ClientResponse& aHead, std::string aBody)
+{
+  CallResult result;
+  auto ran = aHead.header(kRan);
+  bool ours = aHead.header(kRequestId) == mRunId;
+  if (ran == "yes" && ours) {
+    result.answer =
+      Answer{ aHead.status, aHead.header("Content-Type").value_or(""), std::move(aBody) };
+    return result;
+  }
+  if (ran == "no") {
+    mChargeRetry = !aHead.header(kClosed).has_value();
+    result.overloaded = mChargeRetry;
+    auto parsed = base::parseJson(aBody);
+    auto retryAfter = base::Milliseconds(parsed ? base::intOr(*parsed, "retryAfterMs", 0) : 0);
+    result.retryAfter = std::max<base::Duration>(retryAfter, base::Milliseconds(50));
+    return result;
+  }
+  if (!ours) {
+    mCore.metrics.foreign.add();
+  }
+  result.ran = Ran::Unknown;
+  result.message = "the call was sent and its answer was lost";
+  return result;
+}
+
+/** Asks the agent what became of an attempt whose answer did not arrive. */
+CallResult ServiceSession::recover(const net::Address& aAgent)
+{
+  CallResult result;
+  result.ran = Ran::Unknown;
+  result.message = "the call was sent and its answer was lost";
+  auto until =
+    std::min<base::TimePoint>(mCaller.deadline, std::chrono::steady_clock::now() + kRecoverFor);
+  do {
+    // Deleting makes an attempt that has not arrived yet be refused when it does; it does not end
+    // one that runs.
+    auto state = mCore.askAgent(aAgent, "DELETE", mRunId);
+    std::string known = state ? base::stringOr(*state, "state") : "";
+    if (known == "neverRan" || known == "refused") {
+      result.ran = Ran::No;
+      result.message = "the call did not reach its service";
+      return result;
+    }
+    if (known == "done" && state->isMember("status")) {
+      result.answer = Answer{ static_cast<int>(base::intOr(*state, "status", 500)),
+                              base::stringOr(*state, "type"),
+                              fromHex(base::stringOr(*state, "body")) };
+      return result;
+    }
+    if (!known.empty() && known != "running" && known != "queued") {
+      return result;
+    }
+    std::this_thread::sleep_for(kRecoverPause);
+  } while (std::chrono::steady_clock::now() < until);
+  return result;
+}
+
+Refusal toRefusal(const CallResult& aResult)
+{
+  Refusal refusal = overloadRefusal(aResult.message, aResult.retryAfter);
+  refusal.ran = aResult.ran;
+  if (aResult.ran == Ran::Unknown) {
+    refusal.status = 504;
+    refusal.kind = "unknownOutcome";
+    refusal.remedy = "ask for the outcome before repeating the call under another key";
+  }
+  return refusal;
+}
+
+net::HttpResponse toResponse(const Answer& aAnswer, const std::string& aRequestId)
+{
+  net::HttpResponse response;
+  response.status = aAnswer.status;
+  response.contentType = aAnswer.contentType.empty() ? "application/json" : aAnswer.contentType;
+  response.body = aAnswer.body;
+  response.headers = { { kRequestId, aRequestId }, { kRan, "yes" } };
+  return response;
+}
+
+std::string outcomeState(const EntryCore& aCore, const Claim& aClaim)
+{
+  switch (aClaim.state) {
+    case ClaimState::Absent:
+      return "absent";
+    case ClaimState::Done:
+      return "done";
+    case ClaimState::InProgress:
+      return aCore.isAlive(aClaim.owner) ? "inProgress" : "unknown";
+  }
+  return "unknown";
+}
+
+/** Response to a key that was claimed before. */
+net::HttpResponse repeatResponse(EntryCore& aCore,
+                                 const CallerRequest& aCaller,
+                                 const std::string& aFingerprint,
+                                 const std::string& aKey,
+                                 const Claim& aClaim)
+{
+  if (aClaim.fingerprint != aFingerprint) {
+    Refusal refusal{ 422,
+                     Ran::No,
+                     "invalid",
+                     "the idempotency key was used for another call",
+                     "use a new key for each call",
+                     {} };
+    return refuse(aCore, refusal, aCaller.requestId);
+  }
+  if (aClaim.state == ClaimState::Done && aClaim.answerKept) {
+    auto response = toResponse(aClaim.answer, aCaller.requestId);
+    response.headers.emplace_back("X-Replayed", "yes");
+    return response;
+  }
+  bool done = aClaim.state == ClaimState::Done;
+  std::string state = outcomeState(aCore, aClaim);
+  Refusal refusal;
+  refusal.status = 409;
+  refusal.ran = done ? Ran::Yes : Ran::Unknown;
+  refusal.kind = done ? "tooLarge" : state == "inProgress" ? "conflict" : "unknownOutcome";
+  refusal.message = done ? "the call was answered, but its answer was too large to keep"
+                    : state == "inProgress" ? "a call with this key is in progress"
+                                            : "the outcome of the call with this key is not known";
+  refusal.remedy = "GET /v1/outcomes/" + net::percentEncode(aCaller.workspace) + "/" +
+                   net::percentEncode(aKey) + " tells the outcome";
+  refusal.retryAfter = done ? base::Duration::zero() : kClaimRetry;
+  return refuse(aCore, refusal, aCaller.requestId);
+}
+
+net::HttpResponse respond(EntryCore& aCore,
+                          StartedRequest& aStarted,
+                          const CallerRequest& aCaller,
+                          const CallResult& aResult)
+{
+  if (aResult.overloaded) {
+    aStarted.overloaded();
+  }
+  if (!aResult.answer) {
+    return refuse(aCore, toRefusal(aResult), aCaller.requestId);
+  }
+  aStarted.answered();
+  aCore.metrics.answered.add();
+  return toResponse(*aResult.answer, aCaller.requestId);
+}
+
+/** Claims the key, runs the call and stores its outcome. */
+net::HttpResponse callOnce(EntryCore& aCore,
+                           StartedRequest& aStarted,
+                           const net::HttpRequest& aRequest,
+                           const CallerRequest& aCaller)
+{
+  std::string key = aRequest.header(kIdempotencyKey).value_or("");
+  if (key.empty() || key.size() > kLongestKey) {
+    Refusal refusal{ 400,
+                     Ran::No,
+                     "invalid",
+                     "Idempotency-Key is missing or too long",
+                     "send a unique key of at most 200 characters; the call is not repeatable",
+                     {} };
+    return refuse(aCore, refusal, aCaller.requestId);
+  }
+  std::string target = encodeTarget(aRequest.pathParameters.at("path"), aRequest.query);
+  std::string fingerprint = fingerprintOf(
+    { aRequest.pathParameters.at("service"), aRequest.method, target, aRequest.body });
+  auto timeout = std::min<base::Duration>(aCore.options.limits.claimTimeout,
+                                          aCaller.deadline - std::chrono::steady_clock::now());
+  auto claimed = aCore.claims.acquire(aCaller.workspace, key, fingerprint, timeout);
+  if (!claimed) {
+    auto refusal = overloadRefusal(claimed.error().message, std::chrono::seconds(1));
+    return refuse(aCore, refusal, aCaller.requestId);
+  }
+  if (!claimed->acquired) {
+    return repeatResponse(aCore, aCaller, fingerprint, key, claimed->claim);
+  }
+  CallResult result = ServiceSession(aCore, aRequest, aCaller, false).run();
+  auto wait = aCore.options.limits.claimTimeout;
+  if (result.answer) {
+    aCore.claims.finish(aCaller.workspace, key, claimed->claim, *result.answer, wait);
+  } else if (result.ran == Ran::No) {
+    aCore.claims.release(aCaller.workspace, key, claimed->claim, wait);
+  }
+  return respond(aCore, aStarted, aCaller, result);
+}
+
+} // namespace
+
+net::HttpResponse callService(const std::shared_ptr<EntryCore>& aCore,
+                              const net::HttpRequest& aRequest)
+{
+  auto caller = aCore->accept(aRequest);
+  if (!caller) {
+    return refuse(*aCore, caller.error(), aRequest.header(kRequestId).value_or(""));
+  }
+  auto config = aCore->options.fleet->config();
+  const auto* service =
+    config->spec<resources::Service>("Service", aRequest.pathParameters.at("service"));
+  if (service == nullptr) {
+    Refusal refusal{ 404, Ran::No, "notFound", "no such service", "check its name", {} };
+    return refuse(*aCore, refusal, caller->requestId);
+  }
+  if (!aCore->tryStart(caller->workspace)) {
+    auto refusal = overloadRefusal("the workspace uses more than its share", kAvoidFor);
+    refusal.status = 429;
+    return refuse(*aCore, refusal, caller->requestId);
+  }
+  StartedRequest started(aCore, caller->workspace);
+  if (!isRepeatable(*service, aRequest.method, aRequest.pathParameters.at("path"))) {
+    return callOnce(*aCore, started, aRequest, *caller);
+  }
+  auto result = ServiceSession(*aCore, aRequest, *caller, true).run();
+  return respond(*aCore, started, *caller, result);
+}
+
+net::HttpResponse outcome(const std::shared_ptr<EntryCore>& aCore, const net::HttpRequest& aRequest)
+{
+  auto claim = aCore->claims.lookUp(aRequest.pathParameters.at("workspace"),
+                                    aRequest.pathParameters.at("key"));
+  if (!claim) {
+    return refuse(
+      *aCore, overloadRefusal(claim.error().message, std::chrono::seconds(1)), std::string());
+  }
+  std::string state = outcomeState(*aCore, *claim);
+  Json::Value value;
+  value["state"] = state;
+  value["ran"] = state == "done" ? "yes" : state == "absent" ? "no" : "unknown";
+  if (claim->state == ClaimState::Done) {
+    value["status"] = claim->answer.status;
+    value["contentType"] = claim->answer.contentType;
+    value["kept"] = claim->answerKept;
+    value["bodyHex"] = toHex(claim->answer.body);
+  }
+  net::HttpResponse response;
+  response.status = claim->state == ClaimState::Absent ? 404 : 200;
+  response.body = base::writeJson(value);
+  return response;
+}
+
+} // namespace boragepitch::gateway
--- /dev/null
+++ b/libs/gateway/src/RunTable.cpp
@@ -0,0 +1,125 @@
+#include "RunTable.h"
+
+#include "Messages.h"
+
+namespace boragepitch::gateway {
+
+namespace {
+
+/** Bytes held by a dead connection arrive within this time or never. */
+constexpr base::Duration kKeepCancelled = std::chrono::minutes(10);
+constexpr size_t kMaxCancelled = 1 << 16;
+
+const char* toString(RunState aState)
+{
+  switch (aState) {
+    case RunState::Queued:
+      return "queued";
+    case RunState::Running:
+      return "running";
+    case RunState::Done:
+      return "done";
+    case RunState::Refused:
+      return "refused";
+    case RunState::Crashed:
+      return "crashed";
+    case RunState::Cut:
+      return "cut";
+    case RunState::Cancelled:
+      return "cancelled";
+    case RunState::Unknown:
+      return "lost";
+  }
+  return "lost";
+}
+
+} // namespace
+
+void Run::cancel()
+{
+  cancelled = true;
+  std::shared_ptr<UpstreamCall> running;
+  {
+    std::lock_guard lock(mutex);
+    running = call;
+  }
+  if (running) {
+    running->cancel();
+  }
+}
+
+Json::Value Run::describe()
+{
+  Json::Value value;
+  value["state"] = toString(state.load());
+  value["bytes"] = Json::UInt64(bytes.load());
+  std::lock_guard lock(mutex);
+  value["crashId"] = crashId;
+  if (status != 0) {
+    value["status"] = status;
+    value["type"] = contentType;
+    value["body"] = toHex(body);
+  }
+  return value;
+}
+
+RunTable::RunTable(size_t aMaxEnded)
+  : mMaxEnded(aMaxEnded)
+{
+}
+
+std::shared_ptr<Run> RunTable::add(const std::string& aId, const std::string& aFingerprint)
+{
+  auto run = std::make_shared<Run>();
+  run->id = aId;
+  run->fingerprint = aFingerprint;
+  std::lock_guard lock(mMutex);
+  if (mCancelledEarly.contains(aId) || !mRuns.emplace(aId, run).second) {
+    return nullptr;
+  }
+  return run;
+}
+
+void RunTable::ended(const std::shared_ptr<Run>& aRun)
+{
+  std::lock_guard lock(mMutex);
+  mEnded.push_back(aRun->id);
+  if (mEnded.size() > mMaxEnded) {
+    mRuns.erase(mEnded.front());
+    mEnded.pop_front();
+  }
+}
+
+std::shared_ptr<Run> RunTable::find(const std::string& aId)
+{
+  std::lock_guard lock(mMutex);
+  auto found = mRuns.find(aId);
+  return found == mRuns.end() ? nullptr : found->second;
+}
+
+bool RunTable::cancel(const std::string& aId, base::TimePoint aNow)
+{
+  std::shared_ptr<Run> run;
+  {
+    std::lock_guard lock(mMutex);
+    auto found = mRuns.find(aId);
+    if (found == mRuns.end()) {
+      while (!mCancelledOrder.empty() && aNow - mCancelledOrder.front().first > kKeepCancelled) {
+        mCancelledEarly.erase(mCancelledOrder.front().second);
+        mCancelledOrder.pop_front();
+      }
+      if (mCancelledOrder.size() >= kMaxCancelled) {
+        return false;
+      }
+      if (mCancelledEarly.insert(aId).second) {
+        mCancelledOrder.emplace_back(aNow, aId);
+      }
+      return true;
+    }
+    run = found->second;
+  }
+  run->cancel();
+  return true;
+}
+
+} // namespace boragepitch::gateway
