Add scripts/localfleet.py

Integration tests and benches start real processes. The module starts stand-ins, entries, agents and fault proxies on an address block of 127.0.0.0/8 that no other running fleet holds, writes their settings and ends everything by process id when it is left, also after an exception or when the program is killed.

--- /dev/null
+++ b/scripts/localfleet.py
@@ -0,0 +1,595 @@
+"""Starts and stops a local fleet: stand-ins of the platform, entries and agents on 127.0.0.0/8.
+
+As a module, it is the base of the integration tests:
+
+    with Fleet(bin_dir, log_dir) as fleet:
+        fleet.start_platform(blobs=["m/v1:1000000:7"])
+        engine = fleet.add_engine("atl-1")
+        fleet.add_entry("atl")
+        fleet.add_agent("atl", engine=engine, endpoint="atl-1")
+        fleet.wait_ready()
+
+As a program, it starts a fleet and keeps it until SIGINT or SIGTERM; see --help.
+"""
+
+import argparse
+import atexit
+import contextlib
+import ctypes
+import http.client
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import urllib.parse
+
+PORTS = {
+    "public": 7000,
+    "control": 7001,
+    "data": 7002,
+    "weights": 7003,
+    "engine": 7100,
+    "service": 7200,
+    "table": 7300,
+    "objects": 7301,
+    "vms": 7302,
+    "proxy": 7400,
+}
+# Held by each fleet, so that fleets that run at once take different address blocks.
+LOCK_PORT = 6999
+KEY_ID = "k1"
+KEY = "local-fleet-key-0123456789abcdef"
+OPERATOR = "local"
+OPERATOR_KEY = "local-operator-key-0123456789abcdef"
+CONFIG_OPTION = "--config"
+READY_SECONDS = 60
+STOP_SECONDS = 30
+PR_SET_PDEATHSIG = 1
+
+
+class Response:
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        return json.loads(self.body)
+
+    def __repr__(self):
+        return f"Response({self.status}, {self.body[:200]!r})"
+
+
+def http_call(method, url, body=None, headers=None, timeout=30):
+    """One request. Statuses of 400 and more are returned; a broken connection raises OSError or
+    http.client.HTTPException. A dict or list as body is sent as JSON."""
+    parts = urllib.parse.urlsplit(url)
+    connection = http.client.HTTPConnection(parts.hostname, parts.port, timeout=timeout)
+    headers = dict(headers or {})
+    if isinstance(body, (dict, list)):
+        body = json.dumps(body)
+        headers.setdefault("Content-Type", "application/json")
+    target = parts.path + ("?" + parts.query if parts.query else "")
+    try:
+        connection.request(method, target, body=body, headers=headers)
+        response = connection.getresponse()
+        return Response(response.status, response.headers, response.read())
+    finally:
+        connection.close()
+
+
+def parse_events(body):
+    """The server-sent events of a body as dicts with id, event and data; an event that the
+    connection's end cut off is left out."""
+    events = []
+    for block in body.decode().split("\n\n")[:-1]:
+        event = {"event": "message"}
+        for line in block.split("\n"):
+            name, _, value = line.partition(": ")
+            event[name] = value
+        events.append(event)
+    return events
+
+
+def wait_until(condition, timeout=READY_SECONDS, what="condition", interval=0.02):
+    """Returns the first true value of condition(); OSError and HTTPException count as false."""
+    deadline = time.monotonic() + timeout
+    while True:
+        with contextlib.suppress(OSError, http.client.HTTPException, ValueError, KeyError):
+            value = condition()
+            if value:
+                return value
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"{what}: not reached within {timeout} s")
+        time.sleep(interval)
+
+
+def write_ini(path, sections):
+    """Writes {section: {key: value}}; a list becomes a comma-separated value."""
+    with open(path, "w", encoding="utf-8") as file:
+        for section, keys in sections.items():
+            file.write(f"[{section}]\n")
+            for key, value in keys.items():
+                if isinstance(value, (list, tuple)):
+                    value = ", ".join(value)
+                file.write(f"{key} = {value}\n")
+            file.write("\n")
+
+
+def end_with_parent():
+    """Runs in the child: it is killed when this program dies without cleaning up."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Process:
+    """A started program. Its standard output and error go to one file in the log folder."""
+
+    def __init__(self, name, command, log_path, environment=None):
+        self.name = name
+        self.command = command
+        self.log_path = log_path
+        self.end_expected = False
+        self._log = open(log_path, "ab")
+        # The kernel sends the signal when the starting thread ends, so only the main thread may
+        # ask for it.
+        in_main = threading.current_thread() is threading.main_thread()
+        self._popen = subprocess.Popen(
+            command,
+            stdin=subprocess.DEVNULL,
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+            env={**os.environ, **(environment or {})},
+            preexec_fn=end_with_parent if in_main else None,
+        )
+
+    @property
+    def pid(self):
+        return self._popen.pid
+
+    @property
+    def exit_code(self):
+        return self._popen.poll()
+
+    def alive(self):
+        return self._popen.poll() is None
+
+    def _signal(self, number, ends):
+        self.end_expected = self.end_expected or ends
+        if self.alive():
+            self._popen.send_signal(number)
+
+    def kill(self):
+        """SIGKILL, and waits for the end."""
+        self._signal(signal.SIGKILL, True)
+        self.wait()
+
+    def term(self):
+        """SIGTERM: asks for a graceful shutdown and does not wait."""
+        self._signal(signal.SIGTERM, True)
+
+    def stop(self):
+        """SIGSTOP: pauses the process."""
+        self._signal(signal.SIGSTOP, False)
+
+    def cont(self):
+        """SIGCONT: ends a pause."""
+        self._signal(signal.SIGCONT, False)
+
+    def wait(self, timeout=STOP_SECONDS):
+        code = self._popen.wait(timeout)
+        self._log.close()
+        return code
+
+    def log(self):
+        with open(self.log_path, encoding="utf-8", errors="replace") as file:
+            return file.read()
+
+    def resident_bytes(self):
+        """Resident memory now."""
+        with open(f"/proc/{self.pid}/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+    def cpu_seconds(self):
+        """User and system time so far."""
+        with open(f"/proc/{self.pid}/stat", encoding="ascii") as file:
+            fields = file.read().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+class Node:
+    """An entry or an agent with its addresses; restart() starts it again with the same settings."""
+
+    def __init__(self, fleet, kind, name, zone, region, host, ini_path, endpoint=""):
+        self.fleet = fleet
+        self.kind = kind
+        self.name = name
+        self.zone = zone
+        self.region = region
+        self.host = host
+        self.ini_path = ini_path
+        self.endpoint = endpoint
+        self.process = None
+
+    def address(self, port):
+        return f"{self.host}:{PORTS[port]}"
+
+    def url(self, path, port=None):
+        port = port or ("public" if self.kind == "entry" else "control")
+        return f"http://{self.address(port)}{path}"
+
+    def start(self, environment=None):
+        program = "bp-" + self.kind
+        command = [self.fleet.program(program), CONFIG_OPTION, self.ini_path]
+        self.process = self.fleet.start(self.name, command, environment)
+        return self
+
+    def ready(self):
+        if not self.process.alive():
+            raise RuntimeError(
+                f"{self.name} ended with {self.process.exit_code}:\n{self.process.log()[-2000:]}"
+            )
+        return http_call("GET", self.url("/readyz", "control"), timeout=2).status == 200
+
+    def dump(self):
+        return http_call("GET", self.url("/dump", "control")).json()
+
+    def metrics(self):
+        """Text exposition as {name with labels: value}."""
+        text = http_call("GET", self.url("/metrics", "control")).body.decode()
+        lines = [line for line in text.splitlines() if line and not line.startswith("#")]
+        return {line.rpartition(" ")[0]: float(line.rpartition(" ")[2]) for line in lines}
+
+
+class Proxy:
+    """A running fault-proxy; links are (listen, target) pairs."""
+
+    def __init__(self, admin, links, process):
+        self.admin = admin
+        self.links = links
+        self.process = process
+
+    def fault(self, **fault):
+        """delayMs, rate, cut, silence; listen= limits it to one link."""
+        check_ok(http_call("POST", f"http://{self.admin}/fault", fault))
+
+    def stats(self):
+        return http_call("GET", f"http://{self.admin}/stats").json()["links"]
+
+
+def check_ok(response):
+    if response.status >= 300:
+        raise RuntimeError(f"unexpected response {response}")
+    return response
+
+
+class Fleet:
+    """All processes of one local fleet. Use it as a context manager: leaving it ends every
+    process, as does the end of this program."""
+
+    def __init__(self, bin_dir, log_dir):
+        self.bin_dir = os.path.abspath(bin_dir)
+        self.log_dir = os.path.abspath(log_dir)
+        os.makedirs(self.log_dir, exist_ok=True)
+        self.processes = []
+        self.nodes = []
+        self.platform = {}
+        self.zone_hosts = {}
+        self.extra_ini = {}
+        self._next_proxy = 1
+        self._starts = {}
+        self._lock, self.block = self._take_block()
+        atexit.register(self.close)
+
+    def __enter__(self):
+        if threading.current_thread() is threading.main_thread():
+            # sys.exit() runs the clean-up that a plain SIGTERM would skip.
+            signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
+        return self
+
+    def __exit__(self, *_):
+        self.close()
+
+    @staticmethod
+    def _take_block():
+        blocks = list(range(16, 255))
+        random.shuffle(blocks)
+        for block in blocks:
+            lock = socket.socket()
+            try:
+                lock.bind((f"127.{block}.0.1", LOCK_PORT))
+                lock.listen()
+                return lock, block
+            except OSError:
+                lock.close()
+        raise RuntimeError("every address block is taken; end another local fleet")
+
+    # Processes
+
+    def program(self, name):
+        return os.path.join(self.bin_dir, name)
+
+    def start(self, name, command, environment=None):
+        """Starts a program; its output goes to <log_dir>/<name>.log, appended over restarts."""
+        log_path = os.path.join(self.log_dir, name + ".log")
+        process = Process(name, command, log_path, environment)
+        self.processes.append(process)
+        return process
+
+    def start_standin(self, name, program, arguments, address):
+        process = self.start(name, [self.program(program), *arguments])
+
+        def accepts():
+            if not process.alive():
+                raise RuntimeError(f"{name} ended:\n{process.log()[-2000:]}")
+            host, port = address.split(":")
+            socket.create_connection((host, int(port)), timeout=1).close()
+            return True
+
+        wait_until(accepts, what=f"{name} listens on {address}")
+        return process
+
+    def unexpected_exits(self):
+        """Names and exit codes of processes that ended without having been asked to."""
+        return [
+            (process.name, process.exit_code)
+            for process in self.processes
+            if not process.end_expected and not process.alive()
+        ]
+
+    def close(self):
+        """Ends all processes: SIGTERM, then SIGKILL for what remains. Idempotent."""
+        atexit.unregister(self.close)
+        running = [process for process in self.processes if process.alive()]
+        for process in running:
+            process.cont()
+            process.term()
+        deadline = time.monotonic() + STOP_SECONDS
+        for process in running:
+            try:
+                process.wait(max(0.01, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                print(f"{process.name} ignored SIGTERM and is killed", file=sys.stderr)
+                process.kill()
+        self._lock.close()
+
+    # Addresses
+
+    def host(self, zone):
+        """The next unused VM address of a zone: 127.<block>.<10 * zone number>.<n>, up to 2,500
+        VMs in a zone."""
+        number, used = self.zone_hosts.setdefault(zone, (len(self.zone_hosts) + 1, 0))
+        self.zone_hosts[zone] = (number, used + 1)
+        return f"127.{self.block}.{10 * number + used // 250}.{used % 250 + 1}"
+
+    def platform_address(self, port):
+        return f"127.{self.block}.0.2:{PORTS[port]}"
+
+    # Stand-ins
+
+    def start_platform(self, blobs=(), rate=0, writes_per_s=400, reads_per_s=2000, vm_lag_ms=0):
+        """Starts the table service, object and weight store and VM list. rate in bytes a second;
+        blobs as name/version:size:seed."""
+        self.platform = {name: self.platform_address(name) for name in ("table", "objects", "vms")}
+        options = {
+            "table": [f"--writes-per-s={writes_per_s}", f"--reads-per-s={reads_per_s}"],
+            "objects": [f"--rate={rate}"] + [f"--blob={blob}" for blob in blobs],
+            "vms": [f"--lag-ms={vm_lag_ms}"],
+        }
+        for name, address in self.platform.items():
+            arguments = [f"--listen={address}", *options[name]]
+            self.start_standin(name, "standin-" + name, arguments, address)
+
+    def proxy_platform(self):
+        """Puts a fault proxy between the platform and the nodes added later."""
+        names = sorted(self.platform)
+        proxy = self.start_proxy([self.platform[name] for name in names])
+        self.platform = {name: link[0] for name, link in zip(names, proxy.links)}
+        return proxy
+
+    def start_proxy(self, targets):
+        """A fault proxy with one link for each target, on an address of its own."""
+        host = f"127.{self.block}.255.{self._next_proxy}"
+        self._next_proxy += 1
+        admin = f"{host}:{PORTS['control']}"
+        links = [(f"{host}:{PORTS['proxy'] + i}", target) for i, target in enumerate(targets)]
+        arguments = [f"--admin={admin}"]
+        for listen, target in links:
+            arguments += [f"--listen={listen}", f"--target={target}"]
+        process = self.start_standin(f"proxy-{host}", "fault-proxy", arguments, admin)
+        return Proxy(admin, links, process)
+
+    def add_engines(self, name, zones, **options):
+        """One engine process with an endpoint for each zone listed; returns their addresses.
+        Options as of standin-engine, with underscores: token_ms=5, honour_fencing=True."""
+        addresses = [f"{self.host(zone)}:{PORTS['engine']}" for zone in zones]
+        arguments = [f"--listen={address}" for address in addresses] + self._options(options)
+        self.start_standin(name, "standin-engine", arguments, addresses[-1])
+        return addresses
+
+    def add_engine(self, name, zone, **options):
+        return self.add_engines(name, [zone], **options)[0]
+
+    def add_service(self, name, zones, **options):
+        """One plain service process with a worker for each zone listed; returns addresses."""
+        addresses = [f"{self.host(zone)}:{PORTS['service']}" for zone in zones]
+        arguments = [f"--listen={address}" for address in addresses] + self._options(options)
+        self.start_standin(name, "standin-service", arguments, addresses[-1])
+        return addresses
+
+    @staticmethod
+    def _options(options):
+        arguments = []
+        for key, value in options.items():
+            option = "--" + key.replace("_", "-")
+            if value is True:
+                arguments.append(option)
+            elif value is not False:
+                arguments.append(f"{option}={value}")
+        return arguments
+
+    # Nodes
+
+    def node_settings(self, kind, name, zone, region, host):
+        """The INI settings that every node has; the only place that knows their key names,
+        together with agent_settings()."""
+        node = {"id": name, "zone": zone, "region": region}
+        ports = ("control", "public") if kind == "entry" else ("control", "data", "weights")
+        for port in ports:
+            node[port] = f"{host}:{PORTS[port]}"
+        seeds = [other.address("control") for other in self.nodes[:3]]
+        return {
+            "node": node,
+            "platform": dict(self.platform),
+            "fleet": {"seeds": seeds, "signing_key": KEY_ID},
+            "keys": {KEY_ID: KEY},
+            "operators": {OPERATOR: OPERATOR_KEY} if kind == "entry" else {},
+        }
+
+    @staticmethod
+    def agent_settings(engine, endpoint, kind):
+        return {"engine": {"address": engine, "type": kind}, "endpoint": {"name": endpoint}}
+
+    def _add_node(self, kind, zone, region, host, name, sections, start):
+        name = name or f"{kind}-{zone}-{len(self.nodes) + 1}"
+        settings = self.node_settings(kind, name, zone, region or zone, host)
+        for extra in (sections, self.extra_ini):
+            for section, keys in extra.items():
+                settings[section] = {**settings.get(section, {}), **keys}
+        ini_path = os.path.join(self.log_dir, name + ".ini")
+        write_ini(ini_path, {section: keys for section, keys in settings.items() if keys})
+        endpoint = settings.get("endpoint", {}).get("name", "")
+        node = Node(self, kind, name, zone, region or zone, host, ini_path, endpoint)
+        self.nodes.append(node)
+        return node.start() if start else node
+
+    def add_entry(self, zone, region=None, name=None, ini=None, start=True):
+        """ini: more settings as {section: {key: value}}; extra_ini of the fleet goes over them."""
+        return self._add_node("entry", zone, region, self.host(zone), name, ini or {}, start)
+
+    def add_agent(
+        self, zone, engine, endpoint, region=None, kind="model", name=None, ini=None, start=True
+    ):
+        """An agent on the VM of its engine; engine is the address, kind model or service."""
+        sections = self.agent_settings(engine, endpoint, kind)
+        for section, keys in (ini or {}).items():
+            sections[section] = {**sections.get(section, {}), **keys}
+        host = self.engine_host(engine)
+        return self._add_node("agent", zone, region, host, name, sections, start)
+
+    def engine_host(self, engine):
+        host = engine.rpartition(":")[0]
+        if not host.startswith(f"127.{self.block}.255."):
+            return host
+        raise ValueError("give the engine's own address, and its proxy by ini")
+
+    def entries(self):
+        return [node for node in self.nodes if node.kind == "entry"]
+
+    def agents(self):
+        return [node for node in self.nodes if node.kind == "agent"]
+
+    def wait_ready(self, nodes=None, timeout=READY_SECONDS):
+        for node in nodes or self.nodes:
+            wait_until(node.ready, timeout, f"{node.name} ready")
+
+    def publish_vms(self, leaving=()):
+        """Puts the nodes of this fleet on the VM list; leaving names those that leave."""
+        vms = [
+            {
+                "name": node.name,
+                "address": node.address("control"),
+                "zone": node.zone,
+                "region": node.region,
+                "kind": node.kind,
+                "state": "leaving" if node.name in leaving else "live",
+            }
+            for node in self.nodes
+        ]
+        url = f"http://{self.platform_address('vms')}/vms"
+        check_ok(http_call("PUT", url, {"vms": vms}))
+
+    # Requests
+
+    def http(self, method, url, body=None, headers=None, timeout=30):
+        return http_call(method, url, body, headers, timeout)
+
+    def fault(self, address, **fault):
+        """POST /fault at a stand-in's address, or at a platform service by its name."""
+        if address in PORTS:
+            address = self.platform_address(address)
+        check_ok(http_call("POST", f"http://{address}/fault", fault))
+
+    def stats(self, address):
+        if address in PORTS:
+            address = self.platform_address(address)
+        return http_call("GET", f"http://{address}/stats").json()
+
+    def digests(self, blob, chunk_size):
+        """size, sha256, chunks and etag of generated weights name/version."""
+        address = self.platform_address("objects")
+        return http_call("GET", f"http://{address}/digests/{blob}?chunkSize={chunk_size}").json()
+
+    def apply(self, resources, entry=None):
+        """Creates or replaces resources ({"kind","name","spec"}) one by one through an entry."""
+        entry = entry or self.entries()[0]
+        for resource in resources:
+            self.apply_one(resource, entry)
+
+    @staticmethod
+    def apply_one(resource, entry):
+        headers = {"Authorization": "Bearer " + OPERATOR_KEY}
+        collection = entry.url(f"/api/v1/{resource['kind']}")
+        url = f"{collection}/{resource['name']}"
+        present = http_call("GET", url, headers=headers)
+        if present.status == 404:
+            return check_ok(http_call("POST", collection, resource, headers))
+        version = check_ok(present).json()["resourceVersion"]
+        body = {**resource, "resourceVersion": version}
+        return check_ok(http_call("PUT", url, body, headers))
+
+    def generate(self, entry, model, prompt, max_tokens, headers=None, timeout=60):
+        """One model call through an entry: (response, events)."""
+        headers = {"X-Workspace": "local", **(headers or {})}
+        body = {"prompt": prompt, "max_tokens": max_tokens}
+        url = entry.url(f"/v1/models/{model}/generate")
+        response = http_call("POST", url, body, headers, timeout)
+        is_stream = response.headers.get("Content-Type", "").startswith("text/event-stream")
+        return response, parse_events(response.body) if is_stream else []
+
+
+def main():
+    parser = argparse.ArgumentParser(description="Starts a local fleet and keeps it running.")
+    parser.add_argument("--bin", default="build/bin", help="folder of the programs")
+    parser.add_argument("--logs", default="out/localfleet", help="folder for logs and settings")
+    parser.add_argument("--zones", default="atl,sav,mcn", help="each zone is its own region")
+    parser.add_argument("--entries", type=int, default=1, help="entries in each zone")
+    parser.add_argument("--agents", type=int, default=2, help="agents in each zone")
+    parser.add_argument("--blob", action="append", default=[], help="name/version:size:seed")
+    parser.add_argument("--rate", type=int, default=0, help="origin's bytes a second")
+    options = parser.parse_args()
+    zones = options.zones.split(",")
+    with Fleet(options.bin, options.logs) as fleet:
+        fleet.start_platform(blobs=options.blob, rate=options.rate)
+        for zone in zones:
+            for _ in range(options.entries):
+                fleet.add_entry(zone)
+        engines = fleet.add_engines("engines", [z for z in zones for _ in range(options.agents)])
+        for i, engine in enumerate(engines):
+            zone = zones[i // options.agents]
+            fleet.add_agent(zone, engine, f"{zone}-{i % options.agents}")
+        fleet.publish_vms()
+        fleet.wait_ready()
+        for node in fleet.nodes:
+            print(node.name, node.url("/"), flush=True)
+        print("ready", flush=True)
+        with contextlib.suppress(KeyboardInterrupt):
+            signal.pause()
+
+
+if __name__ == "__main__":
+    main()
