--- a/standins/fault-proxy/Link.cpp
+++ b/standins/fault-proxy/Link.cpp
@@ -34,13 +34,6 @@
   if (aFault.isMember("delayMs")) {
     mDelayUs = int64_t(aFault["delayMs"].asDouble() * 1000);
   }
-  if (aFault.isMember("rate")) {
-    std::lock_guard lock(mMutex);
-    mRate = aFault["rate"].asDouble();
-    for (base::TokenBucket& bucket : mBuckets) {
-      bucket.setRate(mRate > 0 ? mRate : kIdleRate, std::chrono::steady_clock::now());
-    }
-  }
   std::string silence = base::stringOr(aFault, "silence");
   if (silence == "open") {
     ++mSilenceEpoch;
@@ -50,6 +43,14 @@
   if (base::boolOr(aFault, "cut", false)) {
     ++mCutEpoch;
   }
+  // Last, so that a rate raised together with a silence lets nothing more through.
+  if (aFault.isMember("rate")) {
+    std::lock_guard lock(mMutex);
+    mRate = aFault["rate"].asDouble();
+    for (base::TokenBucket& bucket : mBuckets) {
+      bucket.setRate(mRate > 0 ? mRate : kIdleRate, std::chrono::steady_clock::now());
+    }
+  }
 }
 
 size_t Link::takeRate(Direction aDirection, size_t aWanted, base::Duration& aWait)
