Add the rollout planner, desired state, activation core and conditions

The planner gives permissions so that planned moves leave minAvailable percent of the in-service endpoints warm and serving. A permission counts as use of the bound until it was used or until ten seconds after its withdrawal, because agents learn of changes late. A Rollout older than its Serving permits nothing, since adapters may change without the version. Order fencing numbers count the orders within an epoch, so that an order delivered late is refused too.

Generated histories found one fault: a cold endpoint was permitted below the bound and turned warm before its switch; cold endpoints now stay while the bound is missed.

--- a/libs/rollout/include/rollout/ActivationCore.h
+++ b/libs/rollout/include/rollout/ActivationCore.h
@@ -112,16 +112,27 @@
   /** What is served and verified, for the node record and for checking responses. */
   std::vector<control::Served> served() const;
   ActivationPhase phase() const { return mPhase; }
+  /** True while the engine's warm limit must not be used. */
   bool cold() const { return !mEngine || mEngine->cold; }
+  /** What the engine reported last, verified or not; empty when it was not read. */
+  std::vector<control::Served> loaded() const;
   const std::string& instance() const { return mInstance; }
 
 private:
   std::optional<Order> nextOrder() const;
-  bool isVerified(const control::Served& aLoaded) const;
+  std::optional<Order> nextOrderFor(const Target& aTarget) const;
+  std::vector<control::Served> goalOf(const Target& aTarget) const;
+  bool isHeld(const control::Served& aServed) const;
   bool isLoaded(const control::Served& aWanted) const;
-  Action read(base::TimePoint aNow);
-  Action takeEpochOrNothing(base::TimePoint aNow);
-  Action stepDrained(base::TimePoint aNow);
+  bool isServable(const control::Served& aLoaded) const;
+  bool hasTakenEffect(const Order& aOrder) const;
+  bool mayOrder(base::TimePoint aNow) const;
+  bool drains(const Order& aOrder) const { return aOrder.kind != OrderKind::Role; }
+  uint64_t lastFencing() const;
+  void noteFailure(base::TimePoint aNow);
+  Action readEngine(base::TimePoint aNow);
+  Action takeEpoch(base::TimePoint aNow);
+  Action send(Order aOrder);
 
   ActivationOptions mOptions;
   ActivationPhase mPhase = ActivationPhase::Unknown;
@@ -131,13 +142,14 @@
   std::string mInstance;
   Epoch mEpoch;
   uint64_t mOrderCount = 0;
-  uint64_t mMinEpoch = 0;
+  uint64_t mMinEpoch = 1;
+  Order mLastOrder;
   uint32_t mFailures = 0;
+  bool mRefusing = false; ///< New work is refused: from draining until the state is read back.
   base::TimePoint mRetryAt{};
   base::TimePoint mReadAt{};
   base::TimePoint mEpochAskedAt{};
   base::TimePoint mOrderEnded{};
-  bool mEpochAsked = false;
 };
 
 } // namespace boragepitch::rollout
--- a/libs/rollout/include/rollout/DesiredState.h
+++ b/libs/rollout/include/rollout/DesiredState.h
@@ -20,7 +20,7 @@
   uint64_t size = 0;    ///< Bytes.
   int urgency = 0;      ///< 9 goes first.
   uint64_t since = 0;   ///< Revision that declared it; the lower goes first at equal urgency.
-  bool required = true; ///< False: a previous version, kept only while there is room.
+  bool required = true; ///< False: another version, not fetched, kept while there is room.
 
   bool operator==(const WantedManifest&) const = default;
 };
@@ -31,7 +31,9 @@
   std::string serving;    ///< Name of the Serving resource.
   control::Served wanted; ///< Model, version and manifest of the declaration.
   std::vector<control::Served> adapters;
-  bool allowed = false; ///< The Rollout lets this endpoint switch to `wanted` now.
+  /** The Rollout lets this endpoint switch to `wanted` now. A Rollout that is older than the last
+   * change of the Serving permits nothing. */
+  bool allowed = false;
   /** The version of the last Rollout that included this endpoint, used only when the engine
    * serves nothing and `wanted` is not allowed yet; empty model when there is none. */
   control::Served fallback;
@@ -54,4 +56,9 @@
 /** What one endpoint should hold and serve; empty when it is not declared or not for models. */
 DesiredState desiredState(const resources::Snapshot& aSnapshot, std::string_view aEndpoint);
 
+/** The manifests of aDesired, and what the engine has loaded as required, so that a served version
+ * is not dropped before its switch. */
+std::vector<WantedManifest> manifestsToHold(const DesiredState& aDesired,
+                                            const std::vector<control::Served>& aLoaded);
+
 } // namespace boragepitch::rollout
--- a/libs/rollout/include/rollout/Planner.h
+++ b/libs/rollout/include/rollout/Planner.h
@@ -36,9 +36,9 @@
   explicit Planner(PlannerOptions aOptions = {});
 
   /**
-   * The Rollout resources to write, each with the resourceVersion of aSnapshot. Empty when nothing
-   * changes, or when a Rollout carries a higher fencing number than aFencing (this planner was
-   * replaced).
+   * The Rollout resources to write, to be committed on exactly the revision of aSnapshot, each with
+   * the resourceVersion of aSnapshot. Empty when nothing changes, or when a Rollout carries a
+   * higher fencing number than aFencing (this planner was replaced).
    */
   std::vector<resources::Change> plan(const resources::Snapshot& aSnapshot,
                                       const control::NodeTable& aNodes,
@@ -49,7 +49,8 @@
   using Key = std::pair<std::string, std::string>; ///< Serving and endpoint.
   struct Memory
   {
-    std::string version;
+    uint64_t declaredAt = 0; ///< resourceVersion of the Serving that the rest is about.
+    bool used = false;       ///< Seen at the target under this permission.
     base::TimePoint allowedAt{};
     base::TimePoint withdrawnAt{};
     bool allowed = false;
--- /dev/null
+++ b/libs/rollout/src/ActivationCore.cpp
@@ -0,0 +1,308 @@
+#include "rollout/ActivationCore.h"
+
+#include <algorithm>
+
+namespace boragepitch::rollout {
+
+namespace {
+
+// Low bits of a fencing number count the orders of one epoch.
+constexpr uint64_t kOrderBits = 20;
+constexpr uint64_t kMaxOrders = (uint64_t{ 1 } << kOrderBits) - 1;
+
+bool isFor(const Target& aTarget, const std::string& aModel)
+{
+  return aTarget.wanted.model == aModel ||
+         std::any_of(aTarget.adapters.begin(), aTarget.adapters.end(), [&](const auto& aAdapter) {
+           return aAdapter.model == aModel;
+         });
+}
+
+} // namespace
+
+std::string_view toString(ActivationPhase aPhase)
+{
+  switch (aPhase) {
+    case ActivationPhase::Unknown:
+      return "unknown";
+    case ActivationPhase::Steady:
+      return "steady";
+    case ActivationPhase::Draining:
+      return "draining";
+    case ActivationPhase::Ordering:
+      return "ordering";
+    case ActivationPhase::Verifying:
+      return "verifying";
+  }
+  return "unknown";
+}
+
+ActivationCore::ActivationCore(ActivationOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+void ActivationCore::onDesired(DesiredState aDesired)
+{
+  mDesired = std::move(aDesired);
+}
+
+void ActivationCore::onHeld(std::set<std::string> aHeld)
+{
+  mHeld = std::move(aHeld);
+}
+
+void ActivationCore::onEpoch(const Epoch& aEpoch)
+{
+  if (aEpoch.number < mMinEpoch || aEpoch.number < mEpoch.number) {
+    return; // An older epoch's orders would be refused, or would undo a newer agent's orders.
+  }
+  if (aEpoch.number != mEpoch.number) {
+    mOrderCount = 0;
+  }
+  mEpoch = aEpoch;
+}
+
+void ActivationCore::onEngineState(const EngineState& aState, base::TimePoint aStarted)
+{
+  bool isStale = mPhase == ActivationPhase::Ordering ||
+                 (mPhase == ActivationPhase::Verifying && aStarted < mOrderEnded);
+  if (isStale) {
+    return;
+  }
+  mEngine = aState;
+  mInstance = aState.instance;
+  if (aState.fencing > lastFencing()) {
+    mMinEpoch = std::max(mMinEpoch, (aState.fencing >> kOrderBits) + 1);
+  }
+  if (mPhase == ActivationPhase::Verifying) {
+    mRefusing = false;
+    if (hasTakenEffect(mLastOrder)) {
+      mFailures = 0;
+      mRetryAt = {};
+    } else {
+      noteFailure(aStarted);
+    }
+  }
+  if (mPhase != ActivationPhase::Draining) {
+    mPhase = ActivationPhase::Steady;
+  }
+}
+
+void ActivationCore::onEngineUnreachable()
+{
+  mEngine.reset();
+  if (mPhase == ActivationPhase::Ordering || mPhase == ActivationPhase::Verifying) {
+    return; // The order's effect is still to be read back.
+  }
+  mPhase = ActivationPhase::Unknown;
+  mRefusing = false;
+}
+
+void ActivationCore::onOrderAnswered(const base::Status& aStatus, base::TimePoint aNow)
+{
+  if (mPhase != ActivationPhase::Ordering) {
+    return;
+  }
+  mPhase = ActivationPhase::Verifying;
+  mOrderEnded = aNow;
+  mReadAt = {};
+  if (!aStatus && aStatus.error().kind == base::ErrorKind::Conflict) {
+    mMinEpoch = std::max(mMinEpoch, mEpoch.number + 1);
+  }
+}
+
+Action ActivationCore::step(base::TimePoint aNow, uint64_t aRequestsInFlight)
+{
+  if (mPhase == ActivationPhase::Ordering) {
+    return {};
+  }
+  if (!mEngine || mPhase == ActivationPhase::Verifying || aNow - mReadAt >= mOptions.readInterval) {
+    Action read = readEngine(aNow);
+    if (read.kind != ActionKind::None || !mEngine || mPhase == ActivationPhase::Verifying) {
+      return read;
+    }
+  }
+  std::optional<Order> order = nextOrder();
+  bool mayProceed = order && aNow >= mRetryAt && mayOrder(aNow);
+  if (!mayProceed) {
+    // Serving what is loaded is better than waiting drained for a permission or an epoch.
+    mPhase = ActivationPhase::Steady;
+    mRefusing = false;
+    return mayOrder(aNow) ? Action{} : takeEpoch(aNow);
+  }
+  if (drains(*order)) {
+    mPhase = ActivationPhase::Draining;
+    mRefusing = true;
+    if (aRequestsInFlight > 0) {
+      return {};
+    }
+  }
+  return send(*order);
+}
+
+Action ActivationCore::readEngine(base::TimePoint aNow)
+{
+  // A tenth of the interval bounds the rate of reads of an engine that does not answer.
+  if (mReadAt != base::TimePoint{} && aNow - mReadAt < mOptions.readInterval / 10) {
+    return {};
+  }
+  mReadAt = aNow;
+  return { ActionKind::ReadEngine, 0, {} };
+}
+
+Action ActivationCore::takeEpoch(base::TimePoint aNow)
+{
+  if (mEpochAskedAt != base::TimePoint{} && aNow - mEpochAskedAt < mOptions.epochRetry) {
+    return {};
+  }
+  mEpochAskedAt = aNow;
+  return { ActionKind::TakeEpoch, std::max(mMinEpoch, mEpoch.number), {} };
+}
+
+Action ActivationCore::send(Order aOrder)
+{
+  ++mOrderCount;
+  aOrder.fencing = lastFencing();
+  mLastOrder = aOrder;
+  mPhase = ActivationPhase::Ordering;
+  return { ActionKind::SendOrder, 0, std::move(aOrder) };
+}
+
+uint64_t ActivationCore::lastFencing() const
+{
+  return (mEpoch.number << kOrderBits) + mOrderCount;
+}
+
+bool ActivationCore::mayOrder(base::TimePoint aNow) const
+{
+  return mEpoch.number >= mMinEpoch && mOrderCount < kMaxOrders && aNow < mEpoch.validUntil;
+}
+
+void ActivationCore::noteFailure(base::TimePoint aNow)
+{
+  constexpr uint32_t kLargestShift = 16;
+  auto delay = mOptions.orderRetryBase * (int64_t{ 1 } << std::min(mFailures, kLargestShift));
+  mRetryAt = aNow + std::min<base::Milliseconds>(delay, mOptions.orderRetryCap);
+  ++mFailures;
+}
+
+bool ActivationCore::isHeld(const control::Served& aServed) const
+{
+  return mHeld.contains(aServed.manifest);
+}
+
+bool ActivationCore::isLoaded(const control::Served& aWanted) const
+{
+  return mEngine && std::find(mEngine->loaded.begin(), mEngine->loaded.end(), aWanted) !=
+                      mEngine->loaded.end();
+}
+
+bool ActivationCore::hasTakenEffect(const Order& aOrder) const
+{
+  switch (aOrder.kind) {
+    case OrderKind::Load:
+      return isLoaded(aOrder.what);
+    case OrderKind::Unload:
+      return !isLoaded(aOrder.what);
+    case OrderKind::Role:
+      return mEngine->role == aOrder.role;
+  }
+  return false;
+}
+
+std::vector<control::Served> ActivationCore::goalOf(const Target& aTarget) const
+{
+  std::vector<control::Served> wanted{ aTarget.wanted };
+  wanted.insert(wanted.end(), aTarget.adapters.begin(), aTarget.adapters.end());
+  bool isComplete =
+    std::all_of(wanted.begin(), wanted.end(), [&](const auto& aOne) { return isHeld(aOne); });
+  // An engine without any model takes nothing out of service by loading one, so it does not wait
+  // for the planner, which may be cut off from the store.
+  bool isEmpty = mEngine->loaded.empty();
+  if (isComplete && (aTarget.allowed || isEmpty)) {
+    return wanted;
+  }
+  if (isEmpty && !aTarget.fallback.model.empty() && isHeld(aTarget.fallback)) {
+    return { aTarget.fallback };
+  }
+  return {};
+}
+
+std::optional<Order> ActivationCore::nextOrderFor(const Target& aTarget) const
+{
+  for (const control::Served& wanted : goalOf(aTarget)) {
+    if (!isLoaded(wanted)) {
+      return Order{ OrderKind::Load, wanted };
+    }
+    for (const control::Served& loaded : mEngine->loaded) {
+      if (loaded.model == wanted.model && loaded != wanted) {
+        return Order{ OrderKind::Unload, loaded };
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Order> ActivationCore::nextOrder() const
+{
+  if (!mEngine) {
+    return std::nullopt;
+  }
+  for (const Target& target : mDesired.targets) {
+    if (std::optional<Order> order = nextOrderFor(target)) {
+      return order;
+    }
+  }
+  if (!mDesired.targets.empty() && mEngine->role != mDesired.role) {
+    return Order{ OrderKind::Role, {}, mDesired.role };
+  }
+  return std::nullopt;
+}
+
+bool ActivationCore::isServable(const control::Served& aLoaded) const
+{
+  bool isDeclared =
+    std::any_of(mDesired.targets.begin(), mDesired.targets.end(), [&](const Target& aTarget) {
+      return isFor(aTarget, aLoaded.model);
+    });
+  bool isContradicted =
+    std::any_of(mDesired.manifests.begin(), mDesired.manifests.end(), [&](const auto& aKnown) {
+      return aKnown.model == aLoaded.model && aKnown.version == aLoaded.version &&
+             aKnown.manifest != aLoaded.manifest;
+    });
+  // The engine chooses by model name, so two versions of one model cannot be told apart.
+  auto versions = std::count_if(mEngine->loaded.begin(), mEngine->loaded.end(), [&](auto& aOther) {
+    return aOther.model == aLoaded.model;
+  });
+  return isDeclared && !isContradicted && versions == 1 && isHeld(aLoaded);
+}
+
+bool ActivationCore::admits(std::string_view aModel) const
+{
+  std::vector<control::Served> all = served();
+  return std::any_of(all.begin(), all.end(), [&](const control::Served& aServed) {
+    return aServed.model == aModel;
+  });
+}
+
+std::vector<control::Served> ActivationCore::served() const
+{
+  std::vector<control::Served> result;
+  if (!mEngine || mRefusing) {
+    return result;
+  }
+  for (const control::Served& loaded : mEngine->loaded) {
+    if (isServable(loaded)) {
+      result.push_back(loaded);
+    }
+  }
+  return result;
+}
+
+std::vector<control::Served> ActivationCore::loaded() const
+{
+  return mEngine ? mEngine->loaded : std::vector<control::Served>{};
+}
+
+} // namespace boragepitch::rollout
--- /dev/null
+++ b/libs/rollout/src/Agents.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string_view>
+
+#include "control/NodeState.h"
+#include "rollout/Status.h"
+
+namespace boragepitch::rollout {
+
+/** True when callers' requests can reach the endpoint beside this agent. */
+inline bool isReady(const control::NodeEntry* aAgent)
+{
+  return aAgent != nullptr && aAgent->liveness == control::Liveness::Alive &&
+         aAgent->state.phase == control::Phase::Ready;
+}
+
+/** What the agent serves of a model; null when nothing. */
+inline const control::Served* servedOf(const control::NodeEntry& aAgent, std::string_view aModel)
+{
+  for (const control::Served& served : aAgent.state.serving) {
+    if (served.model == aModel) {
+      return &served;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace boragepitch::rollout
--- /dev/null
+++ b/libs/rollout/src/Status.cpp
@@ -0,0 +1,286 @@
+#include "rollout/Status.h"
+
+#include <algorithm>
+#include <map>
+
+#include "Agents.h"
+#include "resources/Validate.h"
+#include "rollout/DesiredState.h"
+
+namespace boragepitch::rollout {
+
+namespace {
+
+using namespace resources;
+
+std::string countText(uint64_t aDone, uint64_t aTotal)
+{
+  return std::to_string(aDone) + " of " + std::to_string(aTotal);
+}
+
+bool isIn(const std::vector<std::string>& aList, const std::string& aText)
+{
+  return std::find(aList.begin(), aList.end(), aText) != aList.end();
+}
+
+/** Why one endpoint does not serve what its Serving declares; the first that applies. */
+enum class Obstacle
+{
+  None,
+  Unreachable,
+  Fetching,
+  WaitingForPermission,
+  Switching,
+};
+
+struct ObstacleText
+{
+  const char* reason;
+  const char* message;
+};
+
+ObstacleText textOf(Obstacle aObstacle)
+{
+  switch (aObstacle) {
+    case Obstacle::None:
+      return { "Converged", "serves the declared version" };
+    case Obstacle::Unreachable:
+      return { "EndpointsUnreachable",
+               "no live agent reports for some endpoints; check their VMs or take them out of "
+               "service" };
+    case Obstacle::Fetching:
+      return { "FetchingWeights", "weights are still being fetched; see bpctl progress" };
+    case Obstacle::WaitingForPermission:
+      return { "WaitingForWave",
+               "endpoints wait for their wave; if this lasts, lower minAvailable or restore the "
+               "endpoints that do not serve" };
+    case Obstacle::Switching:
+      return { "Switching", "endpoints drain or load the declared version" };
+  }
+  return { "Unknown", "" };
+}
+
+class Evaluator
+{
+public:
+  Evaluator(const Snapshot& aSnapshot, const control::NodeTable& aNodes, const Resource& aResource)
+    : mSnapshot(aSnapshot)
+    , mNodes(aNodes)
+    , mResource(aResource)
+  {
+  }
+
+  std::vector<Condition> operator()(const Serving& aServing) const
+  {
+    std::map<Obstacle, uint64_t> counts;
+    uint64_t total = 0;
+    uint64_t available = 0;
+    mSnapshot.each<Endpoint>([&](const Resource& aEndpoint, const Endpoint& aSpec) {
+      if (!covers(mSnapshot, aServing, aEndpoint.name, aSpec) || !isInService(mSnapshot, aSpec)) {
+        return;
+      }
+      ++total;
+      ++counts[obstacleOf(aEndpoint.name)];
+      const control::NodeEntry* agent = agentOf(mNodes, aEndpoint.name);
+      bool isWarm = isReady(agent) && !agent->state.cold && servedOf(*agent, aServing.model);
+      available += isWarm ? 1 : 0;
+    });
+    return { complete(counts, total), availability(aServing, available, total) };
+  }
+
+  std::vector<Condition> operator()(const Zone& aZone) const
+  {
+    return inService(aZone.inService, [&](const Endpoint& aEndpoint) {
+      const Vm* vm = mSnapshot.spec<Vm>("Vm", aEndpoint.vm);
+      return vm != nullptr && vm->zone == mResource.name;
+    });
+  }
+
+  std::vector<Condition> operator()(const Vm& aVm) const
+  {
+    return inService(aVm.inService,
+                     [&](const Endpoint& aEndpoint) { return aEndpoint.vm == mResource.name; });
+  }
+
+  std::vector<Condition> operator()(const Endpoint& aEndpoint) const
+  {
+    const control::NodeEntry* agent = agentOf(mNodes, mResource.name);
+    Condition reachable{ "Reachable", isReady(agent), "AgentReady", "its agent is ready", 0, 0 };
+    if (!reachable.status) {
+      reachable.reason = agent == nullptr ? "NoAgent" : "AgentNotReady";
+      reachable.message = agent == nullptr
+                            ? "no agent reports for this endpoint; start it, or delete the Endpoint"
+                            : "its agent is starting, leaving or suspected dead";
+    }
+    if (aEndpoint.type == EndpointType::Service) {
+      return { reachable };
+    }
+    Obstacle obstacle = obstacleOf(mResource.name);
+    ObstacleText text = textOf(obstacle);
+    return { { "Complete", obstacle == Obstacle::None, text.reason, text.message, 0, 0 },
+             reachable };
+  }
+
+  std::vector<Condition> operator()(const ModelVersion& aModel) const
+  {
+    uint64_t held = 0;
+    uint64_t fetching = 0;
+    for (const auto& [id, entry] : mNodes) {
+      if (entry.liveness == control::Liveness::Alive) {
+        held += isIn(entry.state.held, aModel.manifest) ? 1 : 0;
+        fetching += isIn(entry.state.fetching, aModel.manifest) ? 1 : 0;
+      }
+    }
+    Condition condition{ "Held", held > 0 && fetching == 0, "Held", "", held, held + fetching };
+    condition.reason = fetching > 0 ? "FetchingWeights" : held > 0 ? "Held" : "NotWanted";
+    condition.message = countText(held, held + fetching) + " VMs that want it hold it";
+    return { condition };
+  }
+
+  std::vector<Condition> operator()(const Rollout& aRollout) const
+  {
+    return { { "Permitted",
+               !aRollout.allowed.empty(),
+               aRollout.allowed.empty() ? "NoneYet" : "Permitted",
+               "endpoints that may serve or switch to this version",
+               aRollout.allowed.size(),
+               0 } };
+  }
+
+  template<typename Other>
+  std::vector<Condition> operator()(const Other&) const
+  {
+    return {};
+  }
+
+private:
+  Obstacle obstacleOf(const std::string& aEndpoint) const
+  {
+    const control::NodeEntry* agent = agentOf(mNodes, aEndpoint);
+    if (!isReady(agent)) {
+      return Obstacle::Unreachable;
+    }
+    Obstacle worst = Obstacle::None;
+    for (const Target& target : desiredState(mSnapshot, aEndpoint).targets) {
+      bool concerns = mResource.kind != "Serving" || target.serving == mResource.name;
+      if (concerns) {
+        worst = std::max(worst, obstacleOf(target, agent->state));
+      }
+    }
+    return worst;
+  }
+
+  static Obstacle obstacleOf(const Target& aTarget, const control::NodeState& aState)
+  {
+    std::vector<control::Served> wanted{ aTarget.wanted };
+    wanted.insert(wanted.end(), aTarget.adapters.begin(), aTarget.adapters.end());
+    auto serves = [&](const control::Served& aOne) {
+      return std::find(aState.serving.begin(), aState.serving.end(), aOne) != aState.serving.end();
+    };
+    if (std::all_of(wanted.begin(), wanted.end(), serves)) {
+      return Obstacle::None;
+    }
+    auto holds = [&](const control::Served& aOne) { return isIn(aState.held, aOne.manifest); };
+    if (!std::all_of(wanted.begin(), wanted.end(), holds)) {
+      return Obstacle::Fetching;
+    }
+    return aTarget.allowed ? Obstacle::Switching : Obstacle::WaitingForPermission;
+  }
+
+  static Condition complete(const std::map<Obstacle, uint64_t>& aCounts, uint64_t aTotal)
+  {
+    auto converged = aCounts.find(Obstacle::None);
+    uint64_t done = converged == aCounts.end() ? 0 : converged->second;
+    Condition condition{ "Complete", aTotal > 0 && done == aTotal, "Converged", "", done, aTotal };
+    condition.message =
+      countText(done, aTotal) + " in-service endpoints serve the declared version";
+    if (aTotal == 0) {
+      condition.reason = "NoEndpoints";
+      condition.message =
+        "no in-service model endpoint matches zones and endpoints of this Serving";
+      return condition;
+    }
+    uint64_t largest = 0;
+    ObstacleText text{};
+    for (const auto& [obstacle, count] : aCounts) {
+      if (obstacle != Obstacle::None && count > largest) {
+        largest = count;
+        text = textOf(obstacle);
+      }
+    }
+    if (largest > 0) {
+      condition.reason = text.reason;
+      condition.message += "; " + std::to_string(largest) + ": " + text.message;
+    }
+    return condition;
+  }
+
+  static Condition availability(const Serving& aServing, uint64_t aAvailable, uint64_t aTotal)
+  {
+    constexpr uint64_t kPercent = 100;
+    uint64_t required =
+      (aTotal * static_cast<uint64_t>(aServing.minAvailable) + kPercent - 1) / kPercent;
+    Condition condition{
+      "Available", aAvailable >= required, "EnoughWarm", "", aAvailable, aTotal
+    };
+    condition.message = countText(aAvailable, aTotal) +
+                        " are warm and serving; required: " + std::to_string(required);
+    if (!condition.status) {
+      condition.reason = "TooFewWarm";
+      condition.message += "; serving endpoints are not moved until more are warm";
+    } else if (aTotal > 0 && required == aTotal) {
+      condition.reason = "NoRoomToMove";
+      condition.message += "; minAvailable lets no serving endpoint switch, lower it for updates";
+    }
+    return condition;
+  }
+
+  template<typename IsInside>
+  std::vector<Condition> inService(bool aDeclared, IsInside&& aIsInside) const
+  {
+    uint64_t total = 0;
+    uint64_t ready = 0;
+    mSnapshot.each<Endpoint>([&](const Resource& aResource, const Endpoint& aEndpoint) {
+      if (aIsInside(aEndpoint)) {
+        ++total;
+        ready += isReady(agentOf(mNodes, aResource.name)) ? 1 : 0;
+      }
+    });
+    Condition condition{ "InService", aDeclared, aDeclared ? "Declared" : "Cordoned",
+                         "",          ready,     total };
+    condition.message = countText(ready, total) + " endpoints have a ready agent";
+    condition.message += aDeclared ? "" : "; no new work is sent to them";
+    return { condition };
+  }
+
+  const Snapshot& mSnapshot;
+  const control::NodeTable& mNodes;
+  const Resource& mResource;
+};
+
+} // namespace
+
+const control::NodeEntry* agentOf(const control::NodeTable& aNodes, const std::string& aEndpoint)
+{
+  const control::NodeEntry* best = nullptr;
+  auto rank = [](const control::NodeEntry& aEntry) {
+    return std::pair(-static_cast<int>(aEntry.liveness), aEntry.state.incarnation);
+  };
+  for (const auto& [id, entry] : aNodes) {
+    bool isAgent = entry.state.kind == control::NodeKind::Agent;
+    if (isAgent && entry.state.endpoint == aEndpoint &&
+        (best == nullptr || rank(entry) > rank(*best))) {
+      best = &entry;
+    }
+  }
+  return best;
+}
+
+std::vector<Condition> conditionsOf(const Snapshot& aSnapshot,
+                                    const control::NodeTable& aNodes,
+                                    const Resource& aResource)
+{
+  return std::visit(Evaluator(aSnapshot, aNodes, aResource), aResource.spec);
+}
+
+} // namespace boragepitch::rollout
--- /dev/null
+++ b/libs/rollout/tests/ActivationTest.cpp
@@ -0,0 +1,384 @@
+#define BOOST_TEST_MODULE rollout_activation
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+
+#include "RolloutFixture.h"
+#include "base/Rng.h"
+#include "rollout/ActivationCore.h"
+
+using namespace boragepitch;
+using namespace boragepitch::rollout;
+using namespace std::chrono_literals;
+using test::Fleet;
+
+namespace {
+
+constexpr auto kStart = base::TimePoint(1h);
+constexpr auto kForever = base::TimePoint(1000h);
+
+DesiredState desire(const std::string& aVersion, bool aAllowed)
+{
+  DesiredState desired;
+  desired.targets.push_back({ "m", Fleet::served(aVersion), {}, aAllowed });
+  return desired;
+}
+
+std::set<std::string> held(std::initializer_list<const char*> aVersions)
+{
+  std::set<std::string> ids;
+  for (const char* version : aVersions) {
+    ids.insert(Fleet::manifestOf(version));
+  }
+  return ids;
+}
+
+/** An engine that serves v1 warm. */
+EngineState engineWith(const std::string& aVersion)
+{
+  EngineState state{ "boot-1", false };
+  if (!aVersion.empty()) {
+    state.loaded = { Fleet::served(aVersion) };
+  }
+  return state;
+}
+
+/** A core that has read an engine with v1 and holds an epoch. */
+ActivationCore steadyCore()
+{
+  ActivationCore core;
+  core.onDesired(desire("v1", true));
+  core.onHeld(held({ "v1", "v2" }));
+  core.onEpoch({ 1, kForever });
+  core.onEngineState(engineWith("v1"), kStart);
+  return core;
+}
+
+Action stepPastRead(ActivationCore& aCore, base::TimePoint aNow, uint64_t aInFlight = 0)
+{
+  Action action = aCore.step(aNow, aInFlight);
+  return action.kind == ActionKind::ReadEngine ? aCore.step(aNow, aInFlight) : action;
+}
+
+} // namespace
+
+// Guards against orders that cut requests in flight, and against admission while draining (P8).
+BOOST_AUTO_TEST_CASE(drainsBeforeTheOrderAndVerifiesAfterIt)
+{
+  ActivationCore core = steadyCore();
+  BOOST_TEST(core.admits("m"));
+  core.onDesired(desire("v2", true));
+  BOOST_TEST((stepPastRead(core, kStart + 1ms, 3).kind == ActionKind::None));
+  BOOST_TEST((core.phase() == ActivationPhase::Draining));
+  BOOST_TEST(!core.admits("m"));
+  BOOST_TEST(core.served().empty());
+  Action action = stepPastRead(core, kStart + 2ms);
+  BOOST_REQUIRE((action.kind == ActionKind::SendOrder));
+  BOOST_TEST((action.order.what == Fleet::served("v2")));
+  core.onOrderAnswered({}, kStart + 5ms);
+  BOOST_TEST(!core.admits("m"));
+  core.onEngineState(engineWith("v1"), kStart + 4ms); // Read before the order: says nothing.
+  BOOST_TEST((core.phase() == ActivationPhase::Verifying));
+  BOOST_TEST((core.step(kStart + 6ms, 0).kind == ActionKind::ReadEngine));
+  core.onEngineState(engineWith("v2"), kStart + 6ms);
+  BOOST_TEST(core.admits("m"));
+  BOOST_TEST((core.served() == std::vector{ Fleet::served("v2") }));
+}
+
+// Guards against switches without permission or without whole weights (P1).
+BOOST_AUTO_TEST_CASE(waitsForPermissionAndWeights)
+{
+  ActivationCore core = steadyCore();
+  core.onDesired(desire("v2", false));
+  BOOST_TEST((stepPastRead(core, kStart + 1ms).kind == ActionKind::None));
+  core.onDesired(desire("v2", true));
+  core.onHeld(held({ "v1" }));
+  BOOST_TEST((stepPastRead(core, kStart + 2ms).kind == ActionKind::None));
+  BOOST_TEST(core.admits("m"));
+}
+
+// Guards against orders after the right to order has run out (F8), and against an endpoint that
+// stays drained meanwhile.
+BOOST_AUTO_TEST_CASE(ordersNothingAfterTheDeadline)
+{
+  ActivationCore core = steadyCore();
+  core.onEpoch({ 2, kStart + 10ms });
+  core.onDesired(desire("v2", true));
+  BOOST_TEST((stepPastRead(core, kStart + 9ms, 1).kind == ActionKind::None));
+  BOOST_TEST(!core.admits("m"));
+  Action action = stepPastRead(core, kStart + 10ms);
+  BOOST_TEST((action.kind == ActionKind::TakeEpoch));
+  BOOST_TEST(core.admits("m"));
+  core.onEpoch({ 3, kForever });
+  action = stepPastRead(core, kStart + 20ms);
+  BOOST_REQUIRE((action.kind == ActionKind::SendOrder));
+  BOOST_TEST((action.order.fencing >> 20) == 3);
+}
+
+// Guards against an agent that keeps ordering after another one took over its endpoint.
+BOOST_AUTO_TEST_CASE(takesANewerEpochThanTheEngineReports)
+{
+  ActivationCore core = steadyCore();
+  EngineState state = engineWith("v1");
+  state.fencing = (uint64_t{ 7 } << 20) + 3;
+  core.onEngineState(state, kStart + 1ms);
+  core.onDesired(desire("v2", true));
+  Action action = stepPastRead(core, kStart + 2ms);
+  BOOST_REQUIRE((action.kind == ActionKind::TakeEpoch));
+  BOOST_TEST(action.minEpoch == 8);
+  core.onEpoch({ 7, kForever }); // Too low; must not be used.
+  BOOST_TEST((stepPastRead(core, kStart + 3ms).kind == ActionKind::None));
+}
+
+// Guards against an engine that lost its weights and is still served, or waits for a planner that
+// is cut off (F5, F6).
+BOOST_AUTO_TEST_CASE(anEmptyEngineIsLoadedWithoutPermission)
+{
+  ActivationCore core = steadyCore();
+  core.onDesired(desire("v2", false));
+  EngineState restarted = engineWith("");
+  restarted.instance = "boot-2";
+  restarted.cold = true;
+  core.onEngineState(restarted, kStart + 1ms);
+  BOOST_TEST(!core.admits("m"));
+  BOOST_TEST(core.cold());
+  BOOST_TEST(core.instance() == "boot-2");
+  Action action = stepPastRead(core, kStart + 2ms);
+  BOOST_REQUIRE((action.kind == ActionKind::SendOrder));
+  BOOST_TEST((action.order.what == Fleet::served("v2")));
+}
+
+// Guards against an engine that ignores fencing and was switched by an old order to bytes that
+// this agent has not verified.
+BOOST_AUTO_TEST_CASE(unverifiedManifestsAreNotServed)
+{
+  ActivationCore core = steadyCore();
+  core.onEngineState(engineWith("v9"), kStart + 1ms);
+  BOOST_TEST(core.served().empty());
+  BOOST_TEST(!core.admits("m"));
+}
+
+// Guards against orders in a tight loop when an engine accepts them without effect.
+BOOST_AUTO_TEST_CASE(ineffectiveOrdersAreRetriedWithDelay)
+{
+  ActivationCore core = steadyCore();
+  core.onDesired(desire("v2", true));
+  base::TimePoint now = kStart;
+  int orders = 0;
+  for (int i = 0; i < 6000; ++i, now += 10ms) { // One minute.
+    Action action = core.step(now, 0);
+    if (action.kind == ActionKind::SendOrder) {
+      ++orders;
+      core.onOrderAnswered({}, now);
+    } else if (action.kind == ActionKind::ReadEngine) {
+      core.onEngineState(engineWith("v1"), now);
+    }
+  }
+  BOOST_TEST(orders >= 5);
+  BOOST_TEST(orders <= 12);
+  BOOST_TEST(core.admits("m"));
+}
+
+// Guards against an engine with two versions of one model, which cannot be told apart.
+BOOST_AUTO_TEST_CASE(unloadsTheOlderVersion)
+{
+  ActivationCore core = steadyCore();
+  core.onDesired(desire("v2", true));
+  EngineState both = engineWith("v1");
+  both.loaded.push_back(Fleet::served("v2"));
+  core.onEngineState(both, kStart + 1ms);
+  BOOST_TEST(core.served().empty());
+  Action action = stepPastRead(core, kStart + 2ms);
+  BOOST_REQUIRE((action.kind == ActionKind::SendOrder));
+  BOOST_TEST((action.order.kind == OrderKind::Unload));
+  BOOST_TEST((action.order.what == Fleet::served("v1")));
+}
+
+namespace {
+
+/** An engine behind a link that loses answers and delivers old orders late. */
+class Scene
+{
+public:
+  Scene(uint64_t aSeed, bool aHonoursFencing)
+    : mRng(aSeed)
+    , mHonours(aHonoursFencing)
+  {
+    mDesired = desire("v1", true);
+    mCore.onDesired(mDesired);
+    mHeldNow = held({ "v1", "v2", "v3" });
+    mCore.onHeld(mHeldNow);
+  }
+
+  void disturb()
+  {
+    switch (base::uniformBelow<int>(mRng, 40)) {
+      case 0:
+        mDesired = desire("v" + std::to_string(1 + base::uniformBelow<int>(mRng, 3)), oneIn(2));
+        mCore.onDesired(mDesired);
+        break;
+      case 1:
+        mHeldNow = oneIn(2) ? held({ "v1", "v2", "v3" }) : held({ "v2" });
+        mCore.onHeld(mHeldNow);
+        break;
+      case 2: // The engine restarts.
+        mEngine.instance += "x";
+        mEngine.loaded.clear();
+        mEngine.fencing = 0;
+        break;
+      case 3:
+        mCore.onEngineUnreachable();
+        break;
+      case 4: // A rival agent orders with a newer epoch.
+        ++mEpoch;
+        apply({ OrderKind::Load, Fleet::served("v3"), {}, mEpoch << 20 });
+        break;
+      case 5:
+        if (!mLate.empty()) {
+          apply(mLate[base::uniformBelow<size_t>(mRng, mLate.size())]);
+        }
+        break;
+      default:
+        break;
+    }
+  }
+
+  void tick(bool aDisturbed)
+  {
+    mNow += 50ms;
+    mInFlight = aDisturbed ? base::uniformBelow<uint64_t>(mRng, 3) : 0;
+    perform(mCore.step(mNow, mInFlight), aDisturbed);
+    checkServed();
+  }
+
+  /** All is well again: permission is given, weights are held. */
+  void settle()
+  {
+    mDesired = desire("v2", true);
+    mCore.onDesired(mDesired);
+    mCore.onHeld(mHeldNow = held({ "v1", "v2", "v3" }));
+    for (int i = 0; i < 1000; ++i) {
+      tick(false);
+    }
+  }
+
+  bool servesTarget() const
+  {
+    return mCore.served() == std::vector{ Fleet::served("v2") } &&
+           mCore.phase() == ActivationPhase::Steady;
+  }
+
+  std::string violation;
+
+private:
+  bool oneIn(int aCount) { return base::uniformBelow<int>(mRng, aCount) == 0; }
+
+  bool apply(const Order& aOrder)
+  {
+    if (mHonours && aOrder.fencing < mEngine.fencing) {
+      return false;
+    }
+    mEngine.fencing = std::max(mEngine.fencing, aOrder.fencing);
+    if (aOrder.kind != OrderKind::Role) {
+      std::erase_if(mEngine.loaded, [&](const auto& aOne) { return aOne.model == "m"; });
+    }
+    if (aOrder.kind == OrderKind::Load) {
+      mEngine.loaded.push_back(aOrder.what);
+    }
+    return true;
+  }
+
+  void perform(const Action& aAction, bool aDisturbed)
+  {
+    bool isLost = aDisturbed && oneIn(4);
+    if (aAction.kind == ActionKind::ReadEngine) {
+      if (isLost) {
+        mCore.onEngineUnreachable();
+      } else {
+        mRead = mEngine;
+        mCore.onEngineState(mEngine, mNow);
+      }
+    } else if (aAction.kind == ActionKind::TakeEpoch && !isLost) {
+      mEpoch = std::max(mEpoch + 1, aAction.minEpoch);
+      mValidUntil = mNow + (aDisturbed ? 2s : 20s);
+      mCore.onEpoch({ mEpoch, mValidUntil });
+    } else if (aAction.kind == ActionKind::SendOrder) {
+      checkOrder(aAction.order);
+      answer(aAction.order, isLost);
+    }
+  }
+
+  void answer(const Order& aOrder, bool aIsLost)
+  {
+    mLate.push_back(aOrder);
+    if (aIsLost && oneIn(2)) {
+      mCore.onOrderAnswered(base::fail(base::ErrorKind::UnknownOutcome, "", "lost", ""), mNow);
+    } else if (apply(aOrder)) {
+      mCore.onOrderAnswered({}, mNow);
+    } else {
+      mCore.onOrderAnswered(base::fail(base::ErrorKind::Conflict, "", "old fencing", ""), mNow);
+    }
+  }
+
+  void checkOrder(const Order& aOrder)
+  {
+    const Target& target = mDesired.targets.front();
+    bool isPermitted = target.allowed || mRead.loaded.empty();
+    if (aOrder.fencing <= mLastFencing) {
+      violation = "fencing did not rise";
+    } else if (mNow >= mValidUntil) {
+      violation = "ordered after the deadline";
+    } else if (aOrder.kind == OrderKind::Load && mInFlight > 0) {
+      violation = "ordered before the endpoint was drained";
+    } else if (aOrder.kind == OrderKind::Load && !mHeldNow.contains(aOrder.what.manifest)) {
+      violation = "loads a manifest that is not held";
+    } else if (!isPermitted) {
+      violation = "ordered without permission";
+    }
+    mLastFencing = aOrder.fencing;
+  }
+
+  void checkServed()
+  {
+    for (const control::Served& served : mCore.served()) {
+      bool wasRead =
+        std::find(mRead.loaded.begin(), mRead.loaded.end(), served) != mRead.loaded.end();
+      if (!wasRead || !mHeldNow.contains(served.manifest)) {
+        violation = "serves a manifest that was not verified";
+      }
+    }
+  }
+
+  base::Rng mRng;
+  bool mHonours;
+  ActivationCore mCore;
+  DesiredState mDesired;
+  std::set<std::string> mHeldNow;
+  EngineState mEngine{ "boot" };
+  EngineState mRead;
+  std::vector<Order> mLate;
+  base::TimePoint mNow = kStart;
+  base::TimePoint mValidUntil{};
+  uint64_t mEpoch = 0;
+  uint64_t mLastFencing = 0;
+  uint64_t mInFlight = 0;
+};
+
+} // namespace
+
+// Guards against falling fencing numbers, late orders, orders without drain, permission or whole
+// weights, unverified serving, and endpoints that never recover, under crashes, rivals, lost
+// answers and orders delivered late.
+RC_BOOST_PROP(keepsItsRulesThroughFaults, (uint64_t aSeed, bool aHonoursFencing))
+{
+  Scene scene(aSeed, aHonoursFencing);
+  for (int i = 0; i < 400; ++i) {
+    scene.disturb();
+    scene.tick(true);
+    RC_ASSERT(scene.violation == "");
+  }
+  scene.settle();
+  RC_ASSERT(scene.violation == "");
+  RC_ASSERT(scene.servesTarget());
+}
