--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -14,11 +14,12 @@
   R"(bp-load: open-loop load of streamed model requests, with every token checked.
 
 Arrivals are a Poisson process fixed by the seed. The last line of the output is one JSON object.
+"token" prints one token of the stand-in engine.
 
 Usage:
   bp-load --model NAME --entry ADDRESS... [options]
           [--expect VERSION=SHA256]... [--workspace SPEC]...
-  bp-load --print-token SHA256 PROMPT INDEX
+  bp-load token <sha256> <prompt> <index>
   bp-load -h | --help
 
 Options:
@@ -41,7 +42,6 @@
   --retries N               Tries at further entries after a refusal [default: 0].
   --max-in-flight N         Most requests at once [default: 2000].
   --log FILE                Writes one CSV line for each request.
-  --print-token             Prints one token of the stand-in engine and exits.
   -h --help                 Show this text.
 )";
 
@@ -106,9 +106,9 @@
 int main(int aArgc, char** aArgv)
 {
   standin::CommandLine line(kUsage, aArgc, aArgv);
-  if (line.flag("--print-token")) {
+  if (line.flag("token")) {
     std::cout << standin::tokenAt(
-                   line.text("SHA256"), line.text("PROMPT"), uint64_t(line.number("INDEX")))
+                   line.text("<sha256>"), line.text("<prompt>"), uint64_t(line.number("<index>")))
               << '\n';
     return 0;
   }
--- a/scripts/localfleet.py
+++ b/scripts/localfleet.py
@@ -16,6 +16,7 @@
 import atexit
 import contextlib
 import ctypes
+import hashlib
 import http.client
 import json
 import os
@@ -46,7 +47,7 @@
 KEY = "local-fleet-key-0123456789abcdef"
 OPERATOR = "local"
 OPERATOR_KEY = "local-operator-key-0123456789abcdef"
-CONFIG_OPTION = "--config"
+CONFIG_OPTION = "--settings"
 READY_SECONDS = 60
 STOP_SECONDS = 30
 PR_SET_PDEATHSIG = 1
@@ -228,12 +229,19 @@
         self.process = self.fleet.start(self.name, command, environment)
         return self
 
-    def ready(self):
+    def _answers(self, path):
         if not self.process.alive():
             raise RuntimeError(
                 f"{self.name} ended with {self.process.exit_code}:\n{self.process.log()[-2000:]}"
             )
-        return http_call("GET", self.url("/readyz", "control"), timeout=2).status == 200
+        return http_call("GET", self.url(path, "control"), timeout=2).status == 200
+
+    def live(self):
+        return self._answers("/livez")
+
+    def ready(self):
+        """An entry may start new work; an agent's endpoint serves what is declared."""
+        return self._answers("/readyz")
 
     def dump(self):
         return http_call("GET", self.url("/dump", "control")).json()
@@ -279,6 +287,7 @@
         self.nodes = []
         self.platform = {}
         self.zone_hosts = {}
+        self.origin_region = ""
         self.extra_ini = {}
         self._next_proxy = 1
         self._starts = {}
@@ -444,7 +453,7 @@
         seeds = [other.address("control") for other in self.nodes[:3]]
         return {
             "node": node,
-            "platform": dict(self.platform),
+            "platform": {**self.platform, "origin_region": self.origin_region},
             "fleet": {"seeds": seeds, "signing_key": KEY_ID},
             "keys": {KEY_ID: KEY},
             "operators": {OPERATOR: OPERATOR_KEY} if kind == "entry" else {},
@@ -455,6 +464,8 @@
         return {"engine": {"address": engine, "type": kind}, "endpoint": {"name": endpoint}}
 
     def _add_node(self, kind, zone, region, host, name, sections, start):
+        # The platform is in the region of the first node, as the store of both deployments is.
+        self.origin_region = self.origin_region or region or zone
         name = name or f"{kind}-{zone}-{len(self.nodes) + 1}"
         settings = self.node_settings(kind, name, zone, region or zone, host)
         for extra in (sections, self.extra_ini):
@@ -493,6 +504,10 @@
     def agents(self):
         return [node for node in self.nodes if node.kind == "agent"]
 
+    def wait_live(self, nodes=None, timeout=READY_SECONDS):
+        for node in nodes or self.nodes:
+            wait_until(node.live, timeout, f"{node.name} live")
+
     def wait_ready(self, nodes=None, timeout=READY_SECONDS):
         for node in nodes or self.nodes:
             wait_until(node.ready, timeout, f"{node.name} ready")
@@ -502,7 +517,7 @@
         vms = [
             {
                 "name": node.name,
-                "address": node.address("control"),
+                "address": node.host,
                 "zone": node.zone,
                 "region": node.region,
                 "kind": node.kind,
@@ -529,6 +544,32 @@
             address = self.platform_address(address)
         return http_call("GET", f"http://{address}/stats").json()
 
+    def put_manifest(self, blob, chunk_size):
+        """Puts the manifest of generated weights name/version into the object store; returns its id
+        and the spec of a ModelVersion."""
+        digests = self.digests(blob, chunk_size)
+        model, version = blob.split("/")
+        manifest = {
+            "model": model,
+            "version": version,
+            "size": digests["size"],
+            "chunkSize": chunk_size,
+            "sha256": digests["sha256"],
+            "chunks": digests["chunks"],
+        }
+        text = json.dumps(manifest, sort_keys=True, separators=(",", ":"))
+        manifest_id = hashlib.sha256(text.encode()).hexdigest()
+        url = f"http://{self.platform_address('objects')}/objects/manifests/{manifest_id}"
+        check_ok(http_call("PUT", url, text))
+        spec = {
+            "model": model,
+            "version": version,
+            "manifest": manifest_id,
+            "size": digests["size"],
+            "origin": blob,
+        }
+        return spec, digests["sha256"]
+
     def digests(self, blob, chunk_size):
         """size, sha256, chunks and etag of generated weights name/version."""
         address = self.platform_address("objects")
@@ -583,7 +624,7 @@
             zone = zones[i // options.agents]
             fleet.add_agent(zone, engine, f"{zone}-{i % options.agents}")
         fleet.publish_vms()
-        fleet.wait_ready()
+        fleet.wait_live()
         for node in fleet.nodes:
             print(node.name, node.url("/"), flush=True)
         print("ready", flush=True)
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -212,7 +212,7 @@
 
   bool isReady() const
   {
-    return !mLeaving && mFleet->config()->revision() > 0 && mFleet->mayStartNewWork(mClock.now());
+    return !mLeaving && mFleet->mayStartNewWork(mClock.now());
   }
 
   /** What each agent holds and serves; bytes and expected times are at GET /progress of the agents.
