--- a/standins/tests/EngineTest.cpp
+++ b/standins/tests/EngineTest.cpp
@@ -33,7 +33,7 @@
 /** One engine and calls to it. */
 struct Fixture
 {
-  explicit Fixture(EngineOptions aOptions = warmOptions())
+  explicit Fixture(const EngineOptions& aOptions = warmOptions())
     : engine(address, aOptions, std::make_shared<ChunkStore>())
   {
     BOOST_REQUIRE(engine.start());
