Bound the malloc arenas of standin-engine

Many endpoints in one process share chunk bytes, but each connection's thread kept the memory of past request bodies in its arena.

--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -1,6 +1,8 @@
 #include <memory>
 #include <vector>
 
+#include <malloc.h>
+
 #include "common/Program.h"
 #include "engine/EngineServer.h"
 
@@ -35,6 +37,9 @@
   -h --help               Show this text.
 )";
 
+/** Each malloc arena keeps the memory of past chunk bodies, and by default there are 8 a core. */
+constexpr int kMaxArenas = 4;
+
 EngineOptions toOptions(const CommandLine& aLine)
 {
   return { .capacity = size_t(aLine.number("--capacity")),
@@ -65,6 +70,7 @@
   if (options.capacity == 0) {
     exitWithError("--capacity must be at least 1");
   }
+  mallopt(M_ARENA_MAX, kMaxArenas);
   prepareSignals();
   auto chunks = std::make_shared<ChunkStore>();
   std::vector<std::unique_ptr<EngineServer>> engines;
