--- a/standins/tests/localfleet_test.py
+++ b/standins/tests/localfleet_test.py
@@ -6,7 +6,8 @@
 import threading
 import unittest
 
-from localfleet import Fleet, check_ok, http_call, wait_until
+from localfleet import Fleet
+from localprocess import check_ok, http_call, wait_until
 
 BIN = os.environ["BP_BIN"]
 BROKEN = (OSError, http.client.HTTPException)
