--- a/tests/support/TestAddress.h
+++ b/tests/support/TestAddress.h
@@ -18,7 +18,7 @@
   address.sin_family = AF_INET;
   inet_pton(AF_INET, aHost, &address.sin_addr);
   socklen_t size = sizeof(address);
-  ::bind(socket, reinterpret_cast<sockaddr*>(&address), size);
+  (void)::bind(socket, reinterpret_cast<sockaddr*>(&address), size);
   getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
   ::close(socket);
   return { aHost, ntohs(address.sin_port) };
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -210,10 +210,7 @@
     mGateway->attach(*mPublicServer);
   }
 
-  bool isReady() const
-  {
-    return !mLeaving && mFleet->mayStartNewWork(mClock.now());
-  }
+  bool isReady() const { return !mLeaving && mFleet->mayStartNewWork(mClock.now()); }
 
   /** What each agent holds and serves; bytes and expected times are at GET /progress of the agents.
    */
