End idle kept-alive connections when a server stops

Cause: an agent took 30 s to stop, since httplib waits on idle connections until their keep-alive timeout (30 s on the weights port), also after stop(). Ruled out: the drain limit (nothing was in flight). Ending all reads cut responses in flight, because httplib takes a closed read side for a gone peer; so only connections without a request in flight are ended.

--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -5,10 +5,13 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <set>
 #include <thread>
 
+#include <arpa/inet.h>
 #include <httplib.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace boragepitch::net {
 
@@ -200,6 +203,72 @@
   void widenBacklog() { ::listen(svr_sock_, SOMAXCONN); }
 };
 
+/** Peers whose requests are being handled, by address and port. Thread-safe. */
+class ActivePeers
+{
+public:
+  void add(const httplib::Request& aRequest)
+  {
+    std::lock_guard lock(mMutex);
+    mPeers.insert({ aRequest.remote_addr, aRequest.remote_port });
+  }
+
+  void remove(const httplib::Request& aRequest)
+  {
+    std::lock_guard lock(mMutex);
+    mPeers.erase({ aRequest.remote_addr, aRequest.remote_port });
+  }
+
+  bool contains(const Address& aPeer)
+  {
+    std::lock_guard lock(mMutex);
+    return mPeers.contains({ aPeer.host, aPeer.port });
+  }
+
+private:
+  std::mutex mMutex;
+  std::set<std::pair<std::string, int>> mPeers;
+};
+
+Address toAddress(const sockaddr_in& aSocketAddress)
+{
+  char host[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &aSocketAddress.sin_addr, host, sizeof(host));
+  return { host, ntohs(aSocketAddress.sin_port) };
+}
+
+/** The peer of a socket that was accepted at aAddress; empty for other descriptors. */
+std::optional<Address> acceptedPeer(int aSocket, const Address& aAddress)
+{
+  sockaddr_in local{};
+  sockaddr_in peer{};
+  socklen_t localSize = sizeof(local);
+  socklen_t peerSize = sizeof(peer);
+  if (getsockname(aSocket, reinterpret_cast<sockaddr*>(&local), &localSize) != 0 ||
+      local.sin_family != AF_INET || toAddress(local) != aAddress ||
+      getpeername(aSocket, reinterpret_cast<sockaddr*>(&peer), &peerSize) != 0) {
+    return std::nullopt;
+  }
+  return toAddress(peer);
+}
+
+/**
+ * Ends reading on the accepted connections of a server that wait for a next request. httplib waits
+ * on idle kept-alive connections until their timeout, also after stop(), and does not tell their
+ * sockets.
+ */
+void endIdleConnections(const Address& aAddress, ActivePeers& aActive)
+{
+  static constexpr long kMostDescriptors = 65536;
+  long limit = std::min(sysconf(_SC_OPEN_MAX), kMostDescriptors);
+  for (int socket = 0; socket < limit; ++socket) {
+    auto peer = acceptedPeer(socket, aAddress);
+    if (peer && !aActive.contains(*peer)) {
+      ::shutdown(socket, SHUT_RD);
+    }
+  }
+}
+
 class HttpServerImpl final : public HttpServer
 {
 public:
@@ -223,7 +292,12 @@
       int yes = 1;
       setsockopt(aSocket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
     });
+    // Called after a response was written, streamed bodies included.
+    mServer.set_logger([this](const httplib::Request& aRequest, const httplib::Response&) {
+      mActivePeers.remove(aRequest);
+    });
     auto handle = [this](const httplib::Request& aRequest, httplib::Response& aResponse) {
+      mActivePeers.add(aRequest);
       dispatch(aRequest, aResponse);
     };
     mServer.Get(".*", handle);
@@ -263,10 +337,20 @@
     if (!mStopped.compare_exchange_strong(expected, true)) {
       return;
     }
-    if (mThread.joinable()) {
-      mServer.stop();
-      mThread.join();
+    if (!mThread.joinable()) {
+      return;
     }
+    mServer.stop();
+    std::atomic<bool> joined{ false };
+    std::thread closer([&] {
+      while (!joined) {
+        endIdleConnections(mAddress, mActivePeers);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      }
+    });
+    mThread.join();
+    joined = true;
+    closer.join();
   }
 
   size_t activeRequests() const override { return mActive; }
@@ -370,6 +454,7 @@
   const Address mAddress;
   const size_t mMaxConnections;
   std::vector<Route> mRoutes;
+  ActivePeers mActivePeers;
   ListeningServer mServer;
   std::thread mThread;
   std::atomic<size_t> mActive{ 0 };
--- a/libs/net/tests/HttpTest.cpp
+++ b/libs/net/tests/HttpTest.cpp
@@ -172,3 +172,37 @@
     client.send({ .method = "POST", .target = "/", .body = std::string(1001, 'x') })->status ==
     413);
 }
+
+// Guards against a shutdown that waits for idle kept-alive connections (their timeout was 30 s in
+// the agents).
+BOOST_AUTO_TEST_CASE(stopEndsIdleConnectionsButNotResponsesInFlight)
+{
+  auto address = test::unusedAddress();
+  auto server = net::HttpServer::Builder().address(address).keepAlive(30s).build();
+  std::atomic<bool> started{ false };
+  server->route("GET", "/slow", [&](const net::HttpRequest&) {
+    started = true;
+    std::this_thread::sleep_for(300ms);
+    net::HttpResponse response;
+    response.body = "whole";
+    return response;
+  });
+  server->route("GET", "/", [](const net::HttpRequest&) { return net::HttpResponse{}; });
+  BOOST_REQUIRE(server->start());
+  net::HttpClient idle(address, { .keepAlive = true });
+  BOOST_REQUIRE(idle.send({ .target = "/" }));
+  std::string body;
+  std::thread caller([&] {
+    net::HttpClient client(address, { .keepAlive = true });
+    auto response = client.send({ .target = "/slow" });
+    body = response ? response->body : response.error().describe();
+  });
+  while (!started) {
+    std::this_thread::sleep_for(1ms);
+  }
+  auto begin = std::chrono::steady_clock::now();
+  server->stop();
+  BOOST_TEST((std::chrono::steady_clock::now() - begin < 10s));
+  caller.join();
+  BOOST_TEST(body == "whole");
+}
