--- a/libs/control/tests/CoresTest.cpp
+++ b/libs/control/tests/CoresTest.cpp
@@ -74,8 +74,10 @@
     RC_ASSERT(versions(*merge.snapshot()) == versions(*snapshotAt(highest)));
     for (uint64_t base = 0; base < highest; ++base) {
       auto entries = merge.entriesAfter(base, 100);
-      RC_ASSERT(!entries || entries->front().revision == base + 1);
-      RC_ASSERT(!entries || entries->back().revision == highest);
+      if (entries) {
+        RC_ASSERT(entries->front().revision == base + 1);
+        RC_ASSERT(entries->back().revision == highest);
+      }
     }
   }
 }
@@ -239,10 +241,10 @@
     now += std::chrono::microseconds(11 * after + 1);
     Freshness next("r", Milliseconds(3000));
     next.peerAnswered("r", ages, sent);
-    RC_ASSERT(!ages.store || now - *next.ages(now).store <= kStart);
     if (!ages.store) {
       return;
     }
+    RC_ASSERT(now - *next.ages(now).store <= kStart);
     at = 1 - at;
     processes[at] = next;
   }
