--- /dev/null
+++ b/libs/weights/tests/SelectionTest.cpp
@@ -0,0 +1,294 @@
+#define BOOST_TEST_MODULE weights_selection
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+
+#include "../src/ChunkMemory.h"
+#include "../src/Links.h"
+#include "weights/Manifest.h"
+#include "weights/PieceSelection.h"
+
+using namespace boragepitch;
+using namespace boragepitch::weights;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::TimePoint kNow = base::TimePoint{} + 1h;
+
+/** A random situation of one VM. */
+struct Situation
+{
+  Place place;
+  Members members;
+  Bitmap own;
+  Bitmap inFlight;
+  std::vector<PeerView> peers;
+  bool originUsable = true;
+  base::TimePoint lastProgress = kNow;
+
+  SelectionInput input() const
+  {
+    return { .place = place,
+             .members = members,
+             .own = own,
+             .inFlight = inFlight,
+             .peers = peers,
+             .originUsable = originUsable,
+             .started = kNow - 1min,
+             .lastProgress = lastProgress,
+             .now = kNow };
+  }
+};
+
+Bitmap randomBitmap(uint32_t aSize, base::Rng& aRng)
+{
+  Bitmap bitmap(aSize);
+  uint32_t density = base::uniformBelow(aRng, 5U);
+  for (uint32_t i = 0; i < aSize; ++i) {
+    if (base::uniformBelow(aRng, 4U) < density) {
+      bitmap.set(i);
+    }
+  }
+  return bitmap;
+}
+
+Situation randomSituation(const PieceSelection& aSelection, base::Rng& aRng)
+{
+  Situation situation;
+  uint32_t chunks = 1 + base::uniformBelow(aRng, 100U);
+  int vms = 1 + base::uniformBelow(aRng, 30);
+  for (int i = 0; i < vms; ++i) {
+    situation.members["r" + std::to_string(i % 3)].push_back("vm" + std::to_string(100 + i));
+  }
+  int self = base::uniformBelow(aRng, vms);
+  situation.place = { .id = "vm" + std::to_string(100 + self),
+                      .region = "r" + std::to_string(self % 3),
+                      .originRegion = "r0",
+                      .manifestSeed = aRng(),
+                      .neighbours = 4,
+                      .importersPerRegion = 3,
+                      .importerTimeout = 3s };
+  situation.own = randomBitmap(chunks, aRng);
+  situation.inFlight = Bitmap(chunks);
+  for (uint32_t i = 0; i < chunks; ++i) {
+    if (!situation.own.test(i) && base::uniformBelow(aRng, 5) == 0) {
+      situation.inFlight.set(i);
+    }
+  }
+  for (const auto& id : aSelection.neighbours(situation.place, situation.members, chunks)) {
+    PeerView view;
+    view.id = id;
+    view.region = "r" + std::to_string((std::stoi(id.substr(2)) - 100) % 3);
+    view.have = base::uniformBelow(aRng, 4) == 0 ? Bitmap() : randomBitmap(chunks, aRng);
+    view.lastProgress = kNow - base::Milliseconds(base::uniformBelow(aRng, 10000));
+    view.usable = base::uniformBelow(aRng, 4) != 0;
+    view.trusted = base::uniformBelow(aRng, 6) != 0;
+    situation.peers.push_back(view);
+  }
+  situation.originUsable = base::uniformBelow(aRng, 2) == 0;
+  situation.lastProgress = kNow - base::Milliseconds(base::uniformBelow(aRng, 30000));
+  return situation;
+}
+
+std::vector<std::string> names(int aCount)
+{
+  std::vector<std::string> ids;
+  for (int i = 0; i < aCount; ++i) {
+    ids.push_back("vm" + std::to_string(1000 + i));
+  }
+  return ids;
+}
+
+} // namespace
+
+// Guards against requests outside the manifest, for a chunk held or asked for already, to a peer
+// that is avoided, busy or never announced the chunk, and to an origin that must be left alone.
+RC_BOOST_PROP(choiceIsAlwaysPermitted, (uint64_t aSeed))
+{
+  base::Rng rng(aSeed);
+  for (Scheme scheme : { Scheme::Origin, Scheme::Chain, Scheme::Trees, Scheme::Swarm }) {
+    auto selection = makePieceSelection(scheme);
+    auto situation = randomSituation(*selection, rng);
+    auto choice = selection->next(situation.input(), rng);
+    if (!choice) {
+      continue;
+    }
+    RC_ASSERT(choice->chunk < situation.own.size());
+    RC_ASSERT(!situation.own.test(choice->chunk));
+    RC_ASSERT(!situation.inFlight.test(choice->chunk));
+    if (choice->peer.empty()) {
+      RC_ASSERT(situation.originUsable);
+      continue;
+    }
+    auto peer = std::find_if(situation.peers.begin(),
+                             situation.peers.end(),
+                             [&](const PeerView& aView) { return aView.id == choice->peer; });
+    RC_ASSERT(peer != situation.peers.end());
+    RC_ASSERT(peer->usable && peer->trusted && peer->have.test(choice->chunk));
+  }
+}
+
+// Guards against chunks that no VM or several VMs of a region import when all make progress.
+RC_BOOST_PROP(exactlyOneImporterForEachChunk, (uint64_t aSeed))
+{
+  base::Rng rng(aSeed);
+  auto selection = makePieceSelection(Scheme::Swarm);
+  Members members{ { "r0", names(1 + base::uniformBelow(rng, 20)) } };
+  constexpr uint32_t kChunks = 40;
+  std::vector<int> importers(kChunks);
+  for (const auto& id : members["r0"]) {
+    Situation situation;
+    situation.place = { id, "r0", "r0", aSeed, 4, 8, 3s };
+    situation.members = members;
+    situation.own = Bitmap(kChunks);
+    situation.inFlight = Bitmap(kChunks);
+    for (const auto& peer : selection->neighbours(situation.place, members, kChunks)) {
+      PeerView view;
+      view.id = peer;
+      view.region = "r0";
+      view.have = Bitmap(kChunks);
+      view.lastProgress = kNow;
+      situation.peers.push_back(view);
+    }
+    while (auto choice = selection->next(situation.input(), rng)) {
+      RC_ASSERT(choice->peer.empty());
+      situation.inFlight.set(choice->chunk);
+      ++importers[choice->chunk];
+    }
+  }
+  RC_ASSERT(
+    std::all_of(importers.begin(), importers.end(), [](int aCount) { return aCount == 1; }));
+}
+
+// Guards against a chunk that stays missing because its importer stalls, and against a takeover
+// while the importer makes progress.
+BOOST_AUTO_TEST_CASE(nextInOrderTakesOverFromStalledImporter)
+{
+  base::Rng rng(1);
+  auto selection = makePieceSelection(Scheme::Swarm);
+  Situation situation;
+  situation.place = { "a", "r0", "r0", 7, 4, 8, 3s };
+  situation.members = { { "r0", { "a", "b" } } };
+  situation.own = Bitmap(20);
+  situation.inFlight = Bitmap(20);
+  PeerView view;
+  view.id = "b";
+  view.region = "r0";
+  view.have = Bitmap(20);
+  view.lastProgress = kNow - 1s;
+  situation.peers = { view };
+  auto askAll = [&] {
+    situation.inFlight = Bitmap(20);
+    while (auto choice = selection->next(situation.input(), rng)) {
+      situation.inFlight.set(choice->chunk);
+    }
+    return situation.inFlight.count();
+  };
+  uint32_t own = askAll();
+  BOOST_TEST(own > 0);
+  BOOST_TEST(own < 20);
+  situation.peers[0].lastProgress = kNow - 4s;
+  BOOST_TEST(askAll() == 20);
+  situation.peers[0].lastProgress = kNow;
+  situation.peers[0].trusted = false;
+  BOOST_TEST(askAll() == 20);
+}
+
+// Guards against importers that change for many chunks when one VM joins or leaves.
+RC_BOOST_PROP(rendezvousMovesOnlyWhatTheLostVmHad, (uint64_t aKey))
+{
+  auto ids = names(10);
+  auto before = rendezvousOrder(ids, aKey);
+  auto lost = before[aKey % before.size()];
+  std::erase(ids, lost);
+  auto expected = before;
+  std::erase(expected, lost);
+  RC_ASSERT(rendezvousOrder(ids, aKey) == expected);
+}
+
+// Guards against a bitmap from a peer that does not mean what the peer announced.
+RC_BOOST_PROP(bitmapSurvivesItsTextForm, (uint64_t aSeed))
+{
+  base::Rng rng(aSeed);
+  uint32_t size = base::uniformBelow(rng, 300U);
+  auto bitmap = randomBitmap(size, rng);
+  RC_ASSERT(Bitmap::fromHex(bitmap.toHex(), size) == bitmap);
+  uint32_t missing = 0;
+  while (missing < size && bitmap.test(missing)) {
+    ++missing;
+  }
+  RC_ASSERT(bitmap.firstMissing() == missing);
+}
+
+// Guards against announcements of chunks outside the manifest.
+BOOST_AUTO_TEST_CASE(bitmapRejectsPaddingAndLength)
+{
+  BOOST_TEST(Bitmap::fromHex("07", 3).has_value());
+  BOOST_TEST(!Bitmap::fromHex("0f", 3).has_value());
+  BOOST_TEST(!Bitmap::fromHex("0700", 3).has_value());
+  BOOST_TEST(!Bitmap::fromHex("0g", 8).has_value());
+}
+
+// Guards against two manifests with one identity, and against a digest computed over other pieces.
+RC_BOOST_PROP(manifestIdentityFollowsTheContent, (std::vector<uint8_t> aBytes))
+{
+  RC_PRE(!aBytes.empty());
+  auto bytes = std::as_bytes(std::span(aBytes));
+  auto manifest = Manifest::fromBytes("m", "v", 4, bytes).value();
+  RC_ASSERT(manifest.chunkCount() == (aBytes.size() + 3) / 4);
+  RC_ASSERT(manifest.wholeDigest() == base::sha256(bytes));
+  for (uint32_t i = 0; i < manifest.chunkCount(); ++i) {
+    auto chunk = bytes.subspan(manifest.offsetOf(i), manifest.sizeOf(i));
+    RC_ASSERT(manifest.verifies(i, chunk));
+  }
+  auto parsed = Manifest::parseExpecting(manifest.id(), manifest.canonical());
+  RC_ASSERT(parsed && parsed->id() == manifest.id());
+  ++aBytes[0];
+  RC_ASSERT(Manifest::fromBytes("m", "v", 4, bytes)->id() != manifest.id());
+}
+
+// Guards against a manifest whose chunk list does not match its size, and against oversized ones.
+BOOST_AUTO_TEST_CASE(manifestLimitsAreChecked)
+{
+  std::vector<std::byte> bytes(100);
+  auto manifest = Manifest::fromBytes("m", "v", 10, bytes).value();
+  auto replaced = [&](const std::string& aFrom, const std::string& aTo) {
+    auto text = manifest.canonical();
+    text.replace(text.find(aFrom), aFrom.size(), aTo);
+    return Manifest::parse(text);
+  };
+  BOOST_TEST(!replaced("\"size\":100", "\"size\":101").has_value());
+  BOOST_TEST(!replaced("\"size\":100", "\"size\":0").has_value());
+  BOOST_TEST(!replaced("\"chunkSize\":10", "\"chunkSize\":0").has_value());
+  BOOST_TEST(!Manifest::parse(manifest.canonical(), { .chunks = 9 }).has_value());
+  BOOST_TEST(!Manifest::parse(manifest.canonical(), { .chunkSize = 9 }).has_value());
+  BOOST_TEST(!Manifest::parseExpecting(ManifestId{}, manifest.canonical()).has_value());
+  BOOST_TEST(!Manifest::fromBytes("m", "v", 10, {}).has_value());
+  BOOST_TEST(!Manifest::fromBytes("m", "v", 0, bytes).has_value());
+}
+
+// Guards against chunk memory that exceeds its bound or drops a chunk that is being sent.
+RC_BOOST_PROP(chunkMemoryKeepsItsBound, (uint64_t aSeed))
+{
+  base::Rng rng(aSeed);
+  constexpr size_t kLimit = 1000;
+  ChunkMemory memory(kLimit);
+  std::vector<std::shared_ptr<const ChunkBlock>> inUse;
+  for (int step = 0; step < 200; ++step) {
+    auto chunk = base::uniformBelow(rng, 20U);
+    if (base::uniformBelow(rng, 3) == 0 && !inUse.empty()) {
+      inUse.erase(inUse.begin());
+    } else if (auto cached = memory.find({}, chunk); cached && base::uniformBelow(rng, 2) == 0) {
+      inUse.push_back(cached);
+    } else if (auto block = memory.tryReserve(1 + base::uniformBelow(rng, size_t{ 300 }))) {
+      memory.keep({}, chunk, std::move(block));
+    }
+    RC_ASSERT(memory.used() <= kLimit);
+  }
+  memory.forget({});
+  inUse.clear();
+  RC_ASSERT(memory.used() == 0U);
+  RC_ASSERT(memory.peak() <= kLimit);
+}
