--- /dev/null
+++ b/libs/routing/tests/PoisonTest.cpp
@@ -0,0 +1,115 @@
+#define BOOST_TEST_MODULE routing_poison
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "base/Rng.h"
+#include "routing/PoisonTracker.h"
+
+using namespace boragepitch;
+using namespace boragepitch::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Endpoints that run requests and exchange what they publish. */
+struct Fleet
+{
+  std::vector<PoisonTracker> trackers = std::vector<PoisonTracker>(5);
+  base::TimePoint now{ 1h };
+  int crashes = 0;
+
+  void gossip()
+  {
+    for (auto& target : trackers) {
+      for (const auto& source : trackers) {
+        for (const auto& suspect : source.published()) {
+          target.learn(suspect, now);
+        }
+      }
+    }
+  }
+
+  /** Runs a batch at one endpoint; a suspect runs alone. Returns those that were run. */
+  std::vector<std::string> run(size_t aEndpoint, std::vector<std::string> aBatch)
+  {
+    PoisonTracker& tracker = trackers[aEndpoint];
+    std::erase_if(
+      aBatch, [&](const std::string& aF) { return tracker.suspicion(aF) == Suspicion::Poison; });
+    for (const std::string& fingerprint : aBatch) {
+      if (tracker.suspicion(fingerprint) == Suspicion::Suspect) {
+        aBatch = { std::string(fingerprint) };
+        break;
+      }
+    }
+    bool crash = std::find(aBatch.begin(), aBatch.end(), "poison") != aBatch.end();
+    std::string id = "crash-" + std::to_string(crashes);
+    crashes += crash ? 1 : 0;
+    for (const std::string& fingerprint : aBatch) {
+      crash ? tracker.recordCrash(fingerprint, id, now)
+            : static_cast<void>(tracker.recordCompletion(fingerprint, now));
+    }
+    return aBatch;
+  }
+};
+
+} // namespace
+
+// Guards against a poison request that crashes a third engine, and innocent requests beside it that
+// end as poison or stay suspects after they completed.
+RC_BOOST_PROP(poisonCrashesAtMostTwoEngines, (uint32_t aSeed))
+{
+  base::Rng rng(aSeed);
+  Fleet fleet;
+  for (int i = 0; i < 40; ++i) {
+    std::vector<std::string> batch{ "poison", "a", "b", "c" };
+    std::shuffle(batch.begin(), batch.end(), rng);
+    batch.resize(1 + base::uniformBelow<size_t>(rng, 4));
+    fleet.run(base::uniformBelow<size_t>(rng, 5), batch);
+    fleet.gossip();
+    fleet.now += 10ms;
+  }
+  RC_ASSERT(fleet.crashes <= 2);
+  for (std::string innocent : { "a", "b", "c" }) {
+    fleet.run(0, { innocent });
+    fleet.gossip();
+    for (const auto& tracker : fleet.trackers) {
+      RC_ASSERT(tracker.suspicion(innocent) == Suspicion::None);
+    }
+  }
+}
+
+// Guards against dependence on the order in which suspects and clearings arrive.
+RC_BOOST_PROP(orderOfNewsDoesNotMatter, (uint32_t aSeed))
+{
+  base::Rng rng(aSeed);
+  base::TimePoint now{ 1h };
+  std::vector<control::Suspect> news{
+    { "f", "1" }, { "f", "cleared:1" }, { "g", "1" }, { "g", "2" }
+  };
+  std::shuffle(news.begin(), news.end(), rng);
+  PoisonTracker tracker;
+  for (int i = 0; i < 3; ++i) {
+    for (const auto& suspect : news) {
+      tracker.learn(suspect, now);
+    }
+  }
+  RC_ASSERT(tracker.suspicion("f") == Suspicion::None);
+  RC_ASSERT(tracker.suspicion("g") == Suspicion::Poison);
+}
+
+// Guards against memory that grows with the number of crashes, and suspicion that never ends.
+BOOST_AUTO_TEST_CASE(isBoundedAndExpires)
+{
+  base::TimePoint now{ 1h };
+  PoisonTracker tracker(100, 10, 10min);
+  for (int i = 0; i < 1000; ++i) {
+    now += 1ms;
+    tracker.recordCrash("f" + std::to_string(i), "c", now);
+  }
+  BOOST_TEST(tracker.size() == 100);
+  BOOST_TEST(tracker.published().size() == 10);
+  BOOST_TEST((tracker.suspicion("f999") == Suspicion::Suspect));
+  BOOST_TEST(tracker.expire(now + 11min));
+  BOOST_TEST(tracker.size() == 0);
+  BOOST_TEST(tracker.published().empty());
+}
--- /dev/null
+++ b/tests/support/FakeTable.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+
+#include "base/Rng.h"
+#include "platform/Platform.h"
+
+namespace boragepitch::test {
+
+/** Transactional table in memory with faults that tests set. */
+class FakeTable final : public platform::TableClient
+{
+public:
+  std::atomic<bool> away{ false };
+  std::atomic<int> loseAnswers{ 0 };      ///< Next transactions that take effect, answers lost.
+  std::atomic<int> loseTransactions{ 0 }; ///< Next transactions lost before they take effect.
+  std::atomic<int> failReads{ 0 };        ///< Next reads that fail.
+  std::atomic<int> transactions{ 0 };
+
+  base::Result<uint64_t> commit(const platform::Transaction& aTransaction) override
+  {
+    using base::ErrorKind;
+    if (away) {
+      return base::fail(ErrorKind::Unavailable, "table", "outage", "retry later");
+    }
+    if (takeOne(loseTransactions)) {
+      return base::fail(ErrorKind::UnknownOutcome, "table", "answer lost", "read the row");
+    }
+    std::lock_guard lock(mMutex);
+    ++transactions;
+    for (const platform::Check& check : aTransaction.checks) {
+      auto found = mRows.find(check.key);
+      if ((found == mRows.end() ? 0 : found->second.version) != check.version) {
+        return base::fail(ErrorKind::Conflict, check.key, "version differs", "read the row");
+      }
+    }
+    ++mSequence;
+    for (const platform::Put& put : aTransaction.puts) {
+      mRows[put.key] = { put.key, put.value, mSequence };
+      history[put.key].insert(put.value);
+    }
+    for (const std::string& key : aTransaction.deletes) {
+      mRows.erase(key);
+    }
+    if (takeOne(loseAnswers)) {
+      return base::fail(ErrorKind::UnknownOutcome, "table", "answer lost", "read the row");
+    }
+    return mSequence;
+  }
+
+  base::Result<std::vector<platform::Row>> read(const std::vector<std::string>& aKeys) override
+  {
+    if (away || takeOne(failReads)) {
+      return base::fail(base::ErrorKind::Unavailable, "table", "outage", "retry later");
+    }
+    std::lock_guard lock(mMutex);
+    std::vector<platform::Row> rows;
+    for (const std::string& key : aKeys) {
+      if (auto found = mRows.find(key); found != mRows.end()) {
+        rows.push_back(found->second);
+      }
+    }
+    return rows;
+  }
+
+  base::Result<std::vector<platform::Row>> scan(std::string_view aPrefix,
+                                                std::string_view aAfter,
+                                                size_t aLimit) override
+  {
+    std::lock_guard lock(mMutex);
+    std::vector<platform::Row> rows;
+    for (const auto& [key, row] : mRows) {
+      if (key.starts_with(aPrefix) && key > aAfter && rows.size() < aLimit) {
+        rows.push_back(row);
+      }
+    }
+    return rows;
+  }
+
+  std::map<std::string, std::set<std::string>> history; ///< Every value each row ever had.
+
+private:
+  static bool takeOne(std::atomic<int>& aCount)
+  {
+    int left = aCount;
+    while (left > 0 && !aCount.compare_exchange_weak(left, left - 1)) {
+    }
+    return left > 0;
+  }
+
+  std::mutex mMutex;
+  std::map<std::string, platform::Row> mRows;
+  uint64_t mSequence = 0;
+};
+
+} // namespace boragepitch::test
