--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -72,13 +72,12 @@
         deployment.wait_ready()
         second = fleet.digests("drafter/v2", 1 << 20)["sha256"]
         drawn_before = fleet.stats("objects")["bytesSent"]
-        load = Load(fleet, "drafter", fleet.entries(), rate=options.load, seconds=4 * first_last,
+        load = Load(fleet, "drafter", fleet.entries(), rate=options.load, seconds=round(1.3 * first_last),
                     expect=[f"v1={first}", f"v2={second}"], workspace=["shop-0:8:10", "shop-1:4:10", "shop-2:1:1"])
         print(f"rolling out v2 under {options.load} requests a second", flush=True)
         _, half, last = roll_out(deployment, "v2", 600)
         bpctl(fleet, "wait", "--timeout=60")
         drawn = fleet.stats("objects")["bytesSent"] - drawn_before
-        load.process.term()
         answered = load.result()
         summary = {
             "endpoints": 15,
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -150,8 +150,8 @@
 
 def bpctl(fleet, *arguments, check=True):
     environment = {**os.environ, **OPERATOR_ENVIRONMENT}
-    servers = [f"--server={entry.address('public')}" for entry in fleet.entries()]
-    done = subprocess.run([fleet.program("bpctl"), *arguments, *servers], env=environment, capture_output=True,
+    servers = "--server=" + ",".join(entry.address("public") for entry in fleet.entries())
+    done = subprocess.run([fleet.program("bpctl"), *arguments, servers], env=environment, capture_output=True,
                           text=True, check=False)
     if check and done.returncode != 0:
         raise RuntimeError(f"bpctl {arguments} ended with {done.returncode}: {done.stdout}{done.stderr}")
--- a/tools/bpctl/main.cpp
+++ b/tools/bpctl/main.cpp
@@ -43,7 +43,7 @@
   progress   print how far weights have been fetched
   dump       print the state of one process; ADDRESS is its control address
   cordon     take an availability zone or VM out of service; uncordon returns it
-  manifest   build the manifest of a weight file
+  manifest   build the manifest of a weight file, publish it, and print the ModelVersion to declare
 
 Options:
   -f FILE --file=FILE     File with one resource, a list, or {"items":[...]}.
@@ -57,7 +57,8 @@
   --model=NAME            `manifest`: the model.
   --model-version=TEXT    `manifest`: the version.
   --chunk-size=BYTES      `manifest`: bytes in a chunk [default: 4194304].
-  --output=FILE           `manifest`: where to write it; default is standard output.
+  --output=FILE           `manifest`: file to write it to.
+  --objects=ADDRESS       `manifest`: object store to publish it to.
   -h --help               Show this text.
   --version               Show the version.
 
@@ -198,7 +199,8 @@
                         textOf(aArguments, "--model"),
                         textOf(aArguments, "--model-version"),
                         *chunkSize,
-                        textOf(aArguments, "--output") },
+                        textOf(aArguments, "--output"),
+                        textOf(aArguments, "--objects") },
                       aStreams);
 }
 
--- a/tools/bpctl/src/Commands.h
+++ b/tools/bpctl/src/Commands.h
@@ -41,7 +41,8 @@
   std::string model;
   std::string version;
   uint64_t chunkSize = 4 << 20; ///< Bytes.
-  std::string output;           ///< File for the manifest; empty means standard output.
+  std::string output;           ///< File for the manifest; empty means none.
+  std::string objects;          ///< Object store to publish it to; empty means none.
 };
 
 /** The resources in a JSON file: one resource, a list of them, or {"items":[...]}. */
@@ -70,7 +71,7 @@
                       const std::string& aName,
                       bool aInService,
                       Streams aStreams);
-/** Builds a manifest from a weight file; in ManifestCommand.cpp. */
+/** Builds a manifest from a weight file, publishes it, and prints the ModelVersion to declare. */
 ExitCode makeManifest(const ManifestOptions& aOptions, Streams aStreams);
 
 /** A bar of 30 characters for a share of a whole. */
