--- a/libs/weights/include/weights/Distributor.h
+++ b/libs/weights/include/weights/Distributor.h
@@ -75,13 +75,16 @@
   Scheme scheme = Scheme::Swarm;
   LinkLimits links;
   size_t cacheBytes = 64U << 20; ///< Chunk cache, chunks in flight included.
-  size_t fetchThreads = 6;       ///< Most chunk requests in flight.
-  size_t fetchesPerPeer = 2;     ///< Most chunk requests in flight to one peer.
+  size_t fetchThreads = 8;       ///< Most chunk requests in flight.
+  /** Most chunk requests in flight to one peer. With more, requests gather at the importers, which
+   * hold the rarest chunks, while other uplinks idle. */
+  size_t fetchesPerPeer = 1;
   size_t originConnections = 2;  ///< Most chunk requests in flight to the origin.
   size_t neighbours = 10;        ///< Peers of the own region whose bitmaps are followed.
   size_t importersPerRegion = 8; ///< VMs of a region among which imported chunks are spread.
   size_t uploadSlots = 3;        ///< Chunks sent at once; more wait.
-  base::Milliseconds uploadQueue{ 1000 }; ///< Longest uplink queue before requests are refused.
+  /** Longest uplink queue before requests are refused. A long queue keeps requests at few VMs. */
+  base::Milliseconds uploadQueue{ 250 };
   /** Shortest time between two answers of a peer about its chunks; several new chunks are then
    * announced together. */
   base::Milliseconds announceInterval{ 20 };
