--- /dev/null
+++ b/libs/weights/tests/EngineWeightHostTest.cpp
@@ -0,0 +1,58 @@
+#define BOOST_TEST_MODULE weights_engine_host
+#include <boost/test/unit_test.hpp>
+
+#include "Fakes.h"
+#include "weights/EngineWeightHost.h"
+
+using namespace boragepitch;
+using namespace boragepitch::weights;
+
+// Guards against an agent and an engine that disagree on the staging interface, and against an
+// engine's chunk that is longer than declared and overruns the buffer.
+BOOST_AUTO_TEST_CASE(stagingRoundTrip)
+{
+  auto bytes = test::randomBytes(10, 1);
+  auto manifest = Manifest::fromBytes("m", "v", 8, bytes).value();
+  const std::string staging = "/staging/" + manifest.id().toString();
+  auto address = test::unusedAddress();
+  auto server = net::HttpServer::Builder().address(address).build();
+  std::map<std::string, std::string> stored;
+  std::string allocated;
+  server->route("POST", "/staging/{m}", [&](const net::HttpRequest& aRequest) {
+    net::HttpResponse response;
+    response.status = allocated.empty() ? 200 : 507;
+    allocated = aRequest.body;
+    return response;
+  });
+  server->route("PUT", "/{path...}", [&](const net::HttpRequest& aRequest) {
+    stored[aRequest.path] = aRequest.body;
+    return net::HttpResponse{};
+  });
+  server->route("GET", "/{path...}", [&](const net::HttpRequest& aRequest) {
+    net::HttpResponse response;
+    response.status = stored.contains(aRequest.path) ? 200 : 404;
+    response.body = stored[aRequest.path];
+    return response;
+  });
+  server->route("DELETE", "/{path...}", [&](const net::HttpRequest& aRequest) {
+    net::HttpResponse response;
+    response.status = stored.erase(aRequest.path) > 0 ? 200 : 404;
+    return response;
+  });
+  BOOST_REQUIRE(server->start());
+  EngineWeightHost host(address);
+  stored["/state"] = R"({"staged":[]})";
+  BOOST_TEST(!host.mayHold(manifest.id()));
+  BOOST_REQUIRE(host.allocate(manifest).has_value());
+  BOOST_TEST(allocated == R"({"chunkSize":8,"model":"m","size":10,"version":"v"})");
+  BOOST_TEST((host.allocate(manifest).error().kind == base::ErrorKind::TooLarge));
+  BOOST_REQUIRE(host.write(manifest.id(), 1, std::span(bytes).subspan(8)).has_value());
+  BOOST_TEST(stored.contains(staging + "/chunks/1"));
+  test::Bytes read(2);
+  BOOST_TEST(host.read(manifest.id(), 1, read).value() == 2);
+  BOOST_TEST((read == test::Bytes(bytes.begin() + 8, bytes.end())));
+  test::Bytes small(1);
+  BOOST_TEST((host.read(manifest.id(), 1, small).error().kind == base::ErrorKind::Corrupt));
+  BOOST_TEST((host.read(manifest.id(), 0, read).error().kind == base::ErrorKind::NotFound));
+  BOOST_TEST(host.release(manifest.id()).has_value());
+}
