--- a/libs/control/src/FleetCore.cpp
+++ b/libs/control/src/FleetCore.cpp
@@ -54,7 +54,7 @@
   return hashes;
 }
 
-FleetCore::FleetCore(NodeState aSelf,
+FleetCore::FleetCore(const NodeState& aSelf,
                      const FleetSettings& aSettings,
                      ResourceCodec aCodec,
                      base::TimePoint aNow)
--- a/libs/control/src/FleetCore.h
+++ b/libs/control/src/FleetCore.h
@@ -48,7 +48,7 @@
 class FleetCore
 {
 public:
-  FleetCore(NodeState aSelf,
+  FleetCore(const NodeState& aSelf,
             const FleetSettings& aSettings,
             ResourceCodec aCodec,
             base::TimePoint aNow);
--- /dev/null
+++ b/libs/control/tests/FleetCoreTest.cpp
@@ -0,0 +1,364 @@
+#define BOOST_TEST_MODULE controlFleetCore
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "../src/FleetCore.h"
+#include "ControlSupport.h"
+
+using namespace boragepitch;
+using namespace boragepitch::control;
+using base::Milliseconds;
+using base::TimePoint;
+
+namespace {
+
+const TimePoint kStart{ std::chrono::hours(1) };
+
+LogEntry entry(uint64_t aRevision)
+{
+  auto changed = test::zone("z" + std::to_string(aRevision % 3), "");
+  changed.resourceVersion = aRevision;
+  return { aRevision,
+           "t",
+           { { "Zone", changed.name, std::make_shared<const resources::Resource>(changed) } } };
+}
+
+/** Some processes and the messages between them; every message goes through JSON text. */
+struct Network
+{
+  explicit Network(int aNodes)
+  {
+    for (int i = 0; i < aNodes; ++i) {
+      cores.push_back(
+        std::make_unique<FleetCore>(test::node(i), FleetSettings{}, test::zoneCodec(), now));
+      // Processes that never met are fed to each other as seeds would be.
+      auto self = cores[i]->nodes().self();
+      if (i > 0) {
+        (void)cores[i]->answerDeliver(recordOf(*cores[0]), now);
+        (void)cores[0]->answerDeliver(recordOf(*cores[i]), now);
+      }
+    }
+  }
+
+  static Json::Value recordOf(const FleetCore& aCore)
+  {
+    Json::Value request;
+    request["records"][0].append(encodeNode(aCore.nodes().self()));
+    request["records"][0].append(0);
+    return request;
+  }
+
+  /** Runs the steps of a gossip round until the step aLostAt is lost. */
+  void gossip(int aFrom, int aTo, int aLostAt = 100)
+  {
+    FleetCore& from = *cores[aFrom];
+    FleetCore& to = *cores[aTo];
+    TimePoint sent = now;
+    Json::Value request = from.exchangeRequest(to.nodes().self().id);
+    if (aLostAt == 0) {
+      return;
+    }
+    auto answer = to.answerExchange(request, now, rng);
+    auto taken = from.takeExchangeAnswer(overWire(answer.value()), sent, now);
+    if (aLostAt == 1) {
+      return;
+    }
+    if (taken->revision > from.config().revision()) {
+      auto pulled = to.answerPull(overWire(from.pullRequest(false)));
+      BOOST_REQUIRE(from.takePullAnswer(overWire(pulled.value()), now));
+    }
+    from.applyEvidence(*taken);
+    if (aLostAt == 2 || !taken->reconcile) {
+      return;
+    }
+    keep(*taken->reconcile);
+    auto delivered = to.answerDeliver(overWire(*taken->reconcile), now);
+    auto more = from.takeDeliverAnswer(overWire(delivered.value()), now);
+    if (aLostAt == 3 || !*more) {
+      return;
+    }
+    keep(**more);
+    (void)to.answerDeliver(overWire(**more), now).value();
+  }
+
+  void push(int aFrom, int aTo)
+  {
+    Effects all;
+    for (const auto& [id, item] : cores[aFrom]->nodes().table()) {
+      all.urgentNodes.insert(id);
+    }
+    uint64_t known = cores[aTo]->config().revision();
+    if (auto message = cores[aFrom]->pushRequest(known, all, now)) {
+      keep(*message);
+      (void)cores[aTo]->answerDeliver(overWire(*message), now).value();
+    }
+  }
+
+  static Json::Value overWire(const Json::Value& aValue)
+  {
+    return base::parseJson(base::writeJson(aValue)).value();
+  }
+
+  void keep(const Json::Value& aMessage)
+  {
+    if (old.size() < 50) {
+      old.push_back(aMessage);
+    }
+  }
+
+  bool hasConverged() const
+  {
+    for (const auto& core : cores) {
+      if (core->config().revision() != cores[0]->config().revision() ||
+          core->nodes().digest() != cores[0]->nodes().digest()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  TimePoint now = kStart;
+  base::Rng rng{ 1 };
+  std::vector<std::unique_ptr<FleetCore>> cores;
+  std::vector<Json::Value> old; ///< Messages that may arrive again, late.
+};
+
+rc::Gen<Json::Value> arbitraryJson(int aDepth)
+{
+  auto leaf = rc::gen::oneOf(
+    rc::gen::map(rc::gen::arbitrary<int64_t>(),
+                 [](int64_t aNumber) { return Json::Value(Json::Int64(aNumber)); }),
+    rc::gen::map(rc::gen::arbitrary<std::string>(),
+                 [](const std::string& aText) { return Json::Value(aText); }),
+    rc::gen::map(rc::gen::arbitrary<double>(), [](double aNumber) { return Json::Value(aNumber); }),
+    rc::gen::element(Json::Value(), Json::Value(true), Json::Value(Json::objectValue)));
+  if (aDepth == 0) {
+    return leaf;
+  }
+  auto key = rc::gen::element<std::string>("rev",
+                                           "digest",
+                                           "you",
+                                           "id",
+                                           "records",
+                                           "have",
+                                           "want",
+                                           "entries",
+                                           "snapshot",
+                                           "nodes",
+                                           "evidence",
+                                           "regions",
+                                           "store",
+                                           "buckets",
+                                           "me",
+                                           "need",
+                                           "from",
+                                           "seq",
+                                           "inc",
+                                           "revision");
+  auto list = rc::gen::map(rc::gen::container<std::vector<Json::Value>>(arbitraryJson(aDepth - 1)),
+                           [](const std::vector<Json::Value>& aItems) {
+                             Json::Value value(Json::arrayValue);
+                             for (size_t i = 0; i < std::min<size_t>(aItems.size(), 5); ++i) {
+                               value.append(aItems[i]);
+                             }
+                             return value;
+                           });
+  using Members = std::vector<std::pair<std::string, Json::Value>>;
+  auto members = rc::gen::container<Members>(rc::gen::pair(key, arbitraryJson(aDepth - 1)));
+  auto object = rc::gen::map(members, [](const Members& aMembers) {
+    Json::Value value(Json::objectValue);
+    for (const auto& [name, item] : aMembers) {
+      value[name] = item;
+    }
+    return value;
+  });
+  return rc::gen::oneOf(leaf, list, object);
+}
+
+/** Replaces one member or item somewhere in aValue. */
+void mutate(Json::Value& aValue, const Json::Value& aBy, base::Rng& aRng)
+{
+  bool container = (aValue.isObject() || aValue.isArray()) && !aValue.empty();
+  if (!container || base::uniformBelow(aRng, 4) == 0) {
+    aValue = aBy;
+  } else if (aValue.isArray()) {
+    mutate(aValue[base::uniformBelow<Json::ArrayIndex>(aRng, aValue.size())], aBy, aRng);
+  } else {
+    auto names = aValue.getMemberNames();
+    mutate(aValue[names[base::uniformBelow(aRng, names.size())]], aBy, aRng);
+  }
+}
+
+/** Hands a message to every place that takes one in. */
+void feed(FleetCore& aCore, const Json::Value& aMessage, base::Rng& aRng)
+{
+  (void)aCore.answerExchange(aMessage, kStart, aRng);
+  (void)aCore.answerDeliver(aMessage, kStart);
+  (void)aCore.answerPull(aMessage);
+  (void)aCore.takeExchangeAnswer(aMessage, kStart, kStart);
+  (void)aCore.takeDeliverAnswer(aMessage, kStart);
+  (void)aCore.takePullAnswer(aMessage, kStart);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gossip)
+
+// Guards against state that reverts, or never converges, under loss, duplicates and stale messages.
+RC_BOOST_PROP(convergesAndNeverReverts, ())
+{
+  constexpr int kNodes = 6;
+  Network net(kNodes);
+  auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int, int>>>(
+    rc::gen::tuple(rc::gen::inRange(0, 6),
+                   rc::gen::inRange(0, kNodes),
+                   rc::gen::inRange(0, kNodes),
+                   rc::gen::inRange(0, 5)));
+  uint64_t committed = 0;
+  for (auto [action, from, to, detail] : steps) {
+    std::vector<uint64_t> before;
+    for (const auto& core : net.cores) {
+      before.push_back(core->config().revision());
+    }
+    NodeTable known = net.cores[to]->nodes().table();
+    if (action == 0) {
+      NodeState state = net.cores[from]->nodes().self();
+      state.instance += "x";
+      net.cores[from]->publish(state);
+    } else if (action == 1 && net.cores[from]->config().revision() == committed) {
+      net.cores[from]->adopt({ entry(++committed) });
+    } else if (action == 2 && !net.old.empty()) {
+      (void)net.cores[to]->answerDeliver(net.old[size_t(from * 7 + detail) % net.old.size()],
+                                         net.now);
+    } else if (action == 3 && from != to) {
+      net.push(from, to);
+    } else if (from != to) {
+      net.gossip(from, to, detail);
+    }
+    for (int i = 0; i < kNodes; ++i) {
+      RC_ASSERT(net.cores[i]->config().revision() >= before[i]);
+    }
+    for (const auto& [id, item] : known) {
+      RC_ASSERT(!supersedes(item.state, net.cores[to]->nodes().find(id)->state));
+    }
+    net.now += Milliseconds(10);
+  }
+  for (int round = 0; round < 30 && !net.hasConverged(); ++round) {
+    for (int i = 0; i < kNodes; ++i) {
+      net.gossip(i, (i + 1 + round % (kNodes - 1)) % kNodes);
+    }
+    net.now += Milliseconds(1000);
+  }
+  RC_ASSERT(net.hasConverged());
+  RC_ASSERT(net.cores[0]->config().revision() == committed);
+}
+
+// Guards against processes of a cut-off minority that keep each other going: nobody in it starts
+// new work later than the isolation limit after the cut, however they gossip.
+RC_BOOST_PROP(doesNotKeepAMinorityFresh, ())
+{
+  Network net(6); // Regions 0, 1, 2 with two processes each.
+  for (int i = 0; i < 6; ++i) {
+    net.gossip(i, (i + 1) % 6);
+    net.gossip(i, (i + 2) % 6);
+    net.cores[i]->storeAnswered(0, net.now);
+  }
+  auto rounds = *rc::gen::container<std::vector<std::pair<int, bool>>>(
+    rc::gen::pair(rc::gen::inRange(0, 400), rc::gen::arbitrary<bool>()));
+  TimePoint cut = net.now;
+  for (auto [pause, way] : rounds) {
+    net.now += Milliseconds(pause);
+    net.gossip(way ? 0 : 3, way ? 3 : 0);
+    for (int id : { 0, 3 }) {
+      RC_ASSERT(net.cores[id]->freshness().freshUntil() <= cut + Milliseconds(3000));
+    }
+  }
+  // The other two regions are a majority and go on without the store.
+  net.now += Milliseconds(5000);
+  net.gossip(1, 2);
+  RC_ASSERT(net.cores[1]->freshness().isFresh(net.now));
+  RC_ASSERT(!net.cores[0]->freshness().isFresh(net.now));
+}
+
+// Guards against a process that counts as fresh while it lacks the configuration that the fresh
+// peer knows.
+BOOST_AUTO_TEST_CASE(takesNoEvidenceWithoutTheConfiguration)
+{
+  Network net(4);
+  net.cores[1]->adopt({ entry(1) });
+  net.cores[1]->storeAnswered(1, net.now);
+  auto answer = net.cores[0]->takeExchangeAnswer(
+    net.cores[1]->answerExchange(net.cores[0]->exchangeRequest(""), net.now, net.rng).value(),
+    net.now,
+    net.now);
+  BOOST_REQUIRE(answer);
+  BOOST_TEST(!net.cores[0]->applyEvidence(*answer));
+  BOOST_TEST(!net.cores[0]->freshness().isFresh(net.now));
+  net.cores[0]->adopt({ entry(1) });
+  BOOST_TEST(net.cores[0]->applyEvidence(*answer));
+  BOOST_TEST(net.cores[0]->freshness().isFresh(net.now));
+}
+
+// Guards against idle exchanges that cost more as the fleet grows.
+BOOST_AUTO_TEST_CASE(keepsIdleExchangesSmall)
+{
+  Network net(300);
+  for (int round = 0; round < 60 && !net.hasConverged(); ++round) {
+    for (int i = 0; i < 300; ++i) {
+      net.gossip(i,
+                 int(base::uniformBelow(net.rng, 300)) == i ? (i + 1) % 300
+                                                            : (i * 7 + round * 13 + 1) % 300);
+    }
+    net.now += Milliseconds(1000);
+  }
+  BOOST_REQUIRE(net.hasConverged());
+  Json::Value request = net.cores[0]->exchangeRequest("node-1");
+  auto answer = net.cores[1]->answerExchange(request, net.now, net.rng).value();
+  size_t bytes = base::writeJson(request).size() + base::writeJson(answer).size();
+  BOOST_TEST_MESSAGE("idle exchange: request " << base::writeJson(request).size() << ", answer "
+                                               << base::writeJson(answer).size() << " bytes");
+  BOOST_TEST(bytes < 1000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(malformed)
+
+// Guards against arbitrary JSON changing the state or crashing the process.
+RC_BOOST_PROP(messagesChangeNothing, ())
+{
+  Network net(3);
+  net.cores[0]->adopt({ entry(1), entry(2) });
+  auto digest = net.cores[0]->nodes().digest();
+  Json::Value message = *arbitraryJson(3);
+  feed(*net.cores[0], message, net.rng);
+  RC_ASSERT(net.cores[0]->config().revision() == 2U);
+  RC_ASSERT(net.cores[0]->nodes().digest() == digest);
+  RC_ASSERT(!net.cores[0]->freshness().isFresh(net.now));
+}
+
+// Guards against valid messages with one wrong part crashing the process or reverting its state.
+RC_BOOST_PROP(partsOfMessagesAreHarmless, (uint64_t aSeed))
+{
+  Network net(3);
+  net.rng.seed(aSeed);
+  net.cores[0]->adopt({ entry(1), entry(2) });
+  net.cores[1]->adopt({ entry(1), entry(2), entry(3) });
+  std::vector<Json::Value> messages{
+    net.cores[1]->exchangeRequest("node-0"),
+    net.cores[1]->answerExchange(net.cores[0]->exchangeRequest(""), net.now, net.rng).value(),
+    net.cores[1]->pullRequest(true),
+    net.cores[1]->answerPull(net.cores[0]->pullRequest(true)).value(),
+    net.cores[1]
+      ->pushRequest(2, { .urgentNodes = { "node-1" }, .urgentHeads = { "node-0" } }, net.now)
+      .value(),
+  };
+  for (Json::Value& message : messages) {
+    mutate(message, *arbitraryJson(2), net.rng);
+    feed(*net.cores[0], message, net.rng);
+    RC_ASSERT(net.cores[0]->config().revision() >= 2U);
+    RC_ASSERT(net.cores[0]->nodes().find("node-0")->liveness == Liveness::Alive);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/platform/src/HttpWeightOrigin.cpp
+++ b/libs/platform/src/HttpWeightOrigin.cpp
@@ -94,7 +94,7 @@
   }
 
   base::Status readOnce(const std::string& aName,
-                        net::ClientRequest aRequest,
+                        const net::ClientRequest& aRequest,
                         std::span<std::byte> aTarget,
                         base::Milliseconds aTimeout)
   {
