--- a/libs/control/tests/FleetTest.cpp
+++ b/libs/control/tests/FleetTest.cpp
@@ -11,6 +11,7 @@
 #include "net/HttpClient.h"
 #include "support/MemoryTable.h"
 #include "support/TestAddress.h"
+#include "telemetry/Log.h"
 
 using namespace boragepitch;
 using namespace boragepitch::control;
@@ -19,6 +20,12 @@
 
 namespace {
 
+struct Logging
+{
+  Logging() { telemetry::startLogging("control_FleetTest", "test", telemetry::Level::Error); }
+};
+BOOST_TEST_GLOBAL_FIXTURE(Logging);
+
 /** Real time plus a jump that the test sets, as after a pause. */
 class JumpingClock final : public base::Clock
 {
