--- a/libs/control/src/FleetImpl.cpp
+++ b/libs/control/src/FleetImpl.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr base::Milliseconds kTick{ 50 };
+// The failure detector walks all records; its times are seconds.
+constexpr base::Milliseconds kDetectorInterval{ 200 };
 // Copying the table costs about a millisecond at full size.
 constexpr base::Milliseconds kTableInterval{ 20 };
 // Exchanges, polls and the VM list hold a thread each for seconds when the other side is silent, so
@@ -152,7 +154,10 @@
                         { { "ms", std::to_string(base::toMilliseconds(*pause)) } });
   }
   mLastTick = at;
-  mCore.tick(at);
+  if (at >= mNextDetector) {
+    mNextDetector = at + kDetectorInterval;
+    mCore.tick(at);
+  }
   startDueTasks(at);
   if (mTableChanged && at - mTablePublished >= kTableInterval) {
     publishTable(aLock);
--- a/libs/control/src/FleetImpl.h
+++ b/libs/control/src/FleetImpl.h
@@ -94,6 +94,7 @@
   std::vector<net::Address> mListed; ///< Control addresses of the VM list.
   base::TimePoint mNextGossip{};
   base::TimePoint mNextEvidence{};
+  base::TimePoint mNextDetector{};
   base::TimePoint mNextVmList{};
   base::TimePoint mTablePublished{};
   uint64_t mRounds = 0;
