--- a/libs/api/src/ResourceApi.cpp
+++ b/libs/api/src/ResourceApi.cpp
@@ -98,11 +98,10 @@
 
   // Reads.
 
-  Json::Value withStatus(const resources::Snapshot& aSnapshot, const Resource& aResource) const
+  static Json::Value withStatus(const rollout::StatusReader& aReader, const Resource& aResource)
   {
     Json::Value json = resources::toJson(aResource);
-    json["status"] =
-      resources::statusToJson(rollout::conditionsOf(aSnapshot, *fleet.nodes(), aResource));
+    json["status"] = resources::statusToJson(aReader.conditionsOf(aResource));
     return json;
   }
 
@@ -130,12 +129,14 @@
       return watch(aRequest, kind);
     }
     auto snapshot = fleet.config();
+    auto nodes = fleet.nodes();
+    rollout::StatusReader reader(*snapshot, *nodes);
     Json::Value body(Json::objectValue);
     body["revision"] = Json::UInt64(snapshot->revision());
     body["items"] = Json::Value(Json::arrayValue);
     for (const auto& [key, resource] : snapshot->all()) {
       if (key.first == kind) {
-        body["items"].append(withStatus(*snapshot, *resource));
+        body["items"].append(withStatus(reader, *resource));
       }
     }
     return jsonResponse(200, body);
@@ -156,7 +157,8 @@
                                      kind + "/" + name.substr(0, 64) + " does not exist",
                                      "list the kind to see its names"));
     }
-    return jsonResponse(200, withStatus(*snapshot, *resource));
+    auto nodes = fleet.nodes();
+    return jsonResponse(200, withStatus(rollout::StatusReader(*snapshot, *nodes), *resource));
   }
 
   HttpResponse readProgress(const HttpRequest&)
--- a/libs/rollout/include/rollout/DesiredState.h
+++ b/libs/rollout/include/rollout/DesiredState.h
@@ -56,6 +56,11 @@
 /** What one endpoint should hold and serve; empty when it is not declared or not for models. */
 DesiredState desiredState(const resources::Snapshot& aSnapshot, std::string_view aEndpoint);
 
+/** What one Serving asks of an endpoint that it covers; empty model without a ModelVersion. */
+Target targetOf(const resources::Snapshot& aSnapshot,
+                const resources::Resource& aServing,
+                std::string_view aEndpoint);
+
 /** The manifests of aDesired, and what the engine has loaded as required, so that a served version
  * is not dropped before its switch. */
 std::vector<WantedManifest> manifestsToHold(const DesiredState& aDesired,
--- a/libs/rollout/include/rollout/Status.h
+++ b/libs/rollout/include/rollout/Status.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "control/NodeState.h"
@@ -8,16 +10,35 @@
 
 namespace boragepitch::rollout {
 
+/** The record of the agent beside each endpoint. Prefers live and newer records. */
+class AgentIndex
+{
+public:
+  /** aNodes must outlive the index. */
+  explicit AgentIndex(const control::NodeTable& aNodes);
+  /** Null when no agent is known. */
+  const control::NodeEntry* find(std::string_view aEndpoint) const;
+
+private:
+  std::unordered_map<std::string_view, const control::NodeEntry*> mAgents;
+};
+
 /**
- * Conditions of one resource, from what the nodes report. Serving: Complete, Available. Zone and
- * Vm: Empty (no endpoint serves there) or InService. Endpoint: Complete, Reachable. ModelVersion:
- * Held. docs/operators.md lists types and reasons.
+ * Conditions of resources, from what the nodes report. Serving: Complete, Available. Zone and Vm:
+ * InService. Endpoint: Complete, Reachable. ModelVersion: Held. Rollout: Permitted.
+ * docs/operators.md lists types and reasons.
  */
-std::vector<resources::Condition> conditionsOf(const resources::Snapshot& aSnapshot,
-                                               const control::NodeTable& aNodes,
-                                               const resources::Resource& aResource);
+class StatusReader
+{
+public:
+  /** Both must outlive the reader. */
+  StatusReader(const resources::Snapshot& aSnapshot, const control::NodeTable& aNodes);
+  std::vector<resources::Condition> conditionsOf(const resources::Resource& aResource) const;
 
-/** The record of the agent beside an endpoint; null when unknown. Prefers live and newer ones. */
-const control::NodeEntry* agentOf(const control::NodeTable& aNodes, const std::string& aEndpoint);
+private:
+  const resources::Snapshot& mSnapshot;
+  const control::NodeTable& mNodes;
+  AgentIndex mAgents;
+};
 
 } // namespace boragepitch::rollout
--- a/libs/rollout/src/DesiredState.cpp
+++ b/libs/rollout/src/DesiredState.cpp
@@ -158,6 +158,13 @@
   return state;
 }
 
+Target targetOf(const Snapshot& aSnapshot, const Resource& aServing, std::string_view aEndpoint)
+{
+  DesiredState state;
+  Collector(aSnapshot, aEndpoint, state).add(aServing, std::get<Serving>(aServing.spec));
+  return state.targets.empty() ? Target{} : state.targets.front();
+}
+
 std::vector<WantedManifest> manifestsToHold(const DesiredState& aDesired,
                                             const std::vector<control::Served>& aLoaded)
 {
--- a/libs/rollout/src/Planner.cpp
+++ b/libs/rollout/src/Planner.cpp
@@ -16,6 +16,7 @@
 struct EndpointView
 {
   std::string name;
+  const Endpoint* spec = nullptr;
   bool inService = false;
   const control::NodeEntry* agent = nullptr; ///< Null when the endpoint is not ready.
   bool moving = false;                       ///< May stop serving at any moment.
@@ -93,21 +94,14 @@
 
   void collectEndpoints()
   {
-    std::map<std::string, const control::NodeEntry*> agents;
-    for (const auto& [id, entry] : nodes) {
-      agents[entry.state.endpoint] = nullptr;
-    }
-    for (auto& [endpoint, agent] : agents) {
-      agent = agentOf(nodes, endpoint);
-    }
+    AgentIndex agents(nodes);
     snapshot.each<Endpoint>([&](const Resource& aResource, const Endpoint& aSpec) {
       if (aSpec.type != EndpointType::Model) {
         return;
       }
-      auto found = agents.find(aResource.name);
-      const control::NodeEntry* agent = found == agents.end() ? nullptr : found->second;
+      const control::NodeEntry* agent = agents.find(aResource.name);
       endpoints[aResource.name] = {
-        aResource.name, isInService(snapshot, aSpec), isReady(agent) ? agent : nullptr, false
+        aResource.name, &aSpec, isInService(snapshot, aSpec), isReady(agent) ? agent : nullptr
       };
     });
   }
@@ -148,8 +142,7 @@
   {
     uint64_t inService = 0;
     for (auto& [name, endpoint] : endpoints) {
-      const auto* spec = snapshot.spec<Endpoint>("Endpoint", name);
-      if (!covers(snapshot, *aWork.serving, name, *spec)) {
+      if (!covers(snapshot, *aWork.serving, name, *endpoint.spec)) {
         continue;
       }
       inService += endpoint.inService ? 1 : 0;
--- a/libs/rollout/src/Status.cpp
+++ b/libs/rollout/src/Status.cpp
@@ -63,9 +63,13 @@
 class Evaluator
 {
 public:
-  Evaluator(const Snapshot& aSnapshot, const control::NodeTable& aNodes, const Resource& aResource)
+  Evaluator(const Snapshot& aSnapshot,
+            const control::NodeTable& aNodes,
+            const AgentIndex& aAgents,
+            const Resource& aResource)
     : mSnapshot(aSnapshot)
     , mNodes(aNodes)
+    , mAgents(aAgents)
     , mResource(aResource)
   {
   }
@@ -75,13 +79,17 @@
     std::map<Obstacle, uint64_t> counts;
     uint64_t total = 0;
     uint64_t available = 0;
+    const Target target = targetOf(mSnapshot, mResource, "");
+    const auto* rollout = mSnapshot.spec<Rollout>("Rollout", mResource.name);
     mSnapshot.each<Endpoint>([&](const Resource& aEndpoint, const Endpoint& aSpec) {
       if (!covers(mSnapshot, aServing, aEndpoint.name, aSpec) || !isInService(mSnapshot, aSpec)) {
         return;
       }
       ++total;
-      ++counts[obstacleOf(aEndpoint.name)];
-      const control::NodeEntry* agent = agentOf(mNodes, aEndpoint.name);
+      const control::NodeEntry* agent = mAgents.find(aEndpoint.name);
+      bool isAllowed = rollout != nullptr && isIn(rollout->allowed, aEndpoint.name);
+      ++counts[isReady(agent) ? obstacleOf(target, agent->state, isAllowed)
+                              : Obstacle::Unreachable];
       bool isWarm = isReady(agent) && !agent->state.cold && servedOf(*agent, aServing.model);
       available += isWarm ? 1 : 0;
     });
@@ -104,7 +112,7 @@
 
   std::vector<Condition> operator()(const Endpoint& aEndpoint) const
   {
-    const control::NodeEntry* agent = agentOf(mNodes, mResource.name);
+    const control::NodeEntry* agent = mAgents.find(mResource.name);
     Condition reachable{ "Reachable", isReady(agent), "AgentReady", "its agent is ready", 0, 0 };
     if (!reachable.status) {
       reachable.reason = agent == nullptr ? "NoAgent" : "AgentNotReady";
@@ -156,21 +164,20 @@
 private:
   Obstacle obstacleOf(const std::string& aEndpoint) const
   {
-    const control::NodeEntry* agent = agentOf(mNodes, aEndpoint);
+    const control::NodeEntry* agent = mAgents.find(aEndpoint);
     if (!isReady(agent)) {
       return Obstacle::Unreachable;
     }
     Obstacle worst = Obstacle::None;
     for (const Target& target : desiredState(mSnapshot, aEndpoint).targets) {
-      bool concerns = mResource.kind != "Serving" || target.serving == mResource.name;
-      if (concerns) {
-        worst = std::max(worst, obstacleOf(target, agent->state));
-      }
+      worst = std::max(worst, obstacleOf(target, agent->state, target.allowed));
     }
     return worst;
   }
 
-  static Obstacle obstacleOf(const Target& aTarget, const control::NodeState& aState)
+  static Obstacle obstacleOf(const Target& aTarget,
+                             const control::NodeState& aState,
+                             bool aIsAllowed)
   {
     std::vector<control::Served> wanted{ aTarget.wanted };
     wanted.insert(wanted.end(), aTarget.adapters.begin(), aTarget.adapters.end());
@@ -184,7 +191,7 @@
     if (!std::all_of(wanted.begin(), wanted.end(), holds)) {
       return Obstacle::Fetching;
     }
-    return aTarget.allowed ? Obstacle::Switching : Obstacle::WaitingForPermission;
+    return aIsAllowed ? Obstacle::Switching : Obstacle::WaitingForPermission;
   }
 
   static Condition complete(const std::map<Obstacle, uint64_t>& aCounts, uint64_t aTotal)
@@ -243,7 +250,7 @@
     mSnapshot.each<Endpoint>([&](const Resource& aResource, const Endpoint& aEndpoint) {
       if (aIsInside(aEndpoint)) {
         ++total;
-        ready += isReady(agentOf(mNodes, aResource.name)) ? 1 : 0;
+        ready += isReady(mAgents.find(aResource.name)) ? 1 : 0;
       }
     });
     Condition condition{ "InService", aDeclared, aDeclared ? "Declared" : "Cordoned",
@@ -255,32 +262,44 @@
 
   const Snapshot& mSnapshot;
   const control::NodeTable& mNodes;
+  const AgentIndex& mAgents;
   const Resource& mResource;
 };
 
 } // namespace
 
-const control::NodeEntry* agentOf(const control::NodeTable& aNodes, const std::string& aEndpoint)
+AgentIndex::AgentIndex(const control::NodeTable& aNodes)
 {
-  const control::NodeEntry* best = nullptr;
   auto rank = [](const control::NodeEntry& aEntry) {
     return std::pair(-static_cast<int>(aEntry.liveness), aEntry.state.incarnation);
   };
   for (const auto& [id, entry] : aNodes) {
-    bool isAgent = entry.state.kind == control::NodeKind::Agent;
-    if (isAgent && entry.state.endpoint == aEndpoint &&
-        (best == nullptr || rank(entry) > rank(*best))) {
-      best = &entry;
+    if (entry.state.kind != control::NodeKind::Agent) {
+      continue;
+    }
+    auto [known, isNew] = mAgents.try_emplace(entry.state.endpoint, &entry);
+    if (!isNew && rank(entry) > rank(*known->second)) {
+      known->second = &entry;
     }
   }
-  return best;
 }
 
-std::vector<Condition> conditionsOf(const Snapshot& aSnapshot,
-                                    const control::NodeTable& aNodes,
-                                    const Resource& aResource)
+const control::NodeEntry* AgentIndex::find(std::string_view aEndpoint) const
+{
+  auto found = mAgents.find(aEndpoint);
+  return found == mAgents.end() ? nullptr : found->second;
+}
+
+StatusReader::StatusReader(const Snapshot& aSnapshot, const control::NodeTable& aNodes)
+  : mSnapshot(aSnapshot)
+  , mNodes(aNodes)
+  , mAgents(aNodes)
+{
+}
+
+std::vector<Condition> StatusReader::conditionsOf(const Resource& aResource) const
 {
-  return std::visit(Evaluator(aSnapshot, aNodes, aResource), aResource.spec);
+  return std::visit(Evaluator(mSnapshot, mNodes, mAgents, aResource), aResource.spec);
 }
 
 } // namespace boragepitch::rollout
