--- a/libs/gateway/tests/GatewayFixture.h
+++ b/libs/gateway/tests/GatewayFixture.h
@@ -215,15 +215,15 @@
         ::listen(mListener, 64) != 0) {
       throw std::runtime_error("proxy cannot listen");
     }
-    mThreads.emplace_back([this] { accept(); });
+    mAcceptor = std::thread([this] { accept(); });
   }
 
   ~SilencingProxy()
   {
     mStopping = true;
-    mThreads.front().join();
-    for (size_t i = 1; i < mThreads.size(); ++i) {
-      mThreads[i].join();
+    mAcceptor.join();
+    for (std::thread& thread : mThreads) {
+      thread.join();
     }
     ::close(mListener);
   }
@@ -296,7 +296,8 @@
   int mListener = -1;
   std::atomic<int> mEpoch{ 0 };
   std::atomic<bool> mStopping{ false };
-  std::vector<std::thread> mThreads;
+  std::vector<std::thread> mThreads; ///< Of the connections; added to by the acceptor.
+  std::thread mAcceptor;
 };
 
 /** One endpoint: engine, agent gateway and data server. */
--- a/libs/gateway/tests/ServiceTest.cpp
+++ b/libs/gateway/tests/ServiceTest.cpp
@@ -90,17 +90,19 @@
   for (int round = 0; round < 5; ++round) {
     std::string name = "seat-" + std::to_string(round);
     table.loseAnswers = 2;
+    std::atomic<int> proper{ 0 };
     std::vector<std::thread> callers;
     for (int i = 0; i < 8; ++i) {
       callers.emplace_back([&, i] {
         auto response = entries[i % 2]->book(name, name);
-        BOOST_TEST(response.has_value());
-        BOOST_TEST((response->status == 201 || response->status == 409));
+        bool answered = response && (response->status == 201 || response->status == 409);
+        proper += answered ? 1 : 0;
       });
     }
     for (auto& caller : callers) {
       caller.join();
     }
+    BOOST_TEST(proper == 8);
     BOOST_TEST(executions(name) == 1);
   }
 }
--- a/libs/routing/tests/EndpointTest.cpp
+++ b/libs/routing/tests/EndpointTest.cpp
@@ -80,7 +80,8 @@
       auto* chosen = choice->choose(
         *table, { .model = "m", .manifest = kNew, .zone = "z0" }, base::TimePoint(1h), rng);
       RC_ASSERT((chosen == nullptr) == good.empty());
-      RC_ASSERT(chosen == nullptr || good.contains(chosen->name));
+      bool fits = chosen == nullptr || good.contains(chosen->name);
+      RC_ASSERT(fits);
     }
   }
 }
