Prune claims that have not changed for a time

Outcomes are kept on the table service and would accumulate for ever. Age is counted from the observer's own monotonic clock, so no wall-clock times are compared.

--- a/libs/routing/include/routing/ClaimStore.h
+++ b/libs/routing/include/routing/ClaimStore.h
@@ -105,4 +105,24 @@
   std::unique_ptr<Impl> mImpl;
 };
 
+/**
+ * Removes claims that have not changed for a time. One process of the fleet runs it, such as the
+ * holder of the planner lease. Not thread-safe.
+ */
+class ClaimPruner
+{
+public:
+  /** @param aTable outlives this object; @param aAge how long outcomes are kept. */
+  ClaimPruner(platform::TableClient& aTable, base::Duration aAge, size_t aMaxTracked = 100'000);
+  ~ClaimPruner();
+
+  /** Reads one page of claims and removes the old ones among them in one transaction; returns how
+   * many. Call it about once a second. */
+  base::Result<size_t> step(base::TimePoint aNow);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
 } // namespace boragepitch::routing
--- /dev/null
+++ b/libs/routing/src/ClaimPruner.cpp
@@ -0,0 +1,69 @@
+#include <algorithm>
+
+#include "routing/ClaimCore.h"
+#include "routing/ClaimStore.h"
+
+namespace boragepitch::routing {
+
+namespace {
+
+constexpr size_t kPage = 256;       ///< Rows of one scan.
+constexpr size_t kMostDeletes = 64; ///< Rows of one transaction.
+
+} // namespace
+
+struct ClaimPruner::Impl
+{
+  Impl(platform::TableClient& aTable, base::Duration aAge, size_t aMaxTracked)
+    : table(aTable)
+    , core(aAge, aMaxTracked)
+  {
+  }
+
+  platform::TableClient& table;
+  PruneCore core;
+  std::string after;
+  uint64_t transactions = 0;
+};
+
+ClaimPruner::ClaimPruner(platform::TableClient& aTable, base::Duration aAge, size_t aMaxTracked)
+  : mImpl(std::make_unique<Impl>(aTable, aAge, aMaxTracked))
+{
+}
+
+ClaimPruner::~ClaimPruner() = default;
+
+base::Result<size_t> ClaimPruner::step(base::TimePoint aNow)
+{
+  auto rows = mImpl->table.scan("claim/", mImpl->after, kPage);
+  if (!rows) {
+    return tl::make_unexpected(rows.error());
+  }
+  auto old = mImpl->core.observe(*rows, aNow);
+  bool partial = old.size() > kMostDeletes;
+  old.resize(std::min(old.size(), kMostDeletes));
+  // A page with more old rows than one transaction takes is read again.
+  if (!partial) {
+    mImpl->after = rows->size() < kPage ? std::string() : rows->back().key;
+  }
+  if (old.empty()) {
+    return 0;
+  }
+  platform::Transaction transaction;
+  transaction.id = "prune-" + std::to_string(++mImpl->transactions);
+  transaction.checks = old;
+  for (const platform::Check& check : old) {
+    transaction.deletes.push_back(check.key);
+  }
+  auto committed = mImpl->table.commit(transaction);
+  if (!committed && committed.error().kind != base::ErrorKind::Conflict) {
+    return tl::make_unexpected(committed.error());
+  }
+  // After a conflict one of the rows changed; the next scan tells which.
+  for (const platform::Check& check : old) {
+    mImpl->core.forget(check.key);
+  }
+  return committed ? old.size() : 0;
+}
+
+} // namespace boragepitch::routing
--- a/libs/routing/tests/ClaimTest.cpp
+++ b/libs/routing/tests/ClaimTest.cpp
@@ -202,3 +202,34 @@
   table.away = false;
   BOOST_TEST(store.acquire("w", "k", "f", 20s)->acquired);
 }
+
+// Guards against outcomes that are never removed, and against removing one before its time.
+BOOST_AUTO_TEST_CASE(prunerRemovesOldClaims)
+{
+  test::FakeTable table;
+  base::TimePoint now{ 1h };
+  auto put = [&](const std::string& aKey) {
+    BOOST_REQUIRE(
+      table.commit({ .id = "t", .checks = { { aKey, 0 } }, .puts = { { aKey, "v" } } }));
+  };
+  for (int i = 0; i < 300; ++i) {
+    put("claim/w/" + std::to_string(i));
+  }
+  put("res/Zone/a");
+  ClaimPruner pruner(table, 10min);
+  auto sweep = [&] {
+    size_t removed = 0;
+    for (int i = 0; i < 20; ++i) {
+      auto count = pruner.step(now);
+      removed += count ? *count : 0;
+    }
+    return removed;
+  };
+  BOOST_TEST(sweep() == 0);
+  now += 9min;
+  put("claim/w/young");
+  BOOST_TEST(sweep() == 0);
+  now += 2min;
+  BOOST_TEST(sweep() == 300);
+  BOOST_TEST(table.scan("", "", 1000)->size() == 2);
+}
