--- a/libs/gateway/tests/GatewayFixture.h
+++ b/libs/gateway/tests/GatewayFixture.h
@@ -82,6 +82,7 @@
   std::atomic<int> tokenMs{ 1 };
   std::atomic<int> cuts{ 0 }; ///< Next streams are cut after cutAfter events.
   std::atomic<int> cutAfter{ 3 };
+  std::atomic<int> lingerMs{ 0 }; ///< A request counts this much longer than its stream.
   std::atomic<bool> holdStreams{ false };
   std::atomic<bool> foreignManifest{ false };
   std::atomic<int> most{ 0 }; ///< Most requests at once.
@@ -104,15 +105,21 @@
 
   struct Busy
   {
-    explicit Busy(std::atomic<int>& aNow)
+    Busy(std::atomic<int>& aNow, int aLingerMs)
       : now(aNow)
+      , lingerMs(aLingerMs)
       , count(++aNow)
     {
     }
-    ~Busy() { --now; }
+    ~Busy()
+    {
+      std::this_thread::sleep_for(std::chrono::milliseconds(lingerMs));
+      --now;
+    }
     Busy(const Busy&) = delete;
     Busy& operator=(const Busy&) = delete;
     std::atomic<int>& now;
+    int lingerMs;
     int count;
   };
 
@@ -120,7 +127,7 @@
   {
     auto body = base::parseJson(aRequest.body);
     std::string id = base::stringOr(*body, "requestId");
-    auto busy = std::make_shared<Busy>(now);
+    auto busy = std::make_shared<Busy>(now, lingerMs);
     ++begun;
     for (int seen = most; busy->count > seen && !most.compare_exchange_weak(seen, busy->count);) {
     }
--- a/libs/gateway/tests/GenerateTest.cpp
+++ b/libs/gateway/tests/GenerateTest.cpp
@@ -233,6 +233,7 @@
 {
   for (auto& endpoint : endpoints) {
     endpoint->engine.cold = true;
+    endpoint->engine.lingerMs = 5;
     endpoint->serve();
   }
   std::atomic<int> whole{ 0 };
