--- /dev/null
+++ b/libs/gateway/src/GenerateSession.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "EntryCore.h"
+#include "routing/StreamAssembler.h"
+
+namespace boragepitch::gateway {
+
+constexpr base::Duration kAvoidClosed = std::chrono::seconds(1);
+constexpr base::Duration kAvoidLoaded = std::chrono::milliseconds(100);
+
+/** The final refusal of a request that was in flight at two engine crashes. */
+Refusal poisonRefusal();
+
+/** How an attempt ended. */
+enum class AttemptEnd
+{
+  Done,       ///< The caller has the whole stream.
+  CallerLeft, ///< Nobody reads it any more.
+  NotRun,     ///< Refused or not reached; another endpoint may take it.
+  Final,      ///< Refused for good; see the refusal.
+  Cut,        ///< May be resumed.
+};
+
+/** A generate request from its first attempt to its last event. */
+class GenerateSession
+{
+public:
+  GenerateSession(std::shared_ptr<EntryCore> aCore, CallerRequest aCaller, std::string aModel)
+    : mCore(std::move(aCore))
+    , mCaller(std::move(aCaller))
+    , mModel(std::move(aModel))
+    , mStarted(mCore, mCaller.workspace)
+  {
+  }
+  ~GenerateSession() { closeAttempt(); }
+  GenerateSession(const GenerateSession&) = delete;
+  GenerateSession& operator=(const GenerateSession&) = delete;
+
+  std::optional<Refusal> parse(const std::string& aBody);
+  /** Tries endpoints until the first event is there. */
+  std::optional<Refusal> untilFirstEvent();
+  net::StreamEnd stream(net::StreamWriter& aWriter);
+
+private:
+  AttemptEnd attempt(net::StreamWriter* aWriter);
+  bool chooseEndpoint();
+  void startCall();
+  std::string body() const;
+  AttemptEnd pump(net::StreamWriter* aWriter);
+  AttemptEnd onHead();
+  AttemptEnd onRefusedHead();
+  std::optional<AttemptEnd> onData(const std::string& aData, net::StreamWriter* aWriter);
+  std::optional<AttemptEnd> onSilence(net::StreamWriter* aWriter);
+  bool isDead();
+  AttemptEnd onBroken();
+  AttemptEnd broken();
+  void noteCrash(const std::string& aCrashId);
+  void closeAttempt();
+  bool mayTryAgain(AttemptEnd aEnd);
+  bool late() const { return std::chrono::steady_clock::now() >= mCaller.deadline; }
+  void succeed();
+  net::StreamEnd giveUp(net::StreamWriter& aWriter);
+  Refusal lastRefusal() const;
+
+  std::shared_ptr<EntryCore> mCore;
+  CallerRequest mCaller;
+  std::string mModel;
+  StartedRequest mStarted;
+  std::string mPrompt;
+  int64_t mMaxTokens = 0;
+  std::string mFingerprint;
+  uint64_t mPrefix = 0;
+
+  routing::StreamAssembler mAssembler;
+  std::string mReady; ///< Whole events that the caller's stream has yet to send.
+  std::vector<std::string> mExcluded;
+  std::set<std::string> mCrashes;
+  std::optional<Refusal> mRefusal;
+  int mAttempts = 0;
+  int mCuts = 0;
+  bool mMayHaveRun = false;
+  /** False after attempts that cost the fleet nothing: unreachable endpoints and those that are
+   * switching versions or leaving. */
+  bool mChargeRetry = true;
+  std::optional<base::TimePoint> mCutAt;
+
+  // The attempt under way.
+  std::shared_ptr<const routing::EndpointInfo> mEndpoint;
+  std::shared_ptr<UpstreamCall> mCall;
+  std::string mRunId;
+  std::string mManifest;
+  uint64_t mReceived = 0;
+  uint64_t mReceivedAtProbe = 0;
+  int mProbes = 0;
+  bool mHeadSeen = false;
+  bool mCallEnded = false;
+};
+
+} // namespace boragepitch::gateway
