--- a/libs/gateway/tests/GatewayFixture.h
+++ b/libs/gateway/tests/GatewayFixture.h
@@ -82,6 +82,7 @@
   std::atomic<int> tokenMs{ 1 };
   std::atomic<int> cuts{ 0 }; ///< Next streams are cut after cutAfter events.
   std::atomic<int> cutAfter{ 3 };
+  std::atomic<int> lingerMs{ 0 }; ///< A request counts this much longer than its stream.
   std::atomic<bool> holdStreams{ false };
   std::atomic<bool> foreignManifest{ false };
   std::atomic<int> most{ 0 }; ///< Most requests at once.
@@ -104,15 +105,21 @@
 
   struct Busy
   {
-    explicit Busy(std::atomic<int>& aNow)
+    Busy(std::atomic<int>& aNow, int aLingerMs)
       : now(aNow)
+      , lingerMs(aLingerMs)
       , count(++aNow)
     {
     }
-    ~Busy() { --now; }
+    ~Busy()
+    {
+      std::this_thread::sleep_for(std::chrono::milliseconds(lingerMs));
+      --now;
+    }
     Busy(const Busy&) = delete;
     Busy& operator=(const Busy&) = delete;
     std::atomic<int>& now;
+    int lingerMs;
     int count;
   };
 
@@ -120,7 +127,7 @@
   {
     auto body = base::parseJson(aRequest.body);
     std::string id = base::stringOr(*body, "requestId");
-    auto busy = std::make_shared<Busy>(now);
+    auto busy = std::make_shared<Busy>(now, lingerMs);
     ++begun;
     for (int seen = most; busy->count > seen && !most.compare_exchange_weak(seen, busy->count);) {
     }
@@ -215,15 +222,15 @@
         ::listen(mListener, 64) != 0) {
       throw std::runtime_error("proxy cannot listen");
     }
-    mThreads.emplace_back([this] { accept(); });
+    mAcceptor = std::thread([this] { accept(); });
   }
 
   ~SilencingProxy()
   {
     mStopping = true;
-    mThreads.front().join();
-    for (size_t i = 1; i < mThreads.size(); ++i) {
-      mThreads[i].join();
+    mAcceptor.join();
+    for (std::thread& thread : mThreads) {
+      thread.join();
     }
     ::close(mListener);
   }
@@ -296,7 +303,8 @@
   int mListener = -1;
   std::atomic<int> mEpoch{ 0 };
   std::atomic<bool> mStopping{ false };
-  std::vector<std::thread> mThreads;
+  std::vector<std::thread> mThreads; ///< Of the connections; added to by the acceptor.
+  std::thread mAcceptor;
 };
 
 /** One endpoint: engine, agent gateway and data server. */
