--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -76,14 +76,15 @@
         """Declares the placement as one transaction."""
         apply_batch(self.fleet, self.placement(**placement))
 
-    def declare_version(self, blob, min_available=50, chunk_bytes=CHUNK_BYTES, **serving):
-        """Publishes the manifest of generated weights and declares them as served everywhere; returns their SHA-256."""
+    def declare_version(self, blob, min_available=50, chunk_bytes=CHUNK_BYTES, entry=None, **serving):
+        """Publishes the manifest of generated weights and declares them as served everywhere, through the first entry
+        unless another is given; returns their SHA-256."""
         spec, digest = self.fleet.put_manifest(blob, chunk_bytes)
         version = blob.split("/")[1]
         self.fleet.apply([
             {"kind": "ModelVersion", "name": f"{self.model}-{version}", "spec": spec},
             resource("Serving", self.model, model=self.model, version=version, minAvailable=min_available, **serving),
-        ])
+        ], entry)
         return digest
 
     def set_zone(self, zone, in_service, entry=None):
--- /dev/null
+++ b/tests/integration/streams.py
@@ -0,0 +1,141 @@
+"""Model streams under poison prompts, silent connections, cut streams and cold engines."""
+
+import threading
+import time
+import unittest
+
+from support import Deployment, IntegrationTest, expected_tokens, wait_until
+
+MODEL_BYTES = 1 << 20
+ZONES = ["fraser", "okanagan", "island"]
+# "At once" for a final answer that needs no engine, with room for a busy machine.
+AT_ONCE_SECONDS = 3
+
+
+class Streams(IntegrationTest):
+    def start(self, models=6, proxied=False, **engines):
+        self.fleet.start_platform(blobs=[f"drafter/v1:{MODEL_BYTES}:1"])
+        deployment = Deployment(self.fleet, ZONES, models=0 if proxied else models, engines=engines)
+        if proxied:
+            self._add_proxied_models(deployment, models, engines)
+        self.fleet.wait_live()
+        deployment.declare()
+        self.digest = deployment.declare_version("drafter/v1")
+        deployment.wait_serving("v1")
+        deployment.wait_ready()
+        self.wait_warm(deployment)
+        return deployment
+
+    def _add_proxied_models(self, deployment, count, engines):
+        """Endpoints whose agents reach their engines through self.proxy."""
+        zones = [ZONES[i % 3] for i in range(count)]
+        deployment.engine_addresses = self.fleet.add_engines("engines", zones, **engines)
+        self.proxy = self.fleet.start_proxy(deployment.engine_addresses)
+        for i, (zone, address) in enumerate(zip(zones, deployment.engine_addresses)):
+            ini = {"engine": {"address": self.proxy.links[i][0]}}
+            deployment._add_agent(f"drafter-{i + 1}", zone, address, "model", ini)
+        self.fleet.publish_vms()
+
+    @staticmethod
+    def wait_warm(deployment):
+        wait_until(lambda: not any(state["cold"] for state in deployment.engine_states()), 60, "all engines are warm")
+
+    @staticmethod
+    def instances(deployment):
+        return wait_until(lambda: [state["instance"] for state in deployment.engine_states()], 60, "all engines run")
+
+    def test_poison_prompt_crashes_at_most_two_endpoints(self):
+        """Guards against a prompt that crashes every endpoint as its caller repeats it at every entry (F10), against a
+        late final answer, and against harm to the other requests at the crashed engines."""
+        deployment = self.start()
+        before = self.instances(deployment)
+        load = self.start_load(deployment, ["v1"])
+        first, _ = self.fleet.generate(self.fleet.entries()[0], "drafter", "please CRASH", 10)
+        self.assertEqual((first.status, first.headers["X-Ran"]), (422, "yes"), first)
+        for entry in self.fleet.entries() * 2:
+            started = time.monotonic()
+            response, _ = self.fleet.generate(entry, "drafter", "please CRASH", 10)
+            self.assertEqual((response.status, response.headers["X-Ran"]), (422, "yes"), (entry.name, response))
+            self.assertLess(time.monotonic() - started, AT_ONCE_SECONDS)
+        deployment.wait_serving("v1")
+        after = self.instances(deployment)
+        self.assertLessEqual(sum(a != b for a, b in zip(before, after)), 2)
+        self.check_load(load.stop(), refused_percent=1)
+
+    def test_silent_connections_to_engines_are_found(self):
+        """Guards against streams that hang on a connection that went silent while new ones work (F11, P4), twice in a
+        row (F12)."""
+        deployment = self.start(proxied=True, token_ms=10)
+        results = []
+
+        def ask(number):
+            results.append(self.fleet.generate(self.fleet.entries()[number % 3], "drafter", f"long {number}", 300))
+
+        threads = [threading.Thread(target=ask, args=(i,)) for i in range(9)]
+        for thread in threads:
+            thread.start()
+        load = self.start_load(deployment, ["v1"], deadline_ms=40000)
+        for _ in range(2):
+            self.wait_running(deployment, 9)
+            self.proxy.fault(silence="open")
+        for thread in threads:
+            thread.join()
+        for response, events in results:
+            self.assertEqual(response.status, 200, response)
+            self.assertEqual([event["event"] for event in events], ["message"] * 300 + ["done"])
+        self.check_load(load.stop(), refused_percent=1)
+        self.check_answers("drafter", self.digest)
+
+    @staticmethod
+    def wait_running(deployment, count):
+        wait_until(lambda: sum(state["running"] for state in deployment.engine_states()) >= count, 60,
+                   f"{count} streams run")
+
+    def test_cut_streams_are_resumed_whole(self):
+        """Guards against a caller that sees a cut, doubled or skipped event when engines cut streams (P4)."""
+        deployment = self.start()
+        load = self.start_load(deployment, ["v1"])
+        expected = expected_tokens(self.fleet, self.digest, "cut me", 40)
+        for i in range(6):
+            self.fleet.fault(deployment.engine_addresses[i % 6], cut=2)
+            response, events = self.fleet.generate(self.fleet.entries()[i % 3], "drafter", "cut me", 40)
+            self.assertEqual(response.status, 200, response)
+            self.assertEqual(self.tokens(events), expected)
+        self.check_load(load.stop())
+
+    def test_engines_that_return_cold_are_not_overloaded(self):
+        """Guards against more work for an endpoint that returns cold than it survives (P2, F5): engines that restart
+        and a whole zone that turned cold while it was out of service."""
+        deployment = self.start(cold_ms=4000)
+        load = self.start_load(deployment, ["v1"], rate=60, min_tokens=60)
+        self.fleet.fault(deployment.engine_addresses[0], die=True)
+        wait_until(lambda: deployment.serving_count("v1") < 6, 30, "the engine lost its memory")
+        deployment.wait_serving("v1")
+        self.wait_warm(deployment)
+        before = self.instances(deployment)
+        deployment.set_zone("island", False)
+        island = [a for a, agent in zip(deployment.engine_addresses, self.fleet.agents()) if agent.zone == "island"]
+        wait_until(lambda: sum(s["running"] for a, s in zip(deployment.engine_addresses, deployment.engine_states())
+                               if a in island) == 0, 30, "the zone is idle")
+        for address in island:
+            self.fleet.fault(address, turnCold=True)
+        deployment.set_zone("island", True)
+        self.wait_warm(deployment)
+        self.assertEqual(self.instances(deployment), before, "an engine died of overload")
+        self.check_load(load.stop(), refused_percent=1)
+
+    def test_busy_engine_that_turns_cold_is_not_overloaded(self):
+        """Guards against new work for a busy engine that turned cold without warning (P2, F5)."""
+        deployment = self.start(cold_ms=3000)
+        load = self.start_load(deployment, ["v1"], rate=60, min_tokens=60)
+        before = self.instances(deployment)
+        for address in deployment.engine_addresses[:3]:
+            self.wait_running(deployment, 10)
+            self.fleet.fault(address, turnCold=True)
+            self.wait_warm(deployment)
+        self.assertEqual(self.instances(deployment), before, "an engine died of overload")
+        self.check_load(load.stop(), refused_percent=1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/integration/support.py
+++ b/tests/integration/support.py
@@ -6,13 +6,15 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 sys.path.insert(0, str(ROOT / "scripts"))
 
 import localfleet  # noqa: E402
-from deployment import Deployment  # noqa: E402
+from deployment import CHUNK_BYTES, Deployment, Load, resource  # noqa: E402, F401
+from localfleet import OPERATOR_KEY, check_ok, http_call, wait_until  # noqa: E402, F401
 
 BIN = os.environ.get("BP_BIN", str(ROOT / "build/bin"))
 
@@ -24,6 +26,37 @@
             for i in range(count)]
 
 
+class ChainedLoad:
+    """Runs bp-load over and over, with the next seed each time, until stop(); stop() returns the summed counts."""
+
+    ROUND_SECONDS = 2
+    COUNTS = ("answered", "refused", "failed", "unreachable", "lost", "cut", "doubled", "mixed", "wrong", "sent",
+              "dropped", "answeredInTime")
+
+    def __init__(self, fleet, model, entries, **options):
+        self._fleet = fleet
+        self._model = model
+        self._entries = entries
+        self._options = {"rate": 15, "deadline_ms": 20000, "retries": 3, "min_tokens": 4, "max_tokens": 60, **options}
+        self._stop = threading.Event()
+        self.rounds = []
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def _run(self):
+        seed = 1
+        while not self._stop.is_set():
+            load = Load(self._fleet, self._model, self._entries, f"load-{seed}", seed=seed,
+                        seconds=self.ROUND_SECONDS, **self._options)
+            self.rounds.append(load.result())
+            seed += 1
+
+    def stop(self):
+        self._stop.set()
+        self._thread.join()
+        return {name: sum(one[name] for one in self.rounds) for name in self.COUNTS}
+
+
 class IntegrationTest(unittest.TestCase):
     def setUp(self):
         self._logs = tempfile.TemporaryDirectory(prefix="bp-test-")
@@ -50,6 +83,38 @@
         self.fleet.wait_live()
         return deployment
 
+    def start_load(self, deployment, versions, entries=None, **options):
+        """Load on the model's entries in which every token must come from one of these versions."""
+        expected = [f"{version}={self.fleet.digests(f'{deployment.model}/{version}', CHUNK_BYTES)['sha256']}"
+                    for version in versions]
+        load = ChainedLoad(self.fleet, deployment.model, entries or self.fleet.entries(), expect=expected, **options)
+        self.addCleanup(load.stop)
+        return load
+
+    def check_load(self, counts, refused_percent=0):
+        """Nothing lost, cut, doubled, mixed or wrong, and at most this share refused."""
+        for outcome in ("mixed", "wrong", "doubled", "cut", "lost", "failed", "dropped"):
+            self.assertEqual(counts[outcome], 0, counts)
+        self.assertGreater(counts["answered"], 0, counts)
+        self.assertLessEqual(counts["refused"] + counts["unreachable"], counts["sent"] * refused_percent / 100, counts)
+
+    def check_answers(self, model, digest, prompt="hoop spec", count=20):
+        """Every entry answers with the tokens of exactly the weights with this SHA-256."""
+        expected = expected_tokens(self.fleet, digest, prompt, count)
+        for entry in self.fleet.entries():
+            response, events = self.fleet.generate(entry, model, prompt, count)
+            self.assertEqual(response.status, 200, response)
+            self.assertEqual(self.tokens(events), expected, entry.name)
+            self.assertEqual(events[-1]["event"], "done")
+
+    def origin_bytes(self):
+        return self.fleet.stats("objects")["bytesSent"]
+
+    @staticmethod
+    def metric(nodes, name):
+        """Sum of one metric over processes that run."""
+        return sum(node.metrics().get(name, 0) for node in nodes if node.process.alive())
+
     @staticmethod
     def tokens(events):
         return [str(json.loads(event["data"])["token"]) for event in events if event["event"] == "message"]
@@ -58,11 +123,11 @@
         """Waits until every entry routes calls to a service."""
         for i, entry in enumerate(self.fleet.entries()):
             key = f"warm-up-{i}"
-            localfleet.wait_until(lambda e=entry, k=key: self.call_service(e, service, path, b"", key=k).status == 200,
+            wait_until(lambda e=entry, k=key: self.call_service(e, service, path, b"", key=k).status == 200,
                                   60, f"{entry.name} routes to {service}", 0.1)
 
     def call_service(self, entry, service, path, body, key=None, method="POST", headers=None):
         headers = {"X-Workspace": "shop-1", **(headers or {})}
         if key:
             headers["Idempotency-Key"] = key
-        return localfleet.http_call(method, entry.url(f"/v1/services/{service}/{path}"), body, headers)
+        return http_call(method, entry.url(f"/v1/services/{service}/{path}"), body, headers)
--- /dev/null
+++ b/tests/integration/weight_crashes.py
@@ -0,0 +1,73 @@
+"""Agents and engines that die while weights move or after they were loaded, and rollback."""
+
+import unittest
+
+from support import CHUNK_BYTES, IntegrationTest, http_call, resource, wait_until
+
+MODEL_BYTES = 8 << 20
+BLOBS = [f"drafter/v{i}:{MODEL_BYTES}:{i}" for i in (1, 2)]
+
+
+class WeightCrashes(IntegrationTest):
+    def start(self):
+        deployment = self.deploy(["fraser", "okanagan", "island"], models=6, blobs=BLOBS)
+        deployment.declare()
+        deployment.declare_version("drafter/v1")
+        deployment.wait_serving("v1")
+        deployment.wait_ready()
+        return deployment
+
+    @staticmethod
+    def is_fetching(agent):
+        rows = http_call("GET", agent.url("/progress")).json()
+        return any(0 < row["chunksHeld"] < row["chunks"] for row in rows)
+
+    def test_agents_killed_during_a_transfer_are_replaced(self):
+        """Guards against partial weights, or none, when agents die in a transfer and others take their place (F1, P1),
+        twice in a row (F12)."""
+        deployment = self.start()
+        self.fleet.fault("objects", rate=4 << 20)
+        load = self.start_load(deployment, ["v1", "v2"])
+        digest = deployment.declare_version("drafter/v2")
+        agent = self.fleet.agents()[0]
+        for _ in range(2):
+            wait_until(lambda: self.is_fetching(agent), 60, "the agent holds a part of v2")
+            agent.process.kill()
+            agent.start()
+        deployment.wait_serving("v2")
+        deployment.wait_ready()
+        self.check_load(load.stop(), refused_percent=1)
+        self.check_answers("drafter", digest)
+
+    def test_engine_that_dies_after_loading_gets_the_weights_from_neighbours(self):
+        """Guards against serving from an engine whose memory is lost, and against drawing the model from the origin
+        again for it (F1, F5, P1)."""
+        deployment = self.start()
+        load = self.start_load(deployment, ["v1"])
+        before = self.origin_bytes()
+        engine = deployment.engine_addresses[0]
+        for _ in range(2):
+            self.fleet.fault(engine, die=True)
+            wait_until(lambda: deployment.serving_count("v1") < 6, 30, "the engine lost its memory")
+            deployment.wait_serving("v1")
+        deployment.wait_ready()
+        self.check_load(load.stop(), refused_percent=1)
+        self.assertEqual(self.origin_bytes(), before)
+
+    def test_rollback_draws_nothing(self):
+        """Guards against a rollback that waits for the origin, here during its outage, or serves a mixture (P1)."""
+        deployment = self.start()
+        load = self.start_load(deployment, ["v1", "v2"])
+        deployment.declare_version("drafter/v2")
+        deployment.wait_serving("v2")
+        before = self.origin_bytes()
+        self.fleet.apply([resource("Serving", "drafter", model="drafter", version="v1", minAvailable=50)])
+        deployment.wait_serving("v1")
+        deployment.wait_ready()
+        self.check_load(load.stop())
+        self.assertEqual(self.origin_bytes(), before)
+        self.check_answers("drafter", self.fleet.digests("drafter/v1", CHUNK_BYTES)["sha256"])
+
+
+if __name__ == "__main__":
+    unittest.main()
