Trust "never ran" only from an agent that knows the attempt's whole time

Cause: when an agent was killed during a booking and replaced, the entry asked the new process for the attempt, which did not know it and promised that it never ran; the entry then ran the call at another endpoint, so it ran twice. The same answer was possible once an agent had forgotten a run because of its bound on ended runs.

Ruled out: the claim in the table (its key was claimed once) and the caller's own repeats (all went to claimed keys).

Change: the agent reports how long its knowledge of runs is complete (its start, or the newest forgotten run), and the entry takes "neverRan" as such only when that is longer than the attempt is old; otherwise the outcome is unknown.

--- a/libs/gateway/src/AgentCore.cpp
+++ b/libs/gateway/src/AgentCore.cpp
@@ -39,7 +39,7 @@
   : options(std::move(aOptions))
   , metrics(aMetrics)
   , gate({})
-  , runs(options.limits.maxOutcomes)
+  , runs(options.limits.maxOutcomes, std::chrono::steady_clock::now())
   , pool(relayOptions())
 {
   updateGate();
--- a/libs/gateway/src/AgentGateway.cpp
+++ b/libs/gateway/src/AgentGateway.cpp
@@ -87,15 +87,20 @@
     return response;
   }
 
-  /** "neverRan" is a promise: the id is refused when it arrives later. */
+  /**
+   * "neverRan" is a promise: the id is refused when it arrives later. It covers attempts that began
+   * at most knownForMs ago, since this process may have replaced the one that ran an earlier one.
+   */
   static net::HttpResponse cancel(AgentCore& aCore, const std::string& aId)
   {
-    bool remembered = aCore.runs.cancel(aId, std::chrono::steady_clock::now());
+    auto now = std::chrono::steady_clock::now();
+    bool remembered = aCore.runs.cancel(aId, now);
     if (auto run = aCore.runs.find(aId)) {
       return describe(run);
     }
     Json::Value value;
     value["state"] = remembered ? "neverRan" : "unknown";
+    value["knownForMs"] = Json::Int64(base::toMilliseconds(now - aCore.runs.completeSince()));
     net::HttpResponse response;
     response.body = base::writeJson(value);
     return response;
--- a/libs/gateway/src/AgentGenerate.cpp
+++ b/libs/gateway/src/AgentGenerate.cpp
@@ -359,7 +359,7 @@
     response.headers.emplace_back(kClosed, "1");
     return response;
   }
-  auto run = aCore->runs.add(attempt->id, attempt->fingerprint);
+  auto run = aCore->runs.add(attempt->id, attempt->fingerprint, std::chrono::steady_clock::now());
   if (!run) {
     return aCore->refuse({ Verdict::Refused, "request id was used or cancelled before", {} });
   }
--- a/libs/gateway/src/AgentService.cpp
+++ b/libs/gateway/src/AgentService.cpp
@@ -113,7 +113,7 @@
     response.headers.emplace_back(kClosed, "1");
     return response;
   }
-  auto run = aCore->runs.add(attempt->id, attempt->fingerprint);
+  auto run = aCore->runs.add(attempt->id, attempt->fingerprint, std::chrono::steady_clock::now());
   if (!run) {
     Refusal refusal;
     refusal.status = 409;
--- a/libs/gateway/src/EntryService.cpp
+++ b/libs/gateway/src/EntryService.cpp
@@ -81,6 +81,7 @@
   net::ClientRequest toAgent() const;
   CallResult fromHead(const net::ClientResponse& aHead, std::string aBody);
   CallResult recover(const net::Address& aAgent);
+  bool neverRan(const Json::Value& aState) const;
   bool late() const { return std::chrono::steady_clock::now() >= mCaller.deadline; }
 
   EntryCore& mCore;
@@ -90,6 +91,7 @@
   int mAttempts = 0;
   bool mChargeRetry = true;
   std::string mRunId;
+  base::TimePoint mAttemptStarted;
   std::vector<std::string> mExcluded;
 };
 
@@ -150,6 +152,7 @@
 CallResult ServiceSession::attempt(const routing::EndpointInfo& aEndpoint)
 {
   mRunId = mCaller.runId + "." + std::to_string(++mAttempts);
+  mAttemptStarted = std::chrono::steady_clock::now();
   mChargeRetry = true;
   // A connection of its own: on a kept one that the agent has just closed, a call could not be told
   // from one that ran.
@@ -218,6 +221,14 @@
   return result;
 }
 
+/** An agent that started after the attempt cannot know whether the agent before it ran the call. */
+bool ServiceSession::neverRan(const Json::Value& aState) const
+{
+  auto age = base::toMilliseconds(std::chrono::steady_clock::now() - mAttemptStarted);
+  return base::stringOr(aState, "state") == "neverRan" &&
+         base::intOr(aState, "knownForMs", 0) > age + 1;
+}
+
 /** Asks the agent what became of an attempt whose answer did not arrive. */
 CallResult ServiceSession::recover(const net::Address& aAgent)
 {
@@ -231,7 +242,7 @@
     // one that runs.
     auto state = mCore.askAgent(aAgent, "DELETE", mRunId);
     std::string known = state ? base::stringOr(*state, "state") : "";
-    if (known == "neverRan" || known == "refused") {
+    if (known == "refused" || (state && neverRan(*state))) {
       result.ran = Ran::No;
       result.message = "the call did not reach its service";
       return result;
--- a/libs/gateway/src/RunTable.cpp
+++ b/libs/gateway/src/RunTable.cpp
@@ -1,5 +1,7 @@
 #include "RunTable.h"
 
+#include <algorithm>
+
 #include "Messages.h"
 
 namespace boragepitch::gateway {
@@ -63,14 +65,18 @@
   return value;
 }
 
-RunTable::RunTable(size_t aMaxEnded)
+RunTable::RunTable(size_t aMaxEnded, base::TimePoint aNow)
   : mMaxEnded(aMaxEnded)
+  , mCompleteSince(aNow)
 {
 }
 
-std::shared_ptr<Run> RunTable::add(const std::string& aId, const std::string& aFingerprint)
+std::shared_ptr<Run> RunTable::add(const std::string& aId,
+                                   const std::string& aFingerprint,
+                                   base::TimePoint aNow)
 {
   auto run = std::make_shared<Run>();
+  run->added = aNow;
   run->id = aId;
   run->fingerprint = aFingerprint;
   std::lock_guard lock(mMutex);
@@ -85,11 +91,21 @@
   std::lock_guard lock(mMutex);
   mEnded.push_back(aRun->id);
   if (mEnded.size() > mMaxEnded) {
-    mRuns.erase(mEnded.front());
+    auto oldest = mRuns.find(mEnded.front());
+    if (oldest != mRuns.end()) {
+      mCompleteSince = std::max(mCompleteSince, oldest->second->added);
+      mRuns.erase(oldest);
+    }
     mEnded.pop_front();
   }
 }
 
+base::TimePoint RunTable::completeSince()
+{
+  std::lock_guard lock(mMutex);
+  return mCompleteSince;
+}
+
 std::shared_ptr<Run> RunTable::find(const std::string& aId)
 {
   std::lock_guard lock(mMutex);
--- a/libs/gateway/src/RunTable.h
+++ b/libs/gateway/src/RunTable.h
@@ -32,6 +32,7 @@
 {
   std::string id;
   std::string fingerprint;
+  base::TimePoint added; ///< When it arrived.
   std::atomic<RunState> state{ RunState::Queued };
   std::atomic<uint64_t> bytes{ 0 }; ///< Of the body, handed to the connection.
   std::atomic<bool> cancelled{ false };
@@ -54,10 +55,12 @@
 class RunTable
 {
 public:
-  explicit RunTable(size_t aMaxEnded);
+  RunTable(size_t aMaxEnded, base::TimePoint aNow);
 
   /** Null when the id was used or cancelled before. */
-  std::shared_ptr<Run> add(const std::string& aId, const std::string& aFingerprint);
+  std::shared_ptr<Run> add(const std::string& aId,
+                           const std::string& aFingerprint,
+                           base::TimePoint aNow);
   /** Counts a run among the ended ones. */
   void ended(const std::shared_ptr<Run>& aRun);
   std::shared_ptr<Run> find(const std::string& aId);
@@ -66,10 +69,13 @@
    * late; false when there is no room to remember it.
    */
   bool cancel(const std::string& aId, base::TimePoint aNow);
+  /** Every run that arrived after this time is still known; earlier ones may be forgotten. */
+  base::TimePoint completeSince();
 
 private:
   const size_t mMaxEnded;
   std::mutex mMutex;
+  base::TimePoint mCompleteSince;
   std::map<std::string, std::shared_ptr<Run>> mRuns;
   std::deque<std::string> mEnded;
   std::set<std::string> mCancelledEarly;
--- a/libs/gateway/tests/ServiceTest.cpp
+++ b/libs/gateway/tests/ServiceTest.cpp
@@ -191,6 +191,7 @@
   auto cancelled = client.send({ .method = "DELETE", .target = "/run/late-1" });
   BOOST_REQUIRE(cancelled);
   BOOST_TEST(cancelled->body.find("neverRan") != std::string::npos);
+  BOOST_TEST(cancelled->body.find("knownForMs") != std::string::npos);
   auto late = client.send({ .method = "POST",
                             .target = "/run/service/call/book",
                             .headers = { { "X-Request-Id", "late-1" } },
