Start no new work without a configuration

Cause: after a restart of the whole fleet with the store down, contact with a majority of regions made the processes fresh, so entries reported ready with revision 0 and would have refused every model with 404 instead of 503.

Ruled out: stale evidence from before the restart; all processes were killed.

Change: mayStartNewWork is false until a configuration is known.

Before: store_faults.py, test_whole_fleet_restarts_while_the_store_is_down fails, entries are ready. After: passes.

--- a/libs/control/src/FleetImpl.cpp
+++ b/libs/control/src/FleetImpl.cpp
@@ -56,8 +56,11 @@
 
 bool FleetImpl::mayStartNewWork(base::TimePoint aNow) const
 {
-  // Right after a pause the evidence still looks as it did before; the missing tick tells.
-  return aNow < mFreshUntil.load() && aNow - mLastTick.load() <= mSettings.pauseLimit;
+  // A process that has no configuration yet cannot tell an unknown model from one that it has not
+  // heard of. Right after a pause the evidence still looks as it did before; the missing tick
+  // tells.
+  return mConfig.load()->revision() > 0 && aNow < mFreshUntil.load() &&
+         aNow - mLastTick.load() <= mSettings.pauseLimit;
 }
 
 void FleetImpl::publish(NodeState aSelf)
