--- a/scripts/localfleet.py
+++ b/scripts/localfleet.py
@@ -241,13 +241,13 @@
 
     # Stand-ins
 
-    def start_platform(self, blobs=(), rate=0, writes_per_s=400, reads_per_s=2000, vm_lag_ms=0):
+    def start_platform(self, blobs=(), rate=0, writes_per_s=400, reads_per_s=2000, vm_lag_ms=0, root=None):
         """Starts the table service, object and weight store and VM list. rate in bytes a second;
-        blobs as name/version:size:seed."""
+        blobs as name/version:size:seed; root is a folder of weight files name/version."""
         self.platform = {name: self.platform_address(name) for name in ("table", "objects", "vms")}
         options = {
             "table": [f"--writes-per-s={writes_per_s}", f"--reads-per-s={reads_per_s}"],
-            "objects": [f"--rate={rate}"] + [f"--blob={blob}" for blob in blobs],
+            "objects": [f"--rate={rate}", *([f"--root={root}"] if root else []), *(f"--blob={blob}" for blob in blobs)],
             "vms": [f"--lag-ms={vm_lag_ms}"],
         }
         for name, address in self.platform.items():
