Hold back the final answer to a poison request until every entry knows it

Cause: the 422 after the second crash reached the caller within a few ms, but the news of the crashes needed up to 66 ms (measured on a local fleet of 9) to reach the other entries, so a caller that repeated the prompt at each entry crashed two engines through every one of them.

Ruled out: overload of cold engines (all were warm), lost news (every process knew it within 66 ms).

Change: the entry that saw two crashes waits 250 ms before the final answer.

--- a/libs/gateway/src/EntryGenerate.cpp
+++ b/libs/gateway/src/EntryGenerate.cpp
@@ -18,6 +18,11 @@
 /** How long a stream that was cut looks for an endpoint to resume on. */
 constexpr base::Duration kResumeWindow = std::chrono::seconds(5);
 constexpr base::Duration kResumePause = std::chrono::milliseconds(50);
+/**
+ * Held back after a second crash, so that every entry knows the request as poison before its caller
+ * can repeat it. News of a crash took up to 66 ms to reach all entries of a local fleet.
+ */
+constexpr base::Duration kPoisonNotice = std::chrono::milliseconds(250);
 /** Probes without progress after which an engine counts as stalled. */
 constexpr int kStalledProbes = 5;
 
@@ -413,6 +418,7 @@
   ++mCuts;
   if (mCrashes.size() >= 2) {
     mRefusal = poisonRefusal();
+    std::this_thread::sleep_for(kPoisonNotice);
     return AttemptEnd::Final;
   }
   return AttemptEnd::Cut;
