Ask peers again when a host has lost its memory

Cause: after an engine died, the bitmaps of its peers were those of the end of its own first transfer, when peers still lacked chunks; such chunks looked absent from the region, so the importer drew them from the origin again.

Ruled out: starvation and importer timeouts (the transfer restarts both clocks when the host is ready).

Change: hostLost() forgets the bitmaps and who has answered, so that peers are asked at once and before any import.

--- a/libs/weights/src/TransferCore.cpp
+++ b/libs/weights/src/TransferCore.cpp
@@ -107,6 +107,12 @@
     task.inFlight = Bitmap(task.own.size());
     task.retryAt = aNow;
     ++task.version;
+    // What peers held is known from the end of the last fetch only. Without a bitmap they are asked
+    // at once, and nothing is imported before.
+    task.answered.clear();
+    for (PeerView& view : task.peers) {
+      view.have = Bitmap();
+    }
   }
 }
 
