--- a/libs/control/include/control/NodeState.h
+++ b/libs/control/include/control/NodeState.h
@@ -59,6 +59,8 @@
   std::string endpoint;              ///< Name of the endpoint beside it; empty for an entry.
   std::vector<std::string> held;     ///< Manifest ids that are whole on this VM.
   std::vector<std::string> fetching; ///< Manifest ids in progress.
+  /** Manifest ids whose bytes at the origin differ from the manifest. */
+  std::vector<std::string> originChanged;
   std::vector<Served> serving;
   std::string instance; ///< Boot id of the engine.
   bool cold = true;
--- a/libs/control/src/NodeCodec.cpp
+++ b/libs/control/src/NodeCodec.cpp
@@ -159,6 +159,7 @@
   put(value, "instance", aState.instance);
   put(value, "held", aState.held);
   put(value, "fetching", aState.fetching);
+  put(value, "originChanged", aState.originChanged);
   for (const Served& served : aState.serving) {
     Json::Value item(Json::arrayValue);
     item.append(served.model);
@@ -200,6 +201,7 @@
     return malformed("control");
   }
   if (!takeList(aValue, "held", state.held) || !takeList(aValue, "fetching", state.fetching) ||
+      !takeList(aValue, "originChanged", state.originChanged) ||
       !takeList(aValue, "serving", state.serving) ||
       !takeList(aValue, "suspects", state.suspects)) {
     return malformed("serving");
--- a/libs/control/tests/CoresTest.cpp
+++ b/libs/control/tests/CoresTest.cpp
@@ -207,6 +207,7 @@
   state.endpoint = "e";
   state.held = { "m1", "m2" };
   state.fetching = { "m3" };
+  state.originChanged = { "m4" };
   state.serving = { { "model", "1", "m1" } };
   state.instance = "boot";
   state.cold = false;
--- a/libs/rollout/src/Status.cpp
+++ b/libs/rollout/src/Status.cpp
@@ -133,8 +133,10 @@
   {
     uint64_t held = 0;
     uint64_t fetching = 0;
+    uint64_t originChanged = 0;
     for (const auto& [id, entry] : mNodes) {
       if (entry.liveness == control::Liveness::Alive) {
+        originChanged += isIn(entry.state.originChanged, aModel.manifest) ? 1 : 0;
         held += isIn(entry.state.held, aModel.manifest) ? 1 : 0;
         fetching += isIn(entry.state.fetching, aModel.manifest) ? 1 : 0;
       }
@@ -142,7 +144,13 @@
     Condition condition{ "Held", held > 0 && fetching == 0, "Held", "", held, held + fetching };
     condition.reason = fetching > 0 ? "FetchingWeights" : held > 0 ? "Held" : "NotWanted";
     condition.message = countText(held, held + fetching) + " VMs that want it hold it";
-    return { condition };
+    Condition origin{ "OriginChanged", originChanged > 0, "BytesMatch", "", originChanged, 0 };
+    if (origin.status) {
+      origin.reason = "BytesDiffer";
+      origin.message = "the weight store's bytes differ from the manifest; restore the blob or "
+                       "declare a new version with its own manifest";
+    }
+    return { condition, origin };
   }
 
   std::vector<Condition> operator()(const Rollout& aRollout) const
--- a/tests/integration/thin_path.py
+++ b/tests/integration/thin_path.py
@@ -12,6 +12,8 @@
         """Guards against any part of the path from a declaration to an answer being missing."""
         deployment = self.deploy(["fraser", "okanagan", "island"], models=6, services={"millbook": 3},
                                  blobs=[f"drafter/v1:{MODEL_BYTES}:1"])
+        # Before the first declaration the balancer must already reach the resource API.
+        self.fleet.wait_ready(self.fleet.entries())
         deployment.declare()
         digest = deployment.declare_version("drafter/v1")
         deployment.wait_serving("v1")
--- a/tools/agent/EndpointController.cpp
+++ b/tools/agent/EndpointController.cpp
@@ -33,10 +33,10 @@
 bool sameRecord(const control::NodeState& aLeft, const control::NodeState& aRight)
 {
   return aLeft.phase == aRight.phase && aLeft.held == aRight.held &&
-         aLeft.fetching == aRight.fetching && aLeft.serving == aRight.serving &&
-         aLeft.instance == aRight.instance && aLeft.cold == aRight.cold &&
-         aLeft.coldLimit == aRight.coldLimit && aLeft.warmLimit == aRight.warmLimit &&
-         aLeft.suspects == aRight.suspects;
+         aLeft.fetching == aRight.fetching && aLeft.originChanged == aRight.originChanged &&
+         aLeft.serving == aRight.serving && aLeft.instance == aRight.instance &&
+         aLeft.cold == aRight.cold && aLeft.coldLimit == aRight.coldLimit &&
+         aLeft.warmLimit == aRight.warmLimit && aLeft.suspects == aRight.suspects;
 }
 
 } // namespace
@@ -143,11 +143,7 @@
   auto snapshot = mParts.fleet.config();
   auto desired = rollout::desiredState(*snapshot, mSettings.name);
   auto held = mParts.distributor.held();
-  if (snapshot->revision() != mDeclaredRevision || held != mDeclaredHeld) {
-    declareWanted(*snapshot, desired);
-    mDeclaredRevision = snapshot->revision();
-    mDeclaredHeld = held;
-  }
+  declareWanted(*snapshot, desired, held);
   rollout::Action action;
   {
     std::lock_guard lock(mMutex);
@@ -160,28 +156,40 @@
   applyAdmission(*snapshot);
   act(action);
   applyAdmission(*snapshot);
-  publishIfChanged();
+  publishIfChanged(aNow);
 }
 
 void EndpointController::declareWanted(const resources::Snapshot& aSnapshot,
-                                       const rollout::DesiredState& aDesired)
+                                       const rollout::DesiredState& aDesired,
+                                       const std::vector<std::string>& aHeld)
 {
-  auto held = mParts.distributor.held();
+  std::vector<rollout::WantedManifest> manifests;
+  {
+    std::lock_guard lock(mMutex);
+    manifests = rollout::manifestsToHold(aDesired, mCore.loaded());
+  }
+  // Previous versions are kept while the host has room, but never fetched again.
+  std::erase_if(manifests, [&](const rollout::WantedManifest& aManifest) {
+    return !aManifest.required &&
+           !std::binary_search(aHeld.begin(), aHeld.end(), aManifest.manifest);
+  });
+  if (manifests == mDeclared && aSnapshot.revision() == mDeclaredRevision) {
+    return;
+  }
+  mDeclared = manifests;
+  mDeclaredRevision = aSnapshot.revision();
   std::vector<weights::Wanted> wanted;
-  for (const rollout::WantedManifest& manifest : aDesired.manifests) {
-    bool isHeld = std::find(held.begin(), held.end(), manifest.manifest) != held.end();
-    auto id = weights::ManifestId::parse(manifest.manifest);
-    if (!id || (!manifest.required && !isHeld)) {
-      continue;
+  for (const rollout::WantedManifest& manifest : manifests) {
+    if (auto id = weights::ManifestId::parse(manifest.manifest)) {
+      weights::Wanted entry;
+      entry.manifest = *id;
+      entry.originName = manifest.origin;
+      entry.urgency = manifest.urgency;
+      // Only the order of these times counts; revisions give the same order on every VM.
+      entry.since = base::TimePoint(base::Milliseconds(manifest.since));
+      addAudience(aSnapshot, entry, manifest.model);
+      wanted.push_back(std::move(entry));
     }
-    weights::Wanted entry;
-    entry.manifest = *id;
-    entry.originName = manifest.origin;
-    entry.urgency = manifest.urgency;
-    // Only the order of these times counts; revisions give the same order on every VM.
-    entry.since = base::TimePoint(base::Milliseconds(manifest.since));
-    addAudience(aSnapshot, entry, manifest.model);
-    wanted.push_back(std::move(entry));
   }
   mParts.distributor.want(std::move(wanted));
 }
@@ -287,13 +295,19 @@
   }
 }
 
-void EndpointController::publishIfChanged()
+void EndpointController::publishIfChanged(base::TimePoint aNow)
 {
   control::NodeState self;
   {
     std::lock_guard lock(mMutex);
     mSelf.held = mParts.distributor.held();
     mSelf.fetching = mParts.distributor.fetching();
+    mSelf.originChanged.clear();
+    for (const weights::Progress& one : mParts.distributor.progress(aNow)) {
+      if (one.state == weights::TransferState::OriginChanged) {
+        mSelf.originChanged.push_back(one.manifest.toString());
+      }
+    }
     self = mSelf;
   }
   if (sameRecord(self, mPublished)) {
--- a/tools/agent/EndpointController.h
+++ b/tools/agent/EndpointController.h
@@ -56,12 +56,14 @@
 private:
   void run();
   void update(base::TimePoint aNow);
-  void declareWanted(const resources::Snapshot& aSnapshot, const rollout::DesiredState& aDesired);
+  void declareWanted(const resources::Snapshot& aSnapshot,
+                     const rollout::DesiredState& aDesired,
+                     const std::vector<std::string>& aHeld);
   void act(const rollout::Action& aAction);
   void readEngine();
   void takeEpoch(uint64_t aAtLeast);
   void applyAdmission(const resources::Snapshot& aSnapshot);
-  void publishIfChanged();
+  void publishIfChanged(base::TimePoint aNow);
 
   EndpointParts mParts;
   EndpointSettings mSettings;
@@ -69,7 +71,7 @@
   rollout::ActivationCore mCore;
   ReportedEngine mReported;
   uint64_t mDeclaredRevision = 0;
-  std::vector<std::string> mDeclaredHeld;
+  std::vector<rollout::WantedManifest> mDeclared;
   bool mDraining = false;
   control::NodeState mPublished;
 
--- a/tools/bpctl/src/ReadCommands.cpp
+++ b/tools/bpctl/src/ReadCommands.cpp
@@ -254,6 +254,14 @@
                  << progressBar(done, total) << "  " << base::intOr(one, "vmsDone", 0) << " of "
                  << base::intOr(one, "vmsTotal", 0) << " VMs hold it\n";
   }
+  for (const Json::Value& vm : (*body)["vms"]) {
+    auto held = static_cast<uint64_t>(base::intOr(vm, "bytesHeld", 0));
+    aStreams.out << "  " << base::stringOr(vm, "endpoint") << " "
+                 << progressBar(held, static_cast<uint64_t>(base::intOr(vm, "bytes", 0))) << "  "
+                 << base::stringOr(vm, "state") << ", expected in "
+                 << base::intOr(vm, "expectedMs", 0) / 1000 << " s "
+                 << base::stringOr(vm, "blockedBy") << "\n";
+  }
   return ExitCode::Done;
 }
 
--- a/tools/entry/EntrySettings.cpp
+++ b/tools/entry/EntrySettings.cpp
@@ -13,6 +13,11 @@
       "operators", "Operator keys by name; each authorizes writes to the resource API.", 16)
     .duration("planner.lease", "Duration of the planner lease.", 1000, 600000, 6000)
     .duration("planner.interval", "Between two rounds of the planner.", 20, 60000, 200)
+    .duration("claims.keep",
+              "How long outcomes of calls are kept for repeats of their key.",
+              60000,
+              604800000,
+              86400000)
     .integer("limits.connections", "Most connections of callers.", "connections", 1, 65536, 1024)
     .integer("limits.body_bytes", "Largest request body.", "bytes", 1024, 256 << 20, 4 << 20)
     .duration(
--- a/tools/entry/PlannerLoop.cpp
+++ b/tools/entry/PlannerLoop.cpp
@@ -2,10 +2,18 @@
 
 #include "StoreAdapter.h"
 #include "rollout/Planner.h"
+#include "routing/ClaimStore.h"
 #include "telemetry/Log.h"
 
 namespace boragepitch::tools {
 
+namespace {
+
+// One page of claims a second keeps far below the table service's read rate.
+constexpr auto kPruneInterval = std::chrono::seconds(1);
+
+} // namespace
+
 FencedTable::FencedTable(platform::LeaseRunner& aLease, platform::TableClient& aTable)
   : mLease(aLease)
   , mTable(aTable)
@@ -34,16 +42,20 @@
 {
   uint64_t fencing = 0;
   rollout::Planner planner;
+  std::unique_ptr<routing::ClaimPruner> claims;
+  base::TimePoint prunedAt{};
 };
 
 PlannerLoop::PlannerLoop(control::Fleet& aFleet,
                          platform::LeaseRunner& aLease,
                          control::ConfigStore& aStore,
-                         base::Milliseconds aInterval)
+                         platform::TableClient& aTable,
+                         PlannerSettings aSettings)
   : mFleet(aFleet)
   , mLease(aLease)
   , mStore(aStore)
-  , mInterval(aInterval)
+  , mTable(aTable)
+  , mSettings(aSettings)
 {
 }
 
@@ -85,8 +97,9 @@
     mWoken = false;
     lock.unlock();
     planOnce();
+    pruneClaims();
     lock.lock();
-    mWake.wait_for(lock, mInterval, [this] { return mWoken || mStopping; });
+    mWake.wait_for(lock, mSettings.interval, [this] { return mWoken || mStopping; });
   }
 }
 
@@ -101,6 +114,7 @@
   if (!mRound || mRound->fencing != fencing) {
     mRound = std::make_unique<Round>();
     mRound->fencing = fencing;
+    mRound->claims = std::make_unique<routing::ClaimPruner>(mTable, mSettings.claimAge);
     telemetry::logEvent(
       telemetry::Level::Info, "planner_started", { { "fencing", std::to_string(fencing) } });
   }
@@ -124,4 +138,15 @@
     telemetry::Level::Info, "plan_written", { { "revision", std::to_string(entry->revision) } });
 }
 
+void PlannerLoop::pruneClaims()
+{
+  auto now = std::chrono::steady_clock::now();
+  if (!mRound || now - mRound->prunedAt < kPruneInterval) {
+    return;
+  }
+  mRound->prunedAt = now;
+  // An error is not retried here: the next step reads the same page again.
+  (void)mRound->claims->step(now);
+}
+
 } // namespace boragepitch::tools
--- a/tools/entry/PlannerLoop.h
+++ b/tools/entry/PlannerLoop.h
@@ -29,7 +29,13 @@
   platform::TableClient& mTable;
 };
 
-/** Runs the rollout planner while this entry holds the planner lease. */
+struct PlannerSettings
+{
+  base::Milliseconds interval{ 200 };
+  base::Milliseconds claimAge{ 86'400'000 }; ///< Outcomes of calls are removed after this.
+};
+
+/** Runs the rollout planner, and removes old claims, while this entry holds the planner lease. */
 class PlannerLoop
 {
 public:
@@ -37,7 +43,8 @@
   PlannerLoop(control::Fleet& aFleet,
               platform::LeaseRunner& aLease,
               control::ConfigStore& aStore,
-              base::Milliseconds aInterval);
+              platform::TableClient& aTable,
+              PlannerSettings aSettings);
   ~PlannerLoop();
 
   void start();
@@ -47,11 +54,13 @@
 private:
   void run();
   void planOnce();
+  void pruneClaims();
 
   control::Fleet& mFleet;
   platform::LeaseRunner& mLease;
   control::ConfigStore& mStore;
-  base::Milliseconds mInterval;
+  platform::TableClient& mTable;
+  PlannerSettings mSettings;
   struct Round;
   std::unique_ptr<Round> mRound;
 
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -3,6 +3,7 @@
 #include "Daemon.h"
 #include "EntrySettings.h"
 #include "PlannerLoop.h"
+#include "ProgressReport.h"
 #include "SharedSettings.h"
 #include "StoreAdapter.h"
 #include "api/ResourceApi.h"
@@ -168,8 +169,10 @@
                .build();
     mFencedTable = std::make_unique<tools::FencedTable>(*mLease, *mTable);
     mPlannerStore = makeStore(*mFencedTable, "-planner");
-    mPlanner = std::make_unique<tools::PlannerLoop>(
-      *mFleet, *mLease, *mPlannerStore, mSettings.duration("planner.interval"));
+    tools::PlannerSettings settings{ .interval = mSettings.duration("planner.interval"),
+                                     .claimAge = mSettings.duration("claims.keep") };
+    mPlanner =
+      std::make_unique<tools::PlannerLoop>(*mFleet, *mLease, *mPlannerStore, *mTable, settings);
     mFleet->onConfigChange([this] { mPlanner->wake(); });
   }
 
@@ -189,7 +192,7 @@
              .store(*mStoreAdapter)
              .fleet(*mFleet)
              .operatorKeys(std::move(keys))
-             .progress([this] { return progress(); })
+             .progress([this] { return tools::progressReport(*mFleet); })
              .build();
     mApi->attach(*mPublicServer);
     gateway::EntryLimits limits;
@@ -212,36 +215,11 @@
 
   bool isReady() const { return !mLeaving && mFleet->mayStartNewWork(mClock.now()); }
 
-  /** What each agent holds and serves; bytes and expected times are at GET /progress of the agents.
-   */
-  Json::Value progress() const
+  /** An empty fleet takes no requests, but the balancer must reach its resource API for the first
+   * declaration. */
+  bool awaitsFirstDeclaration() const
   {
-    Json::Value list(Json::arrayValue);
-    for (const auto& [id, node] : *mFleet->nodes()) {
-      if (node.state.kind != control::NodeKind::Agent) {
-        continue;
-      }
-      Json::Value row;
-      row["node"] = id;
-      row["endpoint"] = node.state.endpoint;
-      row["zone"] = node.state.zone;
-      row["control"] = node.state.controlAddress.toString();
-      row["alive"] = node.liveness == control::Liveness::Alive;
-      row["held"] = Json::arrayValue;
-      row["fetching"] = Json::arrayValue;
-      row["serving"] = Json::arrayValue;
-      for (const std::string& manifest : node.state.held) {
-        row["held"].append(manifest);
-      }
-      for (const std::string& manifest : node.state.fetching) {
-        row["fetching"].append(manifest);
-      }
-      for (const control::Served& served : node.state.serving) {
-        row["serving"].append(served.model + "/" + served.version);
-      }
-      list.append(row);
-    }
-    return list;
+    return mFleet->config()->revision() == 0 && mStore->revision() == 0U;
   }
 
   const settings::Settings& mSettings;
