--- a/samples/embed/main.cpp
+++ b/samples/embed/main.cpp
@@ -23,7 +23,7 @@
             << " chunks\n";
 
   resources::Snapshot::Map declared;
-  auto declare = [&](std::string aKind, std::string aName, resources::Spec aSpec) {
+  auto declare = [&](const std::string& aKind, const std::string& aName, resources::Spec aSpec) {
     declared[{ aKind, aName }] = std::make_shared<resources::Resource>(
       resources::Resource{ aKind, aName, 1, std::move(aSpec) });
   };
