--- a/tests/integration/support.py
+++ b/tests/integration/support.py
@@ -113,6 +113,18 @@
     def origin_bytes(self):
         return self.fleet.stats("objects")["bytesSent"]
 
+    def revisions(self):
+        return [node.dump()["fleet"]["revision"] for node in self.fleet.nodes if node.process.alive()]
+
+    def wait_one_revision(self, at_least=1, timeout=30):
+        """Waits until every process has the same configuration; returns its revision."""
+
+        def same():
+            revisions = self.revisions()
+            return revisions[0] if len(set(revisions)) == 1 and revisions[0] >= at_least else None
+
+        return wait_until(same, timeout, "all processes have the same revision", 0.1)
+
     @staticmethod
     def metric(nodes, name):
         """Sum of one metric over processes that run."""
