Tell the other entries of a crash directly before the final answer to a poison request

Cause: news of crashes spread by gossip alone, which took up to 66 ms to the other entries of a fleet of 9. A caller that repeated the prompt at once at another entry crashed further engines.

At the second crash the 422 goes out when the entries have acknowledged, at the latest after 100 ms. Crashes that other entries reported count towards the two.

--- a/libs/gateway/include/gateway/EntryGateway.h
+++ b/libs/gateway/include/gateway/EntryGateway.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <future>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <json/value.h>
 
@@ -23,8 +26,10 @@
   base::Milliseconds probeTimeout{ 300 };     ///< For each probe and cancellation.
   base::Milliseconds claimTimeout{ 2000 };    ///< For each step of a claim.
   base::Milliseconds refreshEvery{ 20 };      ///< Period of reading the fleet view.
-  int maxAttempts = 4;                        ///< Endpoints tried for one request.
-  size_t maxAnswerBytes = 16 << 20;           ///< Largest response of a service call.
+  /** Longest wait for the other entries to know a second crash before the final response. */
+  base::Milliseconds noticeLimit{ 100 };
+  int maxAttempts = 4;              ///< Endpoints tried for one request.
+  size_t maxAnswerBytes = 16 << 20; ///< Largest response of a service call.
   int maxConcurrency = 4096;
   double retryRatio = 0.1; ///< Retries allowed for each first try.
   double retryReserve = 10;
@@ -38,6 +43,10 @@
 class EntryGateway
 {
 public:
+  /** Starts telling the other entries which crashes a request was in flight at; must not block. The
+   * future is ready when every live entry has acknowledged or failed to. */
+  using SuspectNotice = std::function<std::shared_future<void>(std::vector<control::Suspect>)>;
+
   class Builder
   {
   public:
@@ -52,6 +61,8 @@
     Builder& limits(EntryLimits aLimits);
     /** Replaces power of two choices, for comparisons. */
     Builder& choice(std::unique_ptr<routing::EndpointChoice> aChoice);
+    /** Optional: without it, other entries learn of crashes from node records alone. */
+    Builder& suspectNotice(SuspectNotice aNotice);
     Builder& seed(uint64_t aSeed);
     std::unique_ptr<EntryGateway> build();
 
@@ -65,6 +76,7 @@
     std::string mRegion;
     EntryLimits mLimits;
     std::unique_ptr<routing::EndpointChoice> mChoice;
+    SuspectNotice mNotice;
     uint64_t mSeed = 1;
   };
 
@@ -74,6 +86,8 @@
   virtual void attach(net::HttpServer& aServer) = 0;
   /** Reads the fleet view now instead of at the next period. */
   virtual void refresh() = 0;
+  /** Takes in a notice of another entry. */
+  virtual void learnSuspects(const std::vector<control::Suspect>& aSuspects) = 0;
   /** From now on refuses new requests with X-Ran: no; those in flight are finished. */
   virtual void startLeaving() = 0;
   /** Requests in flight. */
--- a/libs/gateway/src/EntryCore.cpp
+++ b/libs/gateway/src/EntryCore.cpp
@@ -227,6 +227,12 @@
   return mPoison.suspicion(aFingerprint);
 }
 
+void EntryCore::learnSuspect(const control::Suspect& aSuspect)
+{
+  std::lock_guard lock(mMutex);
+  mPoison.learn(aSuspect, std::chrono::steady_clock::now());
+}
+
 bool EntryCore::isAlive(const std::string& aNodeId) const
 {
   auto nodes = options.fleet->nodes();
--- a/libs/gateway/src/EntryCore.h
+++ b/libs/gateway/src/EntryCore.h
@@ -28,6 +28,7 @@
   std::string region;
   EntryLimits limits;
   uint64_t seed = 1;
+  EntryGateway::SuspectNotice suspectNotice;
 };
 
 struct EntryMetrics
@@ -82,6 +83,7 @@
   void finish(const std::string& aWorkspace, bool aAnswered, bool aOverloaded);
   bool tryRetry();
   routing::Suspicion suspicion(const std::string& aFingerprint);
+  void learnSuspect(const control::Suspect& aSuspect);
   bool isAlive(const std::string& aNodeId) const;
 
   /** GET or DELETE /run/<id> at an agent, on a new connection. */
--- a/libs/gateway/src/EntryGateway.cpp
+++ b/libs/gateway/src/EntryGateway.cpp
@@ -45,6 +45,12 @@
   }
 
   void refresh() override { mCore->refresh(); }
+  void learnSuspects(const std::vector<control::Suspect>& aSuspects) override
+  {
+    for (const control::Suspect& suspect : aSuspects) {
+      mCore->learnSuspect(suspect);
+    }
+  }
   void startLeaving() override { mCore->setLeaving(); }
   size_t inFlight() const override { return mCore->inFlight(); }
   bool waitIdle(base::Milliseconds aLimit) override
@@ -115,6 +121,12 @@
   return *this;
 }
 
+EntryGateway::Builder& EntryGateway::Builder::suspectNotice(SuspectNotice aNotice)
+{
+  mNotice = std::move(aNotice);
+  return *this;
+}
+
 EntryGateway::Builder& EntryGateway::Builder::seed(uint64_t aSeed)
 {
   mSeed = aSeed;
@@ -126,7 +138,7 @@
   if (mFleet == nullptr || mTable == nullptr || mMetrics == nullptr || mNodeId.empty()) {
     throw std::invalid_argument("EntryGateway needs fleet, table, metrics and place");
   }
-  EntryOptions options{ mFleet, mTable, mNodeId, mZone, mRegion, mLimits, mSeed };
+  EntryOptions options{ mFleet, mTable, mNodeId, mZone, mRegion, mLimits, mSeed, mNotice };
   return std::make_unique<EntryGatewayImpl>(std::move(options), *mMetrics, std::move(mChoice));
 }
 
--- a/libs/gateway/src/GenerateAttempt.cpp
+++ b/libs/gateway/src/GenerateAttempt.cpp
@@ -103,6 +103,10 @@
 
 AttemptEnd GenerateSession::attempt(net::StreamWriter* aWriter)
 {
+  if (!mCrashes.empty() && isPoison()) {
+    mRefusal = poisonRefusal();
+    return AttemptEnd::Final;
+  }
   if (!chooseEndpoint()) {
     return AttemptEnd::NotRun;
   }
@@ -290,17 +294,49 @@
   mExcluded.push_back(mEndpoint->name);
   mCutAt = std::chrono::steady_clock::now();
   ++mCuts;
-  if (mCrashes.size() >= 2) {
+  if (isPoison()) {
     mRefusal = poisonRefusal();
+    awaitNotice();
     return AttemptEnd::Final;
   }
   return AttemptEnd::Cut;
 }
 
+/** Crashes that other entries met count as well: the caller may have been there before. */
+bool GenerateSession::isPoison() const
+{
+  return mCrashes.size() >= 2 || mCore->suspicion(mFingerprint) == routing::Suspicion::Poison;
+}
+
 void GenerateSession::noteCrash(const std::string& aCrashId)
 {
-  if (!aCrashId.empty()) {
-    mCrashes.insert(aCrashId);
+  if (aCrashId.empty() || !mCrashes.insert(aCrashId).second) {
+    return;
+  }
+  mCore->learnSuspect({ mFingerprint, aCrashId });
+  tellEntries();
+}
+
+/** Goes on beside the next attempt, so that the first crash is known when a second one happens. */
+void GenerateSession::tellEntries()
+{
+  if (!mCore->options.suspectNotice) {
+    return;
+  }
+  std::vector<control::Suspect> suspects;
+  for (const std::string& crash : mCrashes) {
+    suspects.push_back({ mFingerprint, crash });
+  }
+  mNoticeUntil = std::chrono::steady_clock::now() + mCore->options.limits.noticeLimit;
+  mNotice = mCore->options.suspectNotice(std::move(suspects));
+}
+
+/** Without this a caller that repeats the request at once could crash a third engine through an
+ * entry that does not know of the crashes. */
+void GenerateSession::awaitNotice()
+{
+  if (mNotice.valid()) {
+    mNotice.wait_until(mNoticeUntil);
   }
 }
 
--- a/libs/gateway/src/GenerateSession.h
+++ b/libs/gateway/src/GenerateSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <future>
 #include <memory>
 #include <optional>
 #include <set>
@@ -61,6 +62,9 @@
   AttemptEnd onBroken();
   AttemptEnd broken();
   void noteCrash(const std::string& aCrashId);
+  void tellEntries();
+  bool isPoison() const;
+  void awaitNotice();
   void closeAttempt();
   bool mayTryAgain(AttemptEnd aEnd);
   bool late() const { return std::chrono::steady_clock::now() >= mCaller.deadline; }
@@ -81,6 +85,8 @@
   std::string mReady; ///< Whole events that the caller's stream has yet to send.
   std::vector<std::string> mExcluded;
   std::set<std::string> mCrashes;
+  std::shared_future<void> mNotice; ///< Of the newest crash; covers the earlier ones.
+  base::TimePoint mNoticeUntil;
   std::optional<Refusal> mRefusal;
   int mAttempts = 0;
   int mCuts = 0;
--- a/libs/gateway/tests/GatewayFixture.h
+++ b/libs/gateway/tests/GatewayFixture.h
@@ -358,7 +358,10 @@
 /** An entry gateway on a server for callers. */
 struct TestEntry
 {
-  TestEntry(FakeFleet& aFleet, FakeTable& aTable, const std::string& aName)
+  TestEntry(FakeFleet& aFleet,
+            FakeTable& aTable,
+            const std::string& aName,
+            gateway::EntryGateway::SuspectNotice aNotice = {})
     : address(unusedAddress())
   {
     gateway::EntryLimits limits;
@@ -370,6 +373,7 @@
                 .metrics(metrics)
                 .place(aName, "a", "a")
                 .limits(limits)
+                .suspectNotice(std::move(aNotice))
                 .build();
     server = net::HttpServer::Builder().address(address).maxConnections(512).build();
     gateway->attach(*server);
--- a/libs/gateway/tests/GenerateTest.cpp
+++ b/libs/gateway/tests/GenerateTest.cpp
@@ -228,6 +228,48 @@
   BOOST_TEST(engine(0).boot + engine(1).boot + engine(2).boot - 3 <= 2);
 }
 
+// Guards against a final response to a poison request before the other entries were told of both
+// crashes, and against a wait for an entry that never acknowledges.
+BOOST_FIXTURE_TEST_CASE(tellsOtherEntriesBeforeTheFinalResponse, Fixture)
+{
+  add("e3", "a", kManifest);
+  // The told entry sees node records of its own, in which no crash appears.
+  FakeFleet apart;
+  apart.declare("Serving", "m", resources::Serving{ .model = "m", .version = "1" });
+  for (auto& endpoint : endpoints) {
+    addModelEndpoint(apart, endpoint->name, "a", { "m", "1", kManifest }, endpoint->data);
+  }
+  TestEntry told(apart, table, "entry-told");
+  std::atomic<size_t> most{ 0 };
+  std::promise<void> never;
+  auto unacknowledged = never.get_future().share();
+  TestEntry teller(fleet, table, "entry-teller", [&](std::vector<control::Suspect> aSuspects) {
+    most = std::max(most.load(), aSuspects.size());
+    told.gateway->learnSuspects(aSuspects);
+    return unacknowledged;
+  });
+  std::atomic<bool> stop{ false };
+  std::thread monitor([&] {
+    while (!stop) {
+      for (auto& endpoint : endpoints) {
+        endpoint->serve();
+      }
+      std::this_thread::sleep_for(20ms);
+    }
+  });
+  auto poison = teller.generate("CRASH", 10);
+  size_t toldBefore = most;
+  auto again = told.generate("CRASH", 10);
+  stop = true;
+  monitor.join();
+  BOOST_REQUIRE(poison);
+  BOOST_REQUIRE(again);
+  BOOST_TEST(poison->status == 422);
+  BOOST_TEST(toldBefore == 2U);
+  BOOST_TEST(again->status == 422);
+  BOOST_TEST(engine(0).boot + engine(1).boot + engine(2).boot - 3 == 2);
+}
+
 // Guards against more work than a cold engine survives, whatever the entries send.
 BOOST_FIXTURE_TEST_CASE(coldEngineNeverExceedsItsLimit, Fixture)
 {
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -5,6 +5,7 @@
 #include "PlannerLoop.h"
 #include "SharedSettings.h"
 #include "StoreAdapter.h"
+#include "SuspectNotices.h"
 #include "api/ResourceApi.h"
 #include "base/Json.h"
 #include "gateway/EntryGateway.h"
@@ -151,6 +152,10 @@
                .seed(tools::nodeSeed(mSettings))
                .settings(tools::fleetSettings(mSettings))
                .build();
+    mRpcServer.addMethod(tools::kSuspectsMethod, [this](const Json::Value& aParams) {
+      mGateway->learnSuspects(tools::parseSuspects(aParams));
+      return base::Result<Json::Value>(Json::Value(Json::objectValue));
+    });
     mRpcServer.attach(*mControlServer);
     tools::addControlRoutes(
       *mControlServer, mMetrics, [this] { return dump(); }, [this] { return isReady(); });
@@ -193,6 +198,8 @@
              .build();
     mApi->attach(*mPublicServer);
     gateway::EntryLimits limits;
+    mNotices = std::make_unique<tools::SuspectNotices>(
+      *mFleet, *mAuthenticator, mSelf.id, limits.noticeLimit);
     limits.defaultDeadline = mSettings.duration("limits.default_deadline");
     limits.progressTimeout = mSettings.duration("limits.progress_timeout");
     limits.maxAttempts = static_cast<int>(mSettings.integer("limits.attempts"));
@@ -202,6 +209,9 @@
       .metrics(mMetrics)
       .place(mSelf.id, mSelf.zone, mSelf.region)
       .limits(limits)
+      .suspectNotice([this](const std::vector<control::Suspect>& aSuspects) {
+        return mNotices->tell(aSuspects);
+      })
       .seed(tools::nodeSeed(mSettings));
     if (auto choice = makeChoice(mSettings.text("routing.choice"))) {
       builder.choice(std::move(choice));
@@ -262,6 +272,7 @@
   std::unique_ptr<tools::PlannerLoop> mPlanner;
   std::unique_ptr<tools::StoreAdapter> mStoreAdapter;
   std::unique_ptr<api::ResourceApi> mApi;
+  std::unique_ptr<tools::SuspectNotices> mNotices;
   std::unique_ptr<gateway::EntryGateway> mGateway;
   std::atomic<bool> mLeaving{ false };
   // Servers go first at destruction, since their handlers use everything above.
