Recognise the crash of an engine that still answers for a moment

Cause: an agent asked the engine's state once after a broken connection. A dying engine that still answered with its old instance made the crash look like a cut, so that the poison request was retried as innocent. An entry that found a connection silent did not ask for the crash either.

Change: the agent asks again after 10, 40 and 100 ms; the entry takes the crash from the probe's answer.

--- a/libs/gateway/src/AgentGenerate.cpp
+++ b/libs/gateway/src/AgentGenerate.cpp
@@ -1,3 +1,4 @@
+#include <array>
 #include <thread>
 
 #include "AgentCore.h"
@@ -10,6 +11,12 @@
 using routing::Suspicion;
 using routing::Verdict;
 
+/** Pauses before the engine is asked again after it broke a request off: one that is dying answers
+ * with its old instance for a moment, and a crash that counts as a cut is no mark of a poison
+ * request. */
+constexpr std::array<base::Duration, 3> kCrashRechecks{ std::chrono::milliseconds(10),
+                                                        std::chrono::milliseconds(40),
+                                                        std::chrono::milliseconds(100) };
 constexpr base::Duration kSlice = std::chrono::milliseconds(250); ///< Between looks at the peer.
 
 /** Statuses with which an engine turns down a request that it has not begun. */
@@ -185,6 +192,10 @@
 {
   mCore->metrics.cut.add();
   std::string crash = mCore->checkCrash(mInstance);
+  for (size_t i = 0; crash.empty() && i < kCrashRechecks.size(); ++i) {
+    std::this_thread::sleep_for(kCrashRechecks[i]);
+    crash = mCore->checkCrash(mInstance);
+  }
   if (crash.empty()) {
     end(RunState::Cut);
     return;
--- a/libs/gateway/src/GenerateAttempt.cpp
+++ b/libs/gateway/src/GenerateAttempt.cpp
@@ -255,6 +255,7 @@
     return true;
   }
   std::string state = base::stringOr(*answer, "state");
+  noteCrash(base::stringOr(*answer, "crashId"));
   auto sent = static_cast<uint64_t>(std::max<int64_t>(0, base::intOr(*answer, "bytes", 0)));
   if (state == "queued") {
     return false;
