Order an endpoint's queue by worth and refuse at once what was overtaken

Change: the queue is ordered by the worth of the workspace, then priority, then deadline. A queued request is refused as soon as what is ahead of it makes it late, not only when its own time is up.

--- a/libs/gateway/src/AgentCore.cpp
+++ b/libs/gateway/src/AgentCore.cpp
@@ -277,6 +277,11 @@
   }
   attempt.work.id = ++aCore.lastWork;
   attempt.work.priority = static_cast<int>(*priority);
+  auto config = aCore.options.fleet->config();
+  std::string workspace = aRequest.header(kWorkspace).value_or("");
+  if (const auto* spec = config->spec<resources::Workspace>("Workspace", workspace)) {
+    attempt.work.worth = spec->worth;
+  }
   attempt.work.deadline = std::chrono::steady_clock::now() + base::Milliseconds(*deadline);
   return attempt;
 }
--- a/libs/routing/include/routing/Admission.h
+++ b/libs/routing/include/routing/Admission.h
@@ -15,7 +15,8 @@
 struct Work
 {
   uint64_t id = 0;
-  int priority = 5; ///< 0 to 9; 9 goes first.
+  int worth = 1;    ///< Of a request of its workspace; the greater goes first.
+  int priority = 5; ///< 0 to 9; 9 goes first among requests of the same worth.
   base::TimePoint deadline = base::TimePoint::max();
   bool alone = false; ///< A poison suspect: runs with no other request beside it.
 };
@@ -46,7 +47,9 @@
 /**
  * Decides which requests run at one endpoint. Enforces the limit where the requests of all entries
  * meet: no more than the cold limit run while the endpoint is cold. The queue is bounded and
- * ordered by priority, then deadline. Not thread-safe.
+ * ordered by worth, then priority, then deadline: callers choose their priority, the members of the
+ * workspace its worth. Queued requests that others overtook are refused as soon as they cannot
+ * finish in time. Not thread-safe.
  */
 class Admission
 {
@@ -80,8 +83,8 @@
   bool isCold() const { return mLimits.cold; }
   bool isClosed() const { return !mClosedReason.empty(); }
   int limit() const;
-  /** Expected time until a request of this priority that is offered now starts. */
-  base::Duration expectedWait(int aPriority) const;
+  /** Expected time until a request that is offered now starts. */
+  base::Duration expectedWait(const Work& aWork) const;
 
 private:
   struct Queued
@@ -92,6 +95,7 @@
   struct Order
   {
     bool operator()(const Queued& aLeft, const Queued& aRight) const;
+    bool operator()(const Work& aLeft, const Work& aRight) const;
   };
   using Queue = std::set<Queued, Order>;
 
--- a/libs/routing/src/Admission.cpp
+++ b/libs/routing/src/Admission.cpp
@@ -24,8 +24,13 @@
 
 bool Admission::Order::operator()(const Queued& aLeft, const Queued& aRight) const
 {
-  return std::tuple(-aLeft.work.priority, aLeft.work.deadline, aLeft.work.id) <
-         std::tuple(-aRight.work.priority, aRight.work.deadline, aRight.work.id);
+  return (*this)(aLeft.work, aRight.work);
+}
+
+bool Admission::Order::operator()(const Work& aLeft, const Work& aRight) const
+{
+  return std::tuple(-aLeft.worth, -aLeft.priority, aLeft.deadline, aLeft.id) <
+         std::tuple(-aRight.worth, -aRight.priority, aRight.deadline, aRight.id);
 }
 
 Admission::Admission(AdmissionLimits aLimits)
@@ -52,11 +57,11 @@
   return seconds(rounds * mServiceSeconds);
 }
 
-base::Duration Admission::expectedWait(int aPriority) const
+base::Duration Admission::expectedWait(const Work& aWork) const
 {
   size_t ahead = 0;
   for (const Queued& queued : mQueue) {
-    ahead += queued.work.priority >= aPriority ? 1 : 0;
+    ahead += Order()(queued.work, aWork) ? 1 : 0;
   }
   return mQueue.empty() && running() < limit() ? base::Duration::zero() : waitBehind(ahead);
 }
@@ -82,7 +87,7 @@
     mAloneRuns = aWork.alone;
     return { Verdict::Run, {}, {} };
   }
-  base::Duration wait = expectedWait(aWork.priority);
+  base::Duration wait = expectedWait(aWork);
   if (mQueue.size() >= mLimits.maxQueue) {
     return refuse("queue is full", wait);
   }
@@ -108,10 +113,14 @@
 
 void Admission::refuseLate(Changes& aChanges, base::TimePoint aNow)
 {
+  size_t ahead = 0;
   for (auto it = mQueue.begin(); it != mQueue.end();) {
-    bool tooLong = aNow - it->since > mLimits.maxQueueWait;
-    if (!tooLong && !cannotFinish(it->work, base::Duration::zero(), aNow)) {
+    // The next to start may be about to, whatever the estimate says.
+    base::Duration wait = ahead == 0 ? base::Duration::zero() : waitBehind(ahead);
+    bool tooLong = aNow - it->since + wait > mLimits.maxQueueWait;
+    if (!tooLong && !cannotFinish(it->work, wait, aNow)) {
       ++it;
+      ++ahead;
       continue;
     }
     aChanges.refused.push_back({ it->work.id, "cannot finish in time", waitBehind(mQueue.size()) });
--- a/libs/routing/tests/AdmissionTest.cpp
+++ b/libs/routing/tests/AdmissionTest.cpp
@@ -156,6 +156,37 @@
   BOOST_TEST(changes.started[0] == 3);
 }
 
+// Guards against work of little worth that runs while work of more worth waits, and against a
+// caller that raises its rank by its own priority.
+BOOST_AUTO_TEST_CASE(greaterWorthStartsFirst)
+{
+  base::TimePoint now{ 1h };
+  Admission admission({ .cold = false, .coldLimit = 1, .warmLimit = 1 });
+  admission.offer({ .id = 1 }, now);
+  admission.offer({ .id = 2, .worth = 1, .priority = 9 }, now);
+  admission.offer({ .id = 3, .worth = 10, .priority = 0 }, now);
+  auto changes = admission.finish(1, 0s, now);
+  BOOST_REQUIRE(changes.started.size() == 1);
+  BOOST_TEST(changes.started[0] == 3);
+}
+
+// Guards against holding a request that was overtaken until its deadline is near.
+BOOST_AUTO_TEST_CASE(refusesAtOnceWhatWasOvertaken)
+{
+  base::TimePoint now{ 1h };
+  Admission admission({ .cold = false, .coldLimit = 1, .warmLimit = 1, .maxQueueWait = 10s });
+  admission.offer({ .id = 1 }, now);
+  admission.finish(1, 1s, now);
+  admission.offer({ .id = 2 }, now);
+  BOOST_TEST(
+    (admission.offer({ .id = 3, .deadline = now + 2500ms }, now).verdict == Verdict::Queued));
+  BOOST_TEST(admission.tick(now).refused.empty());
+  admission.offer({ .id = 4, .worth = 5 }, now);
+  auto changes = admission.tick(now);
+  BOOST_REQUIRE(changes.refused.size() == 1);
+  BOOST_TEST(changes.refused[0].id == 3);
+}
+
 // Guards against shares that do not follow weight under contention, and against a large workspace
 // that crowds out a small one.
 RC_BOOST_PROP(sharesFollowWeights, ())
