Refuse responses that cannot finish before their deadline by their length

Cause: agents estimated a request by the mean service time and started it without a look at its deadline when a slot was free. At 120% load long responses and late retries were started and cut at their deadline.

Change: the entry sends the tokens that are left in X-Tokens; the agent estimates by seconds for each token with a margin of 20% and refuses before the start, unless the endpoint is idle.

--- a/libs/gateway/src/AgentCore.cpp
+++ b/libs/gateway/src/AgentCore.cpp
@@ -269,14 +269,18 @@
   constexpr int64_t kLargestDeadline = 24LL * 3600 * 1000;
   auto deadline = integerHeader(
     aRequest.headers, kDeadline, 0, kLargestDeadline, aCore.options.limits.defaultDeadline.count());
-  if (attempt.id.empty() || !priority || !deadline) {
-    return base::fail(base::ErrorKind::Invalid,
-                      "headers",
-                      "X-Request-Id is missing, or X-Priority or X-Deadline-Ms out of range",
-                      "correct the headers");
+  constexpr int64_t kMostTokens = 1 << 20;
+  auto tokens = integerHeader(aRequest.headers, kTokens, 1, kMostTokens, 1);
+  if (attempt.id.empty() || !priority || !deadline || !tokens) {
+    return base::fail(
+      base::ErrorKind::Invalid,
+      "headers",
+      "X-Request-Id is missing, or X-Priority, X-Deadline-Ms or X-Tokens out of range",
+      "correct the headers");
   }
   attempt.work.id = ++aCore.lastWork;
   attempt.work.priority = static_cast<int>(*priority);
+  attempt.work.size = static_cast<double>(*tokens);
   auto config = aCore.options.fleet->config();
   std::string workspace = aRequest.header(kWorkspace).value_or("");
   if (const auto* spec = config->spec<resources::Workspace>("Workspace", workspace)) {
--- a/libs/gateway/src/GenerateAttempt.cpp
+++ b/libs/gateway/src/GenerateAttempt.cpp
@@ -37,6 +37,11 @@
   return base::writeJson(value);
 }
 
+int64_t GenerateSession::tokensLeft() const
+{
+  return std::max<int64_t>(1, mMaxTokens - static_cast<int64_t>(mAssembler.nextEvent()));
+}
+
 bool GenerateSession::chooseEndpoint()
 {
   routing::ChoiceRequest request;
@@ -72,6 +77,7 @@
                       { kRevision, std::to_string(mCore->table()->revision()) },
                       { kFingerprint, mFingerprint },
                       { kPriority, std::to_string(mCaller.priority) },
+                      { kTokens, std::to_string(tokensLeft()) },
                       { kDeadline, std::to_string(std::max(1LL, base::toMilliseconds(left))) },
                       { kWorkspace, mCaller.workspace } };
   if (!mCrashes.empty()) {
--- a/libs/gateway/src/GenerateSession.h
+++ b/libs/gateway/src/GenerateSession.h
@@ -53,6 +53,7 @@
   bool chooseEndpoint();
   void startCall();
   std::string body() const;
+  int64_t tokensLeft() const;
   AttemptEnd pump(net::StreamWriter* aWriter);
   AttemptEnd onHead();
   AttemptEnd onRefusedHead();
--- a/libs/gateway/src/Messages.h
+++ b/libs/gateway/src/Messages.h
@@ -18,6 +18,7 @@
 constexpr const char* kFingerprint = "X-Fingerprint";
 constexpr const char* kPriority = "X-Priority";
 constexpr const char* kDeadline = "X-Deadline-Ms";
+constexpr const char* kTokens = "X-Tokens"; ///< Most tokens that the response has yet to bring.
 constexpr const char* kWorkspace = "X-Workspace";
 constexpr const char* kIdempotencyKey = "Idempotency-Key";
 constexpr const char* kRan = "X-Ran";
--- a/libs/routing/include/routing/Admission.h
+++ b/libs/routing/include/routing/Admission.h
@@ -18,6 +18,7 @@
   int worth = 1;    ///< Of a request of its workspace; the greater goes first.
   int priority = 5; ///< 0 to 9; 9 goes first among requests of the same worth.
   base::TimePoint deadline = base::TimePoint::max();
+  double size = 1;    ///< Expected work in any unit, such as the most tokens of the response.
   bool alone = false; ///< A poison suspect: runs with no other request beside it.
 };
 
@@ -108,11 +109,13 @@
   AdmissionLimits mLimits;
   std::string mClosedReason;
   base::Duration mClosedRetry{ 0 };
-  std::map<uint64_t, bool> mRunning; ///< Id and whether it runs alone.
+  std::map<uint64_t, Work> mRunning;
   bool mAloneRuns = false;
   Queue mQueue;
   std::unordered_map<uint64_t, Queue::iterator> mQueuedById;
-  double mServiceSeconds = 0; ///< Moving average; 0 until the first request ended.
+  // Moving averages; 0 until the first request ended.
+  double mServiceSeconds = 0;
+  double mSecondsPerSize = 0;
 };
 
 } // namespace boragepitch::routing
--- a/libs/routing/src/Admission.cpp
+++ b/libs/routing/src/Admission.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double kServiceTimeWeight = 0.2; ///< Weight of the newest request in the average.
+/** A stream that starts while the batch fills up takes longer than the average. */
+constexpr double kServiceMargin = 1.2;
 constexpr base::Duration kLeastRetryAfter = std::chrono::milliseconds(50);
 
 base::Duration seconds(double aSeconds)
@@ -71,7 +73,8 @@
   if (aWork.deadline == base::TimePoint::max()) {
     return false;
   }
-  return aNow + aWait + seconds(mServiceSeconds) > aWork.deadline;
+  double service = kServiceMargin * mSecondsPerSize * aWork.size;
+  return aNow + aWait + seconds(service) > aWork.deadline;
 }
 
 Decision Admission::offer(const Work& aWork, base::TimePoint aNow)
@@ -82,8 +85,12 @@
   if (aWork.deadline <= aNow) {
     return refuse("deadline has passed", base::Duration::zero());
   }
+  // An idle endpoint takes everything, since only a request that runs can correct the estimate.
+  if (!mRunning.empty() && cannotFinish(aWork, base::Duration::zero(), aNow)) {
+    return refuse("cannot finish in time", base::Duration::zero());
+  }
   if (mQueue.empty() && mayStart(aWork)) {
-    mRunning.emplace(aWork.id, aWork.alone);
+    mRunning.emplace(aWork.id, aWork);
     mAloneRuns = aWork.alone;
     return { Verdict::Run, {}, {} };
   }
@@ -103,7 +110,7 @@
 {
   while (!mQueue.empty() && mayStart(mQueue.begin()->work)) {
     const Work& work = mQueue.begin()->work;
-    mRunning.emplace(work.id, work.alone);
+    mRunning.emplace(work.id, work);
     mAloneRuns = work.alone;
     aChanges.started.push_back(work.id);
     mQueuedById.erase(work.id);
@@ -135,12 +142,14 @@
 {
   Changes changes;
   if (auto found = mRunning.find(aId); found != mRunning.end()) {
-    mAloneRuns = mAloneRuns && !found->second;
+    mAloneRuns = mAloneRuns && !found->second.alone;
+    double size = std::max(found->second.size, 1.0);
     mRunning.erase(found);
     double took = std::chrono::duration<double>(aServiceTime).count();
     if (took > 0) {
       double weight = mServiceSeconds == 0 ? 1 : kServiceTimeWeight;
       mServiceSeconds += weight * (took - mServiceSeconds);
+      mSecondsPerSize += weight * (took / size - mSecondsPerSize);
     }
   } else if (auto queued = mQueuedById.find(aId); queued != mQueuedById.end()) {
     mQueue.erase(queued->second);
--- a/libs/routing/tests/AdmissionTest.cpp
+++ b/libs/routing/tests/AdmissionTest.cpp
@@ -170,6 +170,22 @@
   BOOST_TEST(changes.started[0] == 3);
 }
 
+// Guards against a long response that is started although its deadline cuts it, and against an
+// endpoint that refuses for ever by an outdated estimate.
+BOOST_AUTO_TEST_CASE(refusesLongResponsesThatCannotFinish)
+{
+  base::TimePoint now{ 1h };
+  Admission admission({ .cold = false, .coldLimit = 1, .warmLimit = 4 });
+  admission.offer({ .id = 1, .size = 10 }, now);
+  admission.finish(1, 1s, now);
+  Work lengthy{ .id = 2, .deadline = now + 2s, .size = 30 };
+  BOOST_TEST((admission.offer(lengthy, now).verdict == Verdict::Run));
+  lengthy.id = 3;
+  BOOST_TEST((admission.offer(lengthy, now).verdict == Verdict::Refused));
+  BOOST_TEST(
+    (admission.offer({ .id = 4, .deadline = now + 2s, .size = 10 }, now).verdict == Verdict::Run));
+}
+
 // Guards against holding a request that was overtaken until its deadline is near.
 BOOST_AUTO_TEST_CASE(refusesAtOnceWhatWasOvertaken)
 {
