--- a/libs/gateway/src/GenerateAttempt.cpp
+++ b/libs/gateway/src/GenerateAttempt.cpp
@@ -37,6 +37,11 @@
   return base::writeJson(value);
 }
 
+int64_t GenerateSession::tokensLeft() const
+{
+  return std::max<int64_t>(1, mMaxTokens - static_cast<int64_t>(mAssembler.nextEvent()));
+}
+
 bool GenerateSession::chooseEndpoint()
 {
   routing::ChoiceRequest request;
@@ -72,6 +77,7 @@
                       { kRevision, std::to_string(mCore->table()->revision()) },
                       { kFingerprint, mFingerprint },
                       { kPriority, std::to_string(mCaller.priority) },
+                      { kTokens, std::to_string(tokensLeft()) },
                       { kDeadline, std::to_string(std::max(1LL, base::toMilliseconds(left))) },
                       { kWorkspace, mCaller.workspace } };
   if (!mCrashes.empty()) {
@@ -103,6 +109,10 @@
 
 AttemptEnd GenerateSession::attempt(net::StreamWriter* aWriter)
 {
+  if (!mCrashes.empty() && isPoison()) {
+    mRefusal = poisonRefusal();
+    return AttemptEnd::Final;
+  }
   if (!chooseEndpoint()) {
     return AttemptEnd::NotRun;
   }
@@ -251,6 +261,7 @@
     return true;
   }
   std::string state = base::stringOr(*answer, "state");
+  noteCrash(base::stringOr(*answer, "crashId"));
   auto sent = static_cast<uint64_t>(std::max<int64_t>(0, base::intOr(*answer, "bytes", 0)));
   if (state == "queued") {
     return false;
@@ -290,17 +301,49 @@
   mExcluded.push_back(mEndpoint->name);
   mCutAt = std::chrono::steady_clock::now();
   ++mCuts;
-  if (mCrashes.size() >= 2) {
+  if (isPoison()) {
     mRefusal = poisonRefusal();
+    awaitNotice();
     return AttemptEnd::Final;
   }
   return AttemptEnd::Cut;
 }
 
+/** Crashes that other entries met count as well: the caller may have been there before. */
+bool GenerateSession::isPoison() const
+{
+  return mCrashes.size() >= 2 || mCore->suspicion(mFingerprint) == routing::Suspicion::Poison;
+}
+
 void GenerateSession::noteCrash(const std::string& aCrashId)
 {
-  if (!aCrashId.empty()) {
-    mCrashes.insert(aCrashId);
+  if (aCrashId.empty() || !mCrashes.insert(aCrashId).second) {
+    return;
+  }
+  mCore->learnSuspect({ mFingerprint, aCrashId });
+  tellEntries();
+}
+
+/** Goes on beside the next attempt, so that the first crash is known when a second one happens. */
+void GenerateSession::tellEntries()
+{
+  if (!mCore->options.suspectNotice) {
+    return;
+  }
+  std::vector<control::Suspect> suspects;
+  for (const std::string& crash : mCrashes) {
+    suspects.push_back({ mFingerprint, crash });
+  }
+  mNoticeUntil = std::chrono::steady_clock::now() + mCore->options.limits.noticeLimit;
+  mNotice = mCore->options.suspectNotice(std::move(suspects));
+}
+
+/** Without this a caller that repeats the request at once could crash a third engine through an
+ * entry that does not know of the crashes. */
+void GenerateSession::awaitNotice()
+{
+  if (mNotice.valid()) {
+    mNotice.wait_until(mNoticeUntil);
   }
 }
 
--- a/libs/routing/src/Admission.cpp
+++ b/libs/routing/src/Admission.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double kServiceTimeWeight = 0.2; ///< Weight of the newest request in the average.
+/** A stream that starts while the batch fills up takes longer than the average. */
+constexpr double kServiceMargin = 1.2;
 constexpr base::Duration kLeastRetryAfter = std::chrono::milliseconds(50);
 
 base::Duration seconds(double aSeconds)
@@ -24,8 +26,13 @@
 
 bool Admission::Order::operator()(const Queued& aLeft, const Queued& aRight) const
 {
-  return std::tuple(-aLeft.work.priority, aLeft.work.deadline, aLeft.work.id) <
-         std::tuple(-aRight.work.priority, aRight.work.deadline, aRight.work.id);
+  return (*this)(aLeft.work, aRight.work);
+}
+
+bool Admission::Order::operator()(const Work& aLeft, const Work& aRight) const
+{
+  return std::tuple(-aLeft.worth, -aLeft.priority, aLeft.deadline, aLeft.id) <
+         std::tuple(-aRight.worth, -aRight.priority, aRight.deadline, aRight.id);
 }
 
 Admission::Admission(AdmissionLimits aLimits)
@@ -52,11 +59,11 @@
   return seconds(rounds * mServiceSeconds);
 }
 
-base::Duration Admission::expectedWait(int aPriority) const
+base::Duration Admission::expectedWait(const Work& aWork) const
 {
   size_t ahead = 0;
   for (const Queued& queued : mQueue) {
-    ahead += queued.work.priority >= aPriority ? 1 : 0;
+    ahead += Order()(queued.work, aWork) ? 1 : 0;
   }
   return mQueue.empty() && running() < limit() ? base::Duration::zero() : waitBehind(ahead);
 }
@@ -66,7 +73,8 @@
   if (aWork.deadline == base::TimePoint::max()) {
     return false;
   }
-  return aNow + aWait + seconds(mServiceSeconds) > aWork.deadline;
+  double service = kServiceMargin * mSecondsPerSize * aWork.size;
+  return aNow + aWait + seconds(service) > aWork.deadline;
 }
 
 Decision Admission::offer(const Work& aWork, base::TimePoint aNow)
@@ -77,12 +85,16 @@
   if (aWork.deadline <= aNow) {
     return refuse("deadline has passed", base::Duration::zero());
   }
+  // An idle endpoint takes everything, since only a request that runs can correct the estimate.
+  if (!mRunning.empty() && cannotFinish(aWork, base::Duration::zero(), aNow)) {
+    return refuse("cannot finish in time", base::Duration::zero());
+  }
   if (mQueue.empty() && mayStart(aWork)) {
-    mRunning.emplace(aWork.id, aWork.alone);
+    mRunning.emplace(aWork.id, aWork);
     mAloneRuns = aWork.alone;
     return { Verdict::Run, {}, {} };
   }
-  base::Duration wait = expectedWait(aWork.priority);
+  base::Duration wait = expectedWait(aWork);
   if (mQueue.size() >= mLimits.maxQueue) {
     return refuse("queue is full", wait);
   }
@@ -98,7 +110,7 @@
 {
   while (!mQueue.empty() && mayStart(mQueue.begin()->work)) {
     const Work& work = mQueue.begin()->work;
-    mRunning.emplace(work.id, work.alone);
+    mRunning.emplace(work.id, work);
     mAloneRuns = work.alone;
     aChanges.started.push_back(work.id);
     mQueuedById.erase(work.id);
@@ -108,10 +120,14 @@
 
 void Admission::refuseLate(Changes& aChanges, base::TimePoint aNow)
 {
+  size_t ahead = 0;
   for (auto it = mQueue.begin(); it != mQueue.end();) {
-    bool tooLong = aNow - it->since > mLimits.maxQueueWait;
-    if (!tooLong && !cannotFinish(it->work, base::Duration::zero(), aNow)) {
+    // The next to start may be about to, whatever the estimate says.
+    base::Duration wait = ahead == 0 ? base::Duration::zero() : waitBehind(ahead);
+    bool tooLong = aNow - it->since + wait > mLimits.maxQueueWait;
+    if (!tooLong && !cannotFinish(it->work, wait, aNow)) {
       ++it;
+      ++ahead;
       continue;
     }
     aChanges.refused.push_back({ it->work.id, "cannot finish in time", waitBehind(mQueue.size()) });
@@ -126,12 +142,14 @@
 {
   Changes changes;
   if (auto found = mRunning.find(aId); found != mRunning.end()) {
-    mAloneRuns = mAloneRuns && !found->second;
+    mAloneRuns = mAloneRuns && !found->second.alone;
+    double size = std::max(found->second.size, 1.0);
     mRunning.erase(found);
     double took = std::chrono::duration<double>(aServiceTime).count();
     if (took > 0) {
       double weight = mServiceSeconds == 0 ? 1 : kServiceTimeWeight;
       mServiceSeconds += weight * (took - mServiceSeconds);
+      mSecondsPerSize += weight * (took / size - mSecondsPerSize);
     }
   } else if (auto queued = mQueuedById.find(aId); queued != mQueuedById.end()) {
     mQueue.erase(queued->second);
