--- a/libs/control/include/control/Fleet.h
+++ b/libs/control/include/control/Fleet.h
@@ -30,6 +30,7 @@
   base::Milliseconds vmListGrace{ 60000 };    ///< From leaving the VM list to removal.
   base::Milliseconds deadRetention{ 30000 };  ///< From death to removal.
   double newsBytesPerSecond = 5000;           ///< Node records sent; bursts of 8 s.
+  bool gossipConfig = true;                   ///< Off: the configuration spreads by polling alone.
   int controlPort = 7001;                     ///< Control port of the VMs of the VM list.
 };
 
--- a/libs/control/src/FleetImpl.cpp
+++ b/libs/control/src/FleetImpl.cpp
@@ -23,6 +23,8 @@
 // Every so often a listed address that no live process has is tried, so that a healed partition is
 // found even when each side has forgotten the other.
 constexpr uint64_t kSeedRound = 8;
+// Adoption times kept for the dump; bench/run control reads them after a burst of declarations.
+constexpr size_t kMaxAdoptions = 128;
 
 NodeState completed(NodeState aSelf)
 {
@@ -252,6 +254,10 @@
   mFreshUntil = mCore.freshness().freshUntil();
   if (effects.configChanged) {
     mConfig = mCore.config().snapshot();
+    mAdoptions.emplace_back(mCore.config().revision(), now());
+    if (mAdoptions.size() > kMaxAdoptions) {
+      mAdoptions.pop_front();
+    }
     mConfigCallbackDue = true;
     mWake.notify_all();
   }
@@ -260,11 +266,12 @@
     return;
   }
   bool urgent = !effects.urgentNodes.empty() || !effects.urgentHeads.empty();
-  if (mCore.config().revision() > mPushed || urgent) {
+  bool news = mSettings.gossipConfig && mCore.config().revision() > mPushed;
+  if (news || urgent) {
     uint64_t after = std::exchange(mPushed, mCore.config().revision());
     push(after, effects);
   }
-  if (effects.pullFrom && !mPulling) {
+  if (effects.pullFrom && !mPulling && mSettings.gossipConfig) {
     mPool->submit([this, peer = *effects.pullFrom] { pull(peer, false); });
   }
 }
@@ -312,6 +319,14 @@
     node["liveness"] = kLiveness[static_cast<int>(entry.liveness)];
     dump["nodes"].append(std::move(node));
   }
+  // Times in milliseconds on the machine's monotonic clock.
+  dump["adoptions"] = Json::Value(Json::arrayValue);
+  for (const auto& [revision, time] : mAdoptions) {
+    Json::Value adoption;
+    adoption["revision"] = Json::UInt64(revision);
+    adoption["atMs"] = Json::Int64(base::toMilliseconds(time.time_since_epoch()));
+    dump["adoptions"].append(std::move(adoption));
+  }
   Json::Value& counters = dump["counters"];
   counters["exchanges"] = Json::UInt64(mCounters.exchanges);
   counters["exchangesFailed"] = Json::UInt64(mCounters.exchangesFailed);
@@ -320,8 +335,14 @@
   counters["polls"] = Json::UInt64(mCounters.polls);
   counters["pollsFailed"] = Json::UInt64(mCounters.pollsFailed);
   counters["pauses"] = Json::UInt64(mCounters.pauses);
+  counters["calls"] = Json::UInt64(mClient.calls());
   counters["bytesSent"] = Json::UInt64(mClient.bytesSent());
   counters["bytesReceived"] = Json::UInt64(mClient.bytesReceived());
+  const rpc::RpcServer& server = *mOptions.mServer;
+  counters["callsServed"] = Json::UInt64(server.calls());
+  counters["servedBytesSent"] = Json::UInt64(server.bytesSent());
+  counters["servedBytesReceived"] = Json::UInt64(server.bytesReceived());
+  counters["vmListReads"] = Json::UInt64(mCounters.vmListReads);
   return dump;
 }
 
--- a/libs/control/src/FleetImpl.h
+++ b/libs/control/src/FleetImpl.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -54,6 +55,7 @@
     uint64_t polls = 0;
     uint64_t pollsFailed = 0;
     uint64_t pauses = 0;
+    uint64_t vmListReads = 0;
   };
 
   // Keeping time (FleetImpl.cpp)
@@ -91,6 +93,7 @@
   PauseDetector mPause;
   PollSchedule mPolls;
   Counters mCounters;
+  std::deque<std::pair<uint64_t, base::TimePoint>> mAdoptions; ///< The latest revisions adopted.
   std::vector<net::Address> mListed; ///< Control addresses of the VM list.
   base::TimePoint mNextGossip{};
   base::TimePoint mNextEvidence{};
--- a/libs/control/src/FleetTasks.cpp
+++ b/libs/control/src/FleetTasks.cpp
@@ -90,7 +90,7 @@
   lock.lock();
   auto taken =
     answer ? mCore.takeExchangeAnswer(*answer, sent, now()) : tl::make_unexpected(answer.error());
-  bool behind = taken && taken->revision > mCore.config().revision();
+  bool behind = mSettings.gossipConfig && taken && taken->revision > mCore.config().revision();
   if (!taken) {
     ++mCounters.exchangesFailed;
   }
@@ -157,7 +157,8 @@
 
 void FleetImpl::push(uint64_t aAfter, const Effects& aEffects)
 {
-  auto request = mCore.pushRequest(aAfter, aEffects, now());
+  uint64_t after = mSettings.gossipConfig ? aAfter : mCore.config().revision();
+  auto request = mCore.pushRequest(after, aEffects, now());
   if (!request) {
     return;
   }
@@ -250,6 +251,7 @@
   auto vms = mOptions.mVmList->list();
   Lock lock(mMutex);
   mReadingVmList = false;
+  ++mCounters.vmListReads;
   if (!vms) {
     return;
   }
--- a/libs/rpc/include/rpc/Rpc.h
+++ b/libs/rpc/include/rpc/Rpc.h
@@ -47,6 +47,10 @@
   void addMethod(const std::string& aName, RpcMethod aMethod);
   /** Adds the route to aServer, which must not have started. */
   void attach(net::HttpServer& aServer);
+  /** Requests served, and bytes of response and request bodies so far. */
+  uint64_t calls() const;
+  uint64_t bytesSent() const;
+  uint64_t bytesReceived() const;
 
 private:
   struct Impl;
@@ -66,7 +70,8 @@
   base::Result<Json::Value> call(const net::Address& aServer,
                                  const std::string& aMethod,
                                  const Json::Value& aParams);
-  /** Bytes of request and response bodies so far. */
+  /** Requests sent, and bytes of request and response bodies so far. */
+  uint64_t calls() const;
   uint64_t bytesSent() const;
   uint64_t bytesReceived() const;
 
--- a/libs/rpc/src/Rpc.cpp
+++ b/libs/rpc/src/Rpc.cpp
@@ -69,10 +69,13 @@
   Authenticator& authenticator;
   std::string self;
   bridge::Dispatcher dispatcher;
+  std::atomic<uint64_t> calls{ 0 };
+  std::atomic<uint64_t> sent{ 0 };
+  std::atomic<uint64_t> received{ 0 };
 };
 
 RpcServer::RpcServer(Authenticator& aAuthenticator, std::string aSelf)
-  : mImpl(new Impl{ aAuthenticator, std::move(aSelf), {} })
+  : mImpl(new Impl{ aAuthenticator, std::move(aSelf), {}, {}, {}, {} })
 {
 }
 
@@ -88,6 +91,8 @@
 void RpcServer::attach(net::HttpServer& aServer)
 {
   aServer.route("POST", "/rpc", [this](const net::HttpRequest& aRequest) {
+    ++mImpl->calls;
+    mImpl->received += aRequest.body.size();
     net::HttpResponse response;
     std::string header = aRequest.header(kAuthHeader).value_or("");
     auto verified = mImpl->authenticator.verify(header, mImpl->self, aRequest.body);
@@ -99,20 +104,37 @@
     response.body = mImpl->dispatcher.handle(aRequest.body);
     response.headers.emplace_back(kAuthHeader,
                                   mImpl->authenticator.sign(answerReceiver(header), response.body));
+    mImpl->sent += response.body.size();
     return response;
   });
 }
 
+uint64_t RpcServer::calls() const
+{
+  return mImpl->calls;
+}
+
+uint64_t RpcServer::bytesSent() const
+{
+  return mImpl->sent;
+}
+
+uint64_t RpcServer::bytesReceived() const
+{
+  return mImpl->received;
+}
+
 struct RpcClient::Impl
 {
   Authenticator& authenticator;
   base::Milliseconds timeout;
+  std::atomic<uint64_t> calls{ 0 };
   std::atomic<uint64_t> sent{ 0 };
   std::atomic<uint64_t> received{ 0 };
 };
 
 RpcClient::RpcClient(Authenticator& aAuthenticator, base::Milliseconds aTimeout)
-  : mImpl(new Impl{ aAuthenticator, aTimeout, {}, {} })
+  : mImpl(new Impl{ aAuthenticator, aTimeout, {}, {}, {} })
 {
 }
 
@@ -133,6 +155,7 @@
     std::string header = mImpl->authenticator.sign(aServer.toString(), aRequest);
     request.headers.emplace(kAuthHeader, header);
     auto response = client.send(request);
+    ++mImpl->calls;
     mImpl->sent += aRequest.size();
     if (!response) {
       transportError = response.error();
@@ -168,6 +191,11 @@
   return outcome.result;
 }
 
+uint64_t RpcClient::calls() const
+{
+  return mImpl->calls;
+}
+
 uint64_t RpcClient::bytesSent() const
 {
   return mImpl->sent;
--- a/tools/common/SharedSettings.cpp
+++ b/tools/common/SharedSettings.cpp
@@ -18,6 +18,10 @@
     .addresses("fleet.seeds", "Control addresses of processes to contact first.")
     .integer("fleet.control_port", "Control port of VMs found in the VM list.", "", 1, 65535, 7001)
     .integer("fleet.fanout", "Peers to which news is pushed at once.", "processes", 1, 16, 4)
+    .choice("fleet.gossip",
+            "off: the configuration spreads by polling alone, as a baseline for measurements.",
+            { "on", "off" },
+            "on")
     .duration("fleet.gossip_interval", "Between two gossip exchanges.", 50, 60000, 1000)
     .duration("fleet.suspicion_timeout", "From suspect to dead.", 100, 60000, 3000)
     .duration("fleet.isolation_limit",
@@ -41,6 +45,7 @@
 {
   control::FleetSettings fleet;
   fleet.fanout = static_cast<size_t>(aSettings.integer("fleet.fanout"));
+  fleet.gossipConfig = aSettings.text("fleet.gossip") == "on";
   fleet.gossipInterval = aSettings.duration("fleet.gossip_interval");
   fleet.suspicionTimeout = aSettings.duration("fleet.suspicion_timeout");
   fleet.isolationLimit = aSettings.duration("fleet.isolation_limit");
