--- a/libs/control/src/FleetImpl.cpp
+++ b/libs/control/src/FleetImpl.cpp
@@ -194,7 +194,7 @@
     mPolling = mPool->submit([this] { pollStore(); });
   }
   if (mOptions.mVmList != nullptr && !mReadingVmList && aNow >= mNextVmList) {
-    mNextVmList = aNow + mSettings.vmListInterval;
+    mNextVmList = aNow + vmListWait(mSettings.vmListInterval, mListed.size(), mRng);
     mReadingVmList = mPool->submit([this] { readVmList(); });
   }
 }
--- a/libs/control/src/Schedule.cpp
+++ b/libs/control/src/Schedule.cpp
@@ -9,6 +9,15 @@
 // In a small fleet the budget would allow more reads than anybody needs.
 constexpr base::Milliseconds kShortestPeriod{ 500 };
 constexpr uint32_t kMaxDoublings = 16;
+// A VM takes about 110 bytes in the VM list, so that the reads of a process stay below 1.5 KB/s.
+constexpr base::Milliseconds kVmListPerVm{ 100 };
+
+/** Uniform in [0.75, 1.25] of the period. */
+base::Duration spreadOut(base::Duration aPeriod, base::Rng& aRng)
+{
+  int64_t whole = aPeriod.count();
+  return base::Duration(whole * 3 / 4 + base::uniformBelow<int64_t>(aRng, whole / 2 + 1));
+}
 
 bool isIn(PeerScope aScope, const NodeState& aPeer, const NodeState& aSelf)
 {
@@ -56,11 +65,8 @@
 void PollSchedule::succeeded(size_t aNodes, base::TimePoint aNow, base::Rng& aRng)
 {
   mFailures = 0;
-  // Uniform in [0.75, 1.25] of the period but within the cap: processes that started together
-  // drift apart.
-  int64_t whole = period(aNodes).count();
-  base::Duration wait(whole * 3 / 4 + base::uniformBelow<int64_t>(aRng, whole / 2 + 1));
-  mNext = aNow + std::min(wait, mCap);
+  // Processes that started together drift apart.
+  mNext = aNow + std::min(spreadOut(period(aNodes), aRng), mCap);
 }
 
 void PollSchedule::failed(size_t aNodes, base::TimePoint aNow, base::Rng& aRng)
@@ -70,6 +76,12 @@
   mNext = aNow + base::Duration(base::uniformBelow<int64_t>(aRng, bound.count() + 1));
 }
 
+base::Duration vmListWait(base::Duration aShortest, size_t aListed, base::Rng& aRng)
+{
+  base::Duration period = kVmListPerVm * static_cast<int64_t>(aListed);
+  return spreadOut(std::max(period, aShortest), aRng);
+}
+
 std::vector<std::string> choosePeers(const NodeTable& aTable,
                                      const NodeState& aSelf,
                                      PeerScope aScope,
--- a/libs/control/src/Schedule.h
+++ b/libs/control/src/Schedule.h
@@ -55,6 +55,13 @@
   base::TimePoint mNext{};
 };
 
+/**
+ * Time until the next read of the VM list, whose length grows with the fleet: at least aShortest,
+ * and so long that the reads of this process take the same bytes a second at any size. Uniform in
+ * [0.75, 1.25] of the period, so that processes that started together drift apart.
+ */
+base::Duration vmListWait(base::Duration aShortest, size_t aListed, base::Rng& aRng);
+
 /** Where a gossip partner is looked for first. */
 enum class PeerScope
 {
--- a/libs/control/tests/CoresTest.cpp
+++ b/libs/control/tests/CoresTest.cpp
@@ -294,6 +294,20 @@
   BOOST_TEST(base::toMilliseconds(schedule.period(930)) == 16000);
 }
 
+// Guards against reads of the VM list whose bytes a second grow with the fleet.
+BOOST_AUTO_TEST_CASE(readALongVmListLessOften)
+{
+  base::Rng rng(3);
+  for (int i = 0; i < 200; ++i) {
+    auto small = base::toMilliseconds(vmListWait(Milliseconds(10000), 15, rng));
+    BOOST_TEST(small >= 7500);
+    BOOST_TEST(small <= 12500);
+    auto large = base::toMilliseconds(vmListWait(Milliseconds(10000), 930, rng));
+    BOOST_TEST(large >= 69750);
+    BOOST_TEST(large <= 116250);
+  }
+}
+
 // Guards against a burst of reads when the store returns after an outage.
 BOOST_AUTO_TEST_CASE(spreadReadsAfterAnOutage)
 {
--- a/tools/common/SharedSettings.cpp
+++ b/tools/common/SharedSettings.cpp
@@ -33,7 +33,11 @@
       "fleet.pause_limit", "A longer gap between two ticks counts as a pause.", 200, 60000, 2000)
     .number(
       "fleet.poll_budget", "Reads of the revision by the whole fleet.", "per second", 0.1, 1000, 40)
-    .duration("fleet.vm_list_interval", "Between two reads of the VM list.", 200, 600000, 10000)
+    .duration("fleet.vm_list_interval",
+              "Shortest mean time between two reads of the VM list.",
+              200,
+              600000,
+              10000)
     .text("fleet.signing_key", "Id in [keys] of the key that signs messages.")
     .freeSection(
       "keys", "Shared secrets by key id; all are accepted, so that keys can be rotated.", 16)
