--- a/bench/experiments/rollout.py
+++ b/bench/experiments/rollout.py
@@ -4,6 +4,8 @@
 from distribution import Distribution, cases
 
 LAST_TARGET = {"small": 1.25, "large": 1.5}
+# Long enough for the transfer and the waves of activation that follow it.
+LOAD_HALF_WINDOWS = 2.5
 
 
 def run(settings, out):
@@ -68,9 +70,10 @@
         first = fleet.roll_out("v1")
         fleet.deployment.wait_ready()
         versions = [("v1", first["sha256"])]
-        quiet = fleet.load(rate, 2 * size / link, versions).result()
+        seconds = LOAD_HALF_WINDOWS * size / link
+        quiet = fleet.load(rate, seconds, versions).result()
         digest = fleet.fleet.digests("drafter/v2", int(settings["chunk_bytes"]))["sha256"]
-        load = fleet.load(rate, first["holding"]["lastSeconds"], [*versions, ("v2", digest)])
+        load = fleet.load(rate, seconds, [*versions, ("v2", digest)])
         rollout = show("load", fleet.roll_out("v2"))
         busy = load.result()
     keys = ("sent", "answered", "refused", "lost", "doubled", "cut", "mixed", "wrong", "firstToken", "total")
