--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -223,10 +223,7 @@
     mGateway->attach(*mPublicServer);
   }
 
-  bool isReady() const
-  {
-    return !mLeaving && (mFleet->mayStartNewWork(mClock.now()) || awaitsFirstDeclaration());
-  }
+  bool isReady() const { return !mLeaving && mFleet->mayStartNewWork(mClock.now()); }
 
   /** An empty fleet takes no requests, but the balancer must reach its resource API for the first
    * declaration. */
