--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -228,11 +228,17 @@
     return !mLeaving && (mFleet->mayStartNewWork(mClock.now()) || awaitsFirstDeclaration());
   }
 
-  /** An empty fleet takes no requests, but the balancer must reach its resource API for the first
-   * declaration. */
+  /**
+   * An empty fleet takes no requests, but the balancer must reach its resource API for the first declaration. Asking the
+   * store here would block the readiness path while the store is down, so the evidence of the last poll decides.
+   */
   bool awaitsFirstDeclaration() const
   {
-    return mFleet->config()->revision() == 0 && mStore->revision() == 0U;
+    if (mFleet->config()->revision() != 0) {
+      return false;
+    }
+    Json::Value age = mFleet->dumpJson()["evidence"]["store"];
+    return age.isInt64() && age.asInt64() <= mSettings.duration("fleet.isolation_limit").count();
   }
 
   const settings::Settings& mSettings;
