Learn suspects only from a new node table in the agent

Cause: the agent's gateway walked the records of all nodes every 20 ms to learn suspects; in a sample of one agent this thread took 0.166% of a core at 60 processes and 0.282% at 240. Change: the walk runs when the table is a new one, as the entry does.

--- a/libs/gateway/src/AgentCore.cpp
+++ b/libs/gateway/src/AgentCore.cpp
@@ -129,13 +129,9 @@
   std::vector<control::Suspect> published;
   {
     std::lock_guard lock(mMutex);
-    for (const auto& [id, node] : *nodes) {
-      if (id == options.nodeId) {
-        continue;
-      }
-      for (const control::Suspect& suspect : node.state.suspects) {
-        mPoison.learn(suspect, now);
-      }
+    if (nodes != mSeenNodes) {
+      mSeenNodes = std::move(nodes);
+      learnSuspects(now);
     }
     changed = mPoison.expire(now);
     published = mPoison.published();
@@ -145,6 +141,18 @@
   }
 }
 
+void AgentCore::learnSuspects(base::TimePoint aNow)
+{
+  for (const auto& [id, node] : *mSeenNodes) {
+    if (id == options.nodeId) {
+      continue;
+    }
+    for (const control::Suspect& suspect : node.state.suspects) {
+      mPoison.learn(suspect, aNow);
+    }
+  }
+}
+
 base::Result<EngineState> AgentCore::queryEngine() const
 {
   auto timeout = options.limits.probeTimeout;
--- a/libs/gateway/src/AgentCore.h
+++ b/libs/gateway/src/AgentCore.h
@@ -84,6 +84,7 @@
 private:
   std::string currentReason(base::TimePoint aNow) const;
   void updateGate();
+  void learnSuspects(base::TimePoint aNow);
   routing::AdmissionLimits admissionLimits(const EngineState& aState) const;
 
   std::atomic<std::shared_ptr<const EngineState>> mEngine;
@@ -92,6 +93,7 @@
   mutable std::mutex mGateMutex; ///< Orders updates of the gate.
   mutable std::mutex mMutex;     ///< Guards the members below.
   routing::PoisonTracker mPoison;
+  std::shared_ptr<const control::NodeTable> mSeenNodes; ///< Whose suspects are learned.
   std::string mGoneInstance; ///< Instance that crashed; its state is void.
 };
 
