--- a/bench/experiments/distribution.py
+++ b/bench/experiments/distribution.py
@@ -12,7 +12,7 @@
 ZONES = {3: [0, 1, 2], 8: [0, 1, 2, 0, 1, 2, 0, 1]}
 ENDPOINTS_PER_ENGINE = 40
 CPUS_BUSY_LIMIT = 0.9
-KILL_AT_SHARE = 0.3
+KILL_AT_SHARE = 0.3  # Of W/2.
 
 
 def cases(settings):
@@ -66,7 +66,8 @@
         blobs = [f"drafter/v{i}:{self.size}:{i}" for i in (1, 2)]
         self.fleet.start_platform(blobs=blobs, rate=2 * self.link)
         weights = {"uplink_bytes_per_s": self.link, "downlink_bytes_per_s": self.link, "scheme": self.scheme,
-                   "region_bytes_per_s": self.settings["region_link"], "cache_bytes": self.cache_bytes}
+                   "region_bytes_per_s": self.settings["region_link"], "cache_bytes": self.cache_bytes,
+                   "importer_timeout": self.settings["importer_timeout"]}
         self.deployment = Deployment(self.fleet, list(zones), models=self.replicas, regions=zones,
                                      agent_ini={"weights": weights}, entries_per_zone=self.entries,
                                      engine_processes=-(-self.replicas // ENDPOINTS_PER_ENGINE))
