Declare a version only when every agent knows every node

Cause: 4 s after the start of 160 agents some views still lacked members, so several VMs took themselves for the importer of a chunk. Change: the experiments wait until every agent lists every node as alive.

--- a/bench/experiments/distribution.py
+++ b/bench/experiments/distribution.py
@@ -74,6 +74,13 @@
         self.fleet.wait_live(timeout=120)
         self.deployment.declare()
         time.sleep(float(self.settings["settle"]))
+        # While members are still missing in some views, several VMs take themselves for the importer of a chunk.
+        for agent in self.deployment.model_agents():
+            localfleet.wait_until(lambda one=agent: self._knows_all(one), 120, f"{agent.name} knows every node", 0.2)
+
+    def _knows_all(self, agent):
+        nodes = agent.dump()["fleet"]["nodes"]
+        return sum(node["liveness"] == "alive" for node in nodes) >= len(self.fleet.nodes)
 
     def roll_out(self, version, while_running=None):
         """Declares a version and measures until every endpoint serves it. while_running(share of endpoints that hold
