--- a/libs/gateway/tests/GenerateTest.cpp
+++ b/libs/gateway/tests/GenerateTest.cpp
@@ -243,11 +243,12 @@
   std::atomic<size_t> most{ 0 };
   std::promise<void> never;
   auto unacknowledged = never.get_future().share();
-  TestEntry teller(fleet, table, "entry-teller", [&](std::vector<control::Suspect> aSuspects) {
-    most = std::max(most.load(), aSuspects.size());
-    told.gateway->learnSuspects(aSuspects);
-    return unacknowledged;
-  });
+  TestEntry teller(
+    fleet, table, "entry-teller", [&](const std::vector<control::Suspect>& aSuspects) {
+      most = std::max(most.load(), aSuspects.size());
+      told.gateway->learnSuspects(aSuspects);
+      return unacknowledged;
+    });
   std::atomic<bool> stop{ false };
   std::thread monitor([&] {
     while (!stop) {
