--- a/libs/control/tests/CoresTest.cpp
+++ b/libs/control/tests/CoresTest.cpp
@@ -207,6 +207,7 @@
   state.endpoint = "e";
   state.held = { "m1", "m2" };
   state.fetching = { "m3" };
+  state.originChanged = { "m4" };
   state.serving = { { "model", "1", "m1" } };
   state.instance = "boot";
   state.cold = false;
@@ -294,6 +295,20 @@
   BOOST_TEST(base::toMilliseconds(schedule.period(930)) == 16000);
 }
 
+// Guards against reads of the VM list whose bytes a second grow with the fleet.
+BOOST_AUTO_TEST_CASE(readALongVmListLessOften)
+{
+  base::Rng rng(3);
+  for (int i = 0; i < 200; ++i) {
+    auto small = base::toMilliseconds(vmListWait(Milliseconds(10000), 15, rng));
+    BOOST_TEST(small >= 7500);
+    BOOST_TEST(small <= 12500);
+    auto large = base::toMilliseconds(vmListWait(Milliseconds(10000), 930, rng));
+    BOOST_TEST(large >= 69750);
+    BOOST_TEST(large <= 116250);
+  }
+}
+
 // Guards against a burst of reads when the store returns after an outage.
 BOOST_AUTO_TEST_CASE(spreadReadsAfterAnOutage)
 {
--- a/tools/common/SharedSettings.cpp
+++ b/tools/common/SharedSettings.cpp
@@ -18,6 +18,10 @@
     .addresses("fleet.seeds", "Control addresses of processes to contact first.")
     .integer("fleet.control_port", "Control port of VMs found in the VM list.", "", 1, 65535, 7001)
     .integer("fleet.fanout", "Peers to which news is pushed at once.", "processes", 1, 16, 4)
+    .choice("fleet.gossip",
+            "off: the configuration spreads by polling alone, as a baseline for measurements.",
+            { "on", "off" },
+            "on")
     .duration("fleet.gossip_interval", "Between two gossip exchanges.", 50, 60000, 1000)
     .duration("fleet.suspicion_timeout", "From suspect to dead.", 100, 60000, 3000)
     .duration("fleet.isolation_limit",
@@ -29,7 +33,11 @@
       "fleet.pause_limit", "A longer gap between two ticks counts as a pause.", 200, 60000, 2000)
     .number(
       "fleet.poll_budget", "Reads of the revision by the whole fleet.", "per second", 0.1, 1000, 40)
-    .duration("fleet.vm_list_interval", "Between two reads of the VM list.", 200, 600000, 10000)
+    .duration("fleet.vm_list_interval",
+              "Shortest mean time between two reads of the VM list.",
+              200,
+              600000,
+              10000)
     .text("fleet.signing_key", "Id in [keys] of the key that signs messages.")
     .freeSection(
       "keys", "Shared secrets by key id; all are accepted, so that keys can be rotated.", 16)
@@ -41,6 +49,7 @@
 {
   control::FleetSettings fleet;
   fleet.fanout = static_cast<size_t>(aSettings.integer("fleet.fanout"));
+  fleet.gossipConfig = aSettings.text("fleet.gossip") == "on";
   fleet.gossipInterval = aSettings.duration("fleet.gossip_interval");
   fleet.suspicionTimeout = aSettings.duration("fleet.suspicion_timeout");
   fleet.isolationLimit = aSettings.duration("fleet.isolation_limit");
