--- a/tools/agent/main.cpp
+++ b/tools/agent/main.cpp
@@ -1,13 +1,11 @@
-#include <iostream>
-
 #include "AgentSettings.h"
 #include "Daemon.h"
 #include "EndpointController.h"
+#include "RunDaemon.h"
 #include "SharedSettings.h"
 #include "base/Json.h"
 #include "control/ConfigStore.h"
 #include "resources/Codec.h"
-#include "telemetry/Log.h"
 #include "weights/EngineWeightHost.h"
 
 namespace {
@@ -64,7 +62,7 @@
 }
 
 /** The process: its parts in the order in which they depend on each other. */
-class Agent
+class Agent final : public tools::DaemonProcess
 {
 public:
   Agent(const settings::Settings& aSettings,
@@ -78,7 +76,7 @@
   {
   }
 
-  base::Status start()
+  base::Status start() override
   {
     makePlatform();
     makeFleet();
@@ -103,9 +101,8 @@
     return {};
   }
 
-  void leave()
+  void leave() override
   {
-    telemetry::logEvent(telemetry::Level::Info, "leaving");
     mLeaving = true;
     if (mController) {
       mController->startLeaving();
@@ -124,10 +121,9 @@
     mWeightsServer->stop();
     mFleet->stop();
     mControlServer->stop();
-    telemetry::logEvent(telemetry::Level::Info, "stopped");
   }
 
-  Json::Value dump() const
+  Json::Value dump() const override
   {
     Json::Value dump;
     dump["node"] = mSelf.id;
@@ -357,36 +353,13 @@
   std::unique_ptr<net::HttpServer> mControlServer;
 };
 
-int run(const settings::Settings& aSettings)
-{
-  tools::SignalLoop signals;
-  tools::startLogging(aSettings, "bp-agent");
-  auto authenticator = tools::makeAuthenticator(aSettings);
-  if (!authenticator) {
-    std::cerr << authenticator.error().describe() << "\n";
-    return static_cast<int>(tools::ExitCode::BadSettings);
-  }
-  Agent agent(aSettings, std::move(*authenticator));
-  if (auto started = agent.start(); !started) {
-    telemetry::logEvent(
-      telemetry::Level::Error, "cannot_start", { { "error", started.error().describe() } });
-    return static_cast<int>(tools::ExitCode::CannotStart);
-  }
-  telemetry::logEvent(telemetry::Level::Info, "started");
-  signals.waitForTermination([&] {
-    telemetry::logEvent(
-      telemetry::Level::Info, "dump", { { "state", base::writeJson(agent.dump()) } });
-  });
-  agent.leave();
-  return static_cast<int>(tools::ExitCode::Success);
-}
-
 } // namespace
 
 int main(int aCount, char** aArguments)
 {
-  auto commandLine = tools::parseCommandLine(aCount, aArguments, "bp-agent");
-  int exitCode = 0;
-  auto settings = tools::loadSettings(commandLine, tools::agentSchema(), exitCode);
-  return settings ? run(*settings) : exitCode;
+  auto make = [](const settings::Settings& aSettings,
+                 std::unique_ptr<control::HmacAuthenticator> aAuthenticator) {
+    return std::make_unique<Agent>(aSettings, std::move(aAuthenticator));
+  };
+  return tools::runDaemon(aCount, aArguments, "bp-agent", tools::agentSchema(), make);
 }
--- /dev/null
+++ b/tools/common/RunDaemon.cpp
@@ -0,0 +1,56 @@
+#include "RunDaemon.h"
+
+#include <iostream>
+
+#include "Daemon.h"
+#include "SharedSettings.h"
+#include "base/Json.h"
+#include "telemetry/Log.h"
+
+namespace boragepitch::tools {
+
+namespace {
+
+int runUntilTermination(const settings::Settings& aSettings,
+                        const std::string& aProgram,
+                        const MakeDaemon& aMake)
+{
+  SignalLoop signals;
+  startLogging(aSettings, aProgram);
+  auto authenticator = makeAuthenticator(aSettings);
+  if (!authenticator) {
+    std::cerr << authenticator.error().describe() << "\n";
+    return static_cast<int>(ExitCode::BadSettings);
+  }
+  std::unique_ptr<DaemonProcess> daemon = aMake(aSettings, std::move(*authenticator));
+  if (auto started = daemon->start(); !started) {
+    telemetry::logEvent(
+      telemetry::Level::Error, "cannot_start", { { "error", started.error().describe() } });
+    return static_cast<int>(ExitCode::CannotStart);
+  }
+  telemetry::logEvent(telemetry::Level::Info, "started");
+  signals.waitForTermination([&] {
+    telemetry::logEvent(
+      telemetry::Level::Info, "dump", { { "state", base::writeJson(daemon->dump()) } });
+  });
+  telemetry::logEvent(telemetry::Level::Info, "leaving");
+  daemon->leave();
+  telemetry::logEvent(telemetry::Level::Info, "stopped");
+  return static_cast<int>(ExitCode::Success);
+}
+
+} // namespace
+
+int runDaemon(int aCount,
+              char** aArguments,
+              const std::string& aProgram,
+              const settings::Schema& aSchema,
+              const MakeDaemon& aMake)
+{
+  CommandLine commandLine = parseCommandLine(aCount, aArguments, aProgram);
+  int exitCode = 0;
+  auto settings = loadSettings(commandLine, aSchema, exitCode);
+  return settings ? runUntilTermination(*settings, aProgram, aMake) : exitCode;
+}
+
+} // namespace boragepitch::tools
--- /dev/null
+++ b/tools/common/RunDaemon.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <json/value.h>
+
+#include "base/Error.h"
+#include "control/Auth.h"
+#include "settings/Settings.h"
+
+namespace boragepitch::tools {
+
+/** One of the daemons, from its start to its graceful shutdown. */
+class DaemonProcess
+{
+public:
+  virtual ~DaemonProcess() = default;
+  virtual base::Status start() = 0;
+  /** Refuses new work, finishes what is in flight, and stops every thread. */
+  virtual void leave() = 0;
+  /** Thread-safe after start(). */
+  virtual Json::Value dump() const = 0;
+};
+
+/** The settings outlive the process. */
+using MakeDaemon =
+  std::function<std::unique_ptr<DaemonProcess>(const settings::Settings& aSettings,
+                                               std::unique_ptr<control::HmacAuthenticator>)>;
+
+/** The main() of a daemon: command line, settings, logging, signals. Returns the exit code. */
+int runDaemon(int aCount,
+              char** aArguments,
+              const std::string& aProgram,
+              const settings::Schema& aSchema,
+              const MakeDaemon& aMake);
+
+} // namespace boragepitch::tools
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -1,9 +1,8 @@
-#include <iostream>
-
 #include "Daemon.h"
 #include "EntrySettings.h"
 #include "PlannerLoop.h"
 #include "ProgressReport.h"
+#include "RunDaemon.h"
 #include "SharedSettings.h"
 #include "StoreAdapter.h"
 #include "SuspectNotices.h"
@@ -11,7 +10,6 @@
 #include "base/Json.h"
 #include "gateway/EntryGateway.h"
 #include "resources/Codec.h"
-#include "telemetry/Log.h"
 
 namespace {
 
@@ -48,7 +46,7 @@
 }
 
 /** The process: its parts in the order in which they depend on each other. */
-class Entry
+class Entry final : public tools::DaemonProcess
 {
 public:
   Entry(const settings::Settings& aSettings,
@@ -61,7 +59,7 @@
   {
   }
 
-  base::Status start()
+  base::Status start() override
   {
     makePlatform();
     makeFleet();
@@ -79,9 +77,8 @@
     return {};
   }
 
-  void leave()
+  void leave() override
   {
-    telemetry::logEvent(telemetry::Level::Info, "leaving");
     mLeaving = true;
     mSelf.phase = control::Phase::Leaving;
     mFleet->publish(mSelf);
@@ -94,10 +91,9 @@
     mPublicServer->stop();
     mFleet->stop();
     mControlServer->stop();
-    telemetry::logEvent(telemetry::Level::Info, "stopped");
   }
 
-  Json::Value dump() const
+  Json::Value dump() const override
   {
     Json::Value dump;
     dump["node"] = mSelf.id;
@@ -268,36 +264,13 @@
   std::unique_ptr<net::HttpServer> mControlServer;
 };
 
-int run(const settings::Settings& aSettings)
-{
-  tools::SignalLoop signals;
-  tools::startLogging(aSettings, "bp-entry");
-  auto authenticator = tools::makeAuthenticator(aSettings);
-  if (!authenticator) {
-    std::cerr << authenticator.error().describe() << "\n";
-    return static_cast<int>(tools::ExitCode::BadSettings);
-  }
-  Entry entry(aSettings, std::move(*authenticator));
-  if (auto started = entry.start(); !started) {
-    telemetry::logEvent(
-      telemetry::Level::Error, "cannot_start", { { "error", started.error().describe() } });
-    return static_cast<int>(tools::ExitCode::CannotStart);
-  }
-  telemetry::logEvent(telemetry::Level::Info, "started");
-  signals.waitForTermination([&] {
-    telemetry::logEvent(
-      telemetry::Level::Info, "dump", { { "state", base::writeJson(entry.dump()) } });
-  });
-  entry.leave();
-  return static_cast<int>(tools::ExitCode::Success);
-}
-
 } // namespace
 
 int main(int aCount, char** aArguments)
 {
-  auto commandLine = tools::parseCommandLine(aCount, aArguments, "bp-entry");
-  int exitCode = 0;
-  auto settings = tools::loadSettings(commandLine, tools::entrySchema(), exitCode);
-  return settings ? run(*settings) : exitCode;
+  auto make = [](const settings::Settings& aSettings,
+                 std::unique_ptr<control::HmacAuthenticator> aAuthenticator) {
+    return std::make_unique<Entry>(aSettings, std::move(aAuthenticator));
+  };
+  return tools::runDaemon(aCount, aArguments, "bp-entry", tools::entrySchema(), make);
 }
