--- a/bench/experiments/rollout.py
+++ b/bench/experiments/rollout.py
@@ -5,7 +5,7 @@
 
 LAST_TARGET = {"small": 1.25, "large": 1.5}
 # Long enough for the transfer and the waves of activation that follow it.
-LOAD_HALF_WINDOWS = 2.5
+LOAD_HALF_WINDOWS = 4
 
 
 def run(settings, out):
@@ -52,9 +52,13 @@
 
 def faults(settings, out, replicas, link, size):
     """A tenth of the VMs dies and is replaced; 1% of the chunks from the origin are corrupted."""
+    # Enough chunks that 1% of them is several.
+    settings = {**settings, "chunk_bytes": settings["faults_chunk_bytes"]}
     with Distribution(settings, out, f"faults-{replicas}", replicas, link, size) as fleet:
         fleet.fleet.fault("objects", corruptPercent=1)
-        return show("faults", fleet.roll_out("v1", fleet.kill_tenth))
+        case = show("faults", fleet.roll_out("v1", fleet.kill_tenth))
+        case["corruptedByOrigin"] = fleet.fleet.stats("objects")["corrupted"]
+        return case
 
 
 def larger_than_cache(settings, out, replicas, link, size):
@@ -98,7 +102,9 @@
         add(f"chunk memory of the bound, N={n}", round(case["chunkMemoryPeakBytes"] / case["cacheBytes"], 3), 1)
     if "faults" in result:
         faulty = result["faults"]
-        add("origin copies with faults", faulty["originCopies"] if faulty["complete"] else None, 2)
+        # Without a corrupted chunk the case would show nothing.
+        shown = faulty["complete"] and faulty["corruptedByOrigin"] > 0
+        add("origin copies with faults", faulty["originCopies"] if shown else None, 2)
     if "large" in result:
         large = result["large"]
         add("chunk memory of the bound, model 10 times larger",
