--- /dev/null
+++ b/libs/gateway/tests/ColdEngineTest.cpp
@@ -0,0 +1,25 @@
+#define BOOST_TEST_MODULE gateway_cold_engine
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+
+#include "GenerateFixture.h"
+
+using namespace boragepitch;
+using namespace boragepitch::test;
+
+// Guards against an engine that turned cold unnoticed and gets the warm number of requests.
+BOOST_FIXTURE_TEST_CASE(noticesAnEngineThatTurnedCold, GenerateFixture)
+{
+  for (auto& endpoint : endpoints) {
+    endpoint->engine.cold = true;
+  }
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 16; ++i) {
+    callers.emplace_back([&, i] { entries[i % 2]->generate("p", 10); });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST(engine(0).overloads + engine(1).overloads == 0);
+}
