--- a/libs/weights/tests/EngineWeightHostTest.cpp
+++ b/libs/weights/tests/EngineWeightHostTest.cpp
@@ -74,4 +74,5 @@
   BOOST_TEST((host.read(manifest.id(), 1, small).error().kind == base::ErrorKind::Corrupt));
   BOOST_TEST((host.read(manifest.id(), 0, read).error().kind == base::ErrorKind::NotFound));
   BOOST_TEST(host.release(manifest.id()).has_value());
+  server->stop(); // The handlers use what is destroyed before the server.
 }
