--- a/cmake/Boragepitch.cmake
+++ b/cmake/Boragepitch.cmake
@@ -34,6 +34,9 @@
 
 # bp_tests(PREFIX LIBS target...): one executable and CTest entry for each tests/*Test.cpp.
 function(bp_tests prefix)
+  if(NOT BP_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "LIBS" ${ARGN})
   file(GLOB tests CONFIGURE_DEPENDS tests/*Test.cpp)
   foreach(test ${tests})
--- a/libs/control/include/control/ConfigStore.h
+++ b/libs/control/include/control/ConfigStore.h
@@ -12,8 +12,8 @@
 
 #include "base/Error.h"
 #include "base/Time.h"
-#include "platform/Platform.h"
 #include "resources/Snapshot.h"
+#include "stores/Stores.h"
 
 namespace boragepitch::control {
 
@@ -69,7 +69,7 @@
   {
   public:
     /** The table and the clock must outlive the store. */
-    Builder& table(platform::TableClient& aTable);
+    Builder& table(stores::TableClient& aTable);
     Builder& clock(const base::Clock& aClock);
     Builder& codec(ResourceCodec aCodec);
     /** Prefix of transaction ids; unique for each start of a process. */
@@ -83,7 +83,7 @@
 
   private:
     friend class ConfigStore;
-    platform::TableClient* mTable = nullptr;
+    stores::TableClient* mTable = nullptr;
     const base::Clock* mClock = nullptr;
     ResourceCodec mCodec;
     std::string mOwner;
--- a/libs/control/include/control/Fleet.h
+++ b/libs/control/include/control/Fleet.h
@@ -12,8 +12,8 @@
 #include "control/ConfigStore.h"
 #include "control/FleetView.h"
 #include "net/Address.h"
-#include "platform/Platform.h"
 #include "rpc/Rpc.h"
+#include "stores/Stores.h"
 
 namespace boragepitch::control {
 
@@ -49,7 +49,7 @@
     /** Control addresses to contact first. */
     Builder& seeds(std::vector<net::Address> aSeeds);
     /** Optional. All references and pointers must outlive the fleet. */
-    Builder& vmList(platform::VmList* aVmList);
+    Builder& vmList(stores::VmList* aVmList);
     /** Optional: without it, configuration comes from peers alone. */
     Builder& configStore(ConfigStore* aStore);
     Builder& codec(ResourceCodec aCodec);
@@ -67,7 +67,7 @@
     friend class FleetImpl;
     NodeState mSelf;
     std::vector<net::Address> mSeeds;
-    platform::VmList* mVmList = nullptr;
+    stores::VmList* mVmList = nullptr;
     ConfigStore* mStore = nullptr;
     ResourceCodec mCodec;
     rpc::RpcClient* mClient = nullptr;
--- a/libs/control/src/ConfigStore.cpp
+++ b/libs/control/src/ConfigStore.cpp
@@ -18,10 +18,10 @@
 namespace {
 
 using base::ErrorKind;
-using platform::Row;
-using platform::Transaction;
 using resources::Resource;
 using resources::Snapshot;
+using stores::Row;
+using stores::Transaction;
 
 constexpr size_t kPageRows = 500;
 constexpr base::JsonLimits kRowLimits{ .bytes = 4 << 20 };
@@ -56,7 +56,7 @@
 public:
   struct Options
   {
-    platform::TableClient& table;
+    stores::TableClient& table;
     const base::Clock& clock;
     ResourceCodec codec;
     std::string owner;
@@ -494,7 +494,7 @@
 
 } // namespace
 
-ConfigStore::Builder& ConfigStore::Builder::table(platform::TableClient& aTable)
+ConfigStore::Builder& ConfigStore::Builder::table(stores::TableClient& aTable)
 {
   mTable = &aTable;
   return *this;
--- a/libs/control/src/FleetBuilder.cpp
+++ b/libs/control/src/FleetBuilder.cpp
@@ -14,7 +14,7 @@
   return *this;
 }
 
-Fleet::Builder& Fleet::Builder::vmList(platform::VmList* aVmList)
+Fleet::Builder& Fleet::Builder::vmList(stores::VmList* aVmList)
 {
   mVmList = aVmList;
   return *this;
--- a/libs/control/src/FleetCore.cpp
+++ b/libs/control/src/FleetCore.cpp
@@ -143,10 +143,10 @@
   }
 }
 
-void FleetCore::takeVmList(const std::vector<platform::ListedVm>& aVms, base::TimePoint aNow)
+void FleetCore::takeVmList(const std::vector<stores::ListedVm>& aVms, base::TimePoint aNow)
 {
   std::set<std::string> hosts;
-  for (const platform::ListedVm& vm : aVms) {
+  for (const stores::ListedVm& vm : aVms) {
     hosts.insert(vm.address);
     if (!vm.region.empty() && mSeenRegions.size() < kMaxRegions) {
       mSeenRegions.insert(vm.region);
--- a/libs/control/src/FleetCore.h
+++ b/libs/control/src/FleetCore.h
@@ -67,7 +67,7 @@
   void tick(base::TimePoint aNow);
   void paused(base::TimePoint aNow);
   void reportUnreachable(const std::string& aId, base::TimePoint aNow);
-  void takeVmList(const std::vector<platform::ListedVm>& aVms, base::TimePoint aNow);
+  void takeVmList(const std::vector<stores::ListedVm>& aVms, base::TimePoint aNow);
 
   // fleet.exchange: revision and digest; the first step of each gossip round.
   Json::Value exchangeRequest(const std::string& aPeerId) const;
--- a/libs/control/src/FleetTasks.cpp
+++ b/libs/control/src/FleetTasks.cpp
@@ -257,7 +257,7 @@
   }
   mCore.takeVmList(*vms, now());
   mListed.clear();
-  for (const platform::ListedVm& vm : *vms) {
+  for (const stores::ListedVm& vm : *vms) {
     mListed.push_back({ vm.address, mSettings.controlPort });
   }
   afterChange(lock);
--- a/libs/control/tests/ConfigStoreTest.cpp
+++ b/libs/control/tests/ConfigStoreTest.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-std::unique_ptr<control::ConfigStore> makeStore(platform::TableClient& aTable,
+std::unique_ptr<control::ConfigStore> makeStore(stores::TableClient& aTable,
                                                 const std::string& aOwner,
                                                 Milliseconds aDeadline = Milliseconds(10000))
 {
@@ -40,27 +40,27 @@
 }
 
 /** Passes calls through, and interferes before a commit. */
-class HookedTable final : public platform::TableClient
+class HookedTable final : public stores::TableClient
 {
 public:
-  explicit HookedTable(platform::TableClient& aTable)
+  explicit HookedTable(stores::TableClient& aTable)
     : table(aTable)
   {
   }
-  base::Result<uint64_t> commit(const platform::Transaction& aTransaction) override
+  base::Result<uint64_t> commit(const stores::Transaction& aTransaction) override
   {
     if (beforeCommit) {
       std::exchange(beforeCommit, nullptr)();
     }
     return table.commit(aTransaction);
   }
-  base::Result<std::vector<platform::Row>> read(const std::vector<std::string>& aKeys) override
+  base::Result<std::vector<stores::Row>> read(const std::vector<std::string>& aKeys) override
   {
     return table.read(aKeys);
   }
-  base::Result<std::vector<platform::Row>> scan(std::string_view aPrefix,
-                                                std::string_view aAfter,
-                                                size_t aLimit) override
+  base::Result<std::vector<stores::Row>> scan(std::string_view aPrefix,
+                                              std::string_view aAfter,
+                                              size_t aLimit) override
   {
     if (beforeScan) {
       std::exchange(beforeScan, nullptr)();
@@ -68,7 +68,7 @@
     return table.scan(aPrefix, aAfter, aLimit);
   }
 
-  platform::TableClient& table;
+  stores::TableClient& table;
   std::function<void()> beforeCommit;
   std::function<void()> beforeScan;
 };
--- a/libs/gateway/include/gateway/EntryGateway.h
+++ b/libs/gateway/include/gateway/EntryGateway.h
@@ -12,8 +12,8 @@
 #include "base/Time.h"
 #include "control/FleetView.h"
 #include "net/HttpServer.h"
-#include "platform/Platform.h"
 #include "routing/EndpointChoice.h"
+#include "stores/Stores.h"
 #include "telemetry/Metrics.h"
 
 namespace boragepitch::gateway {
@@ -53,7 +53,7 @@
     /** Required; outlives the gateway. */
     Builder& fleet(control::FleetView& aFleet);
     /** Required; holds the claims; outlives the gateway. */
-    Builder& table(platform::TableClient& aTable);
+    Builder& table(stores::TableClient& aTable);
     /** Required; outlives the gateway. */
     Builder& metrics(telemetry::Registry& aMetrics);
     /** Id, zone and region of this process. */
@@ -69,7 +69,7 @@
   private:
     friend class EntryGateway;
     control::FleetView* mFleet = nullptr;
-    platform::TableClient* mTable = nullptr;
+    stores::TableClient* mTable = nullptr;
     telemetry::Registry* mMetrics = nullptr;
     std::string mNodeId;
     std::string mZone;
--- a/libs/gateway/src/EntryCore.h
+++ b/libs/gateway/src/EntryCore.h
@@ -22,7 +22,7 @@
 struct EntryOptions
 {
   control::FleetView* fleet = nullptr;
-  platform::TableClient* table = nullptr;
+  stores::TableClient* table = nullptr;
   std::string nodeId;
   std::string zone;
   std::string region;
--- a/libs/gateway/src/EntryGateway.cpp
+++ b/libs/gateway/src/EntryGateway.cpp
@@ -86,7 +86,7 @@
   return *this;
 }
 
-EntryGateway::Builder& EntryGateway::Builder::table(platform::TableClient& aTable)
+EntryGateway::Builder& EntryGateway::Builder::table(stores::TableClient& aTable)
 {
   mTable = &aTable;
   return *this;
--- a/libs/platform/src/Platform.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "platform/Platform.h"
--- /dev/null
+++ b/libs/relay/src/Core.cpp
@@ -0,0 +1,63 @@
+#include "Core.h"
+
+#include "CallerSession.h"
+
+namespace boragepitch::relay {
+
+namespace {
+/** Copies of a datagram that no later one replaces; about 1 in 100 is lost. */
+constexpr int kCrashCopies = 3;
+} // namespace
+
+RelayMetrics::RelayMetrics(telemetry::Registry& aRegistry)
+  : served(aRegistry.counter("bp_relay_served_total", "Requests answered with success"))
+  , refused(aRegistry.counter("bp_relay_refused_total", "Requests refused without being run"))
+  , rejected(aRegistry.counter("bp_relay_rejected_total", "Requests answered 4xx by the entry"))
+  , failed(aRegistry.counter("bp_relay_failed_total", "Requests that may have run and failed"))
+  , abandoned(aRegistry.counter("bp_relay_abandoned_total", "Requests whose caller left"))
+  , repeats(aRegistry.counter("bp_relay_repeats_total", "Sends to a further endpoint"))
+  , resumes(aRegistry.counter("bp_relay_resumes_total", "Streams continued on another endpoint"))
+  , connects(aRegistry.counter("bp_relay_connects_total", "New connections to endpoints"))
+  , callers(aRegistry.gauge("bp_relay_callers", "Open connections of callers"))
+  , inFlight(aRegistry.gauge("bp_relay_in_flight", "Requests being handled"))
+  , deploymentVersion(aRegistry.gauge("bp_relay_deployment_version", "Configuration in force"))
+  , endpoints(aRegistry.gauge("bp_relay_endpoints", "Listed endpoints"))
+  , firstByte(aRegistry.histogram("bp_relay_first_byte_seconds", "Request read to first byte out"))
+  , total(aRegistry.histogram("bp_relay_total_seconds", "Request read to last byte out"))
+{
+}
+
+Core::Core(RelayOptions aOptions,
+           const Dialect& aDialect,
+           telemetry::Registry& aMetrics,
+           telemetry::EventLog& aLog)
+  : options(std::move(aOptions))
+  , dialect(aDialect)
+  , log(aLog)
+  , metrics(aMetrics)
+  , rng(options.seed)
+  , endpoints(options.placement)
+  , ledger(options.retries)
+{
+}
+
+Core::~Core() = default;
+
+uint64_t Core::requiredVersion(const std::string& aModel, base::TimePoint aNow) const
+{
+  auto found = versions.find(aModel);
+  return found != versions.end() && aNow >= found->second.enforceFrom ? found->second.version : 0;
+}
+
+void Core::shareCrash(const serving::CrashEvidence& aEvidence)
+{
+  std::string text = serving::encode(aEvidence);
+  for (const auto& peer : peers) {
+    for (int copy = 0; copy < kCrashCopies; ++copy) {
+      ErrorCode ignored; // A peer that cannot be reached learns from its own crashes.
+      peerSocket.send_to(asio::buffer(text), peer, 0, ignored);
+    }
+  }
+}
+
+} // namespace boragepitch::relay
--- /dev/null
+++ b/libs/relay/src/Core.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include "Asio.h"
+#include "Upstream.h"
+#include "base/Rng.h"
+#include "relay/Relay.h"
+#include "serving/CrashSuspects.h"
+
+namespace boragepitch::relay {
+
+class CallerSession;
+
+struct RelayMetrics
+{
+  explicit RelayMetrics(telemetry::Registry& aRegistry);
+
+  telemetry::Counter& served;
+  telemetry::Counter& refused;
+  telemetry::Counter& rejected; ///< Answered 4xx: wrong request, key or route.
+  telemetry::Counter& failed;
+  telemetry::Counter& abandoned;
+  telemetry::Counter& repeats;
+  telemetry::Counter& resumes;
+  telemetry::Counter& connects;
+  telemetry::Gauge& callers;
+  telemetry::Gauge& inFlight;
+  telemetry::Gauge& deploymentVersion;
+  telemetry::Gauge& endpoints;
+  telemetry::LatencyHistogram& firstByte;
+  telemetry::LatencyHistogram& total;
+};
+
+/** Weights that requests of a model must start on. */
+struct DeclaredVersion
+{
+  uint64_t version = 0;
+  base::TimePoint enforceFrom;
+};
+
+/** What all sessions and calls of one relay share. Used by the loop's thread only. */
+struct Core
+{
+  Core(RelayOptions aOptions,
+       const Dialect& aDialect,
+       telemetry::Registry& aMetrics,
+       telemetry::EventLog& aLog);
+  ~Core();
+
+  /** The version that a request for the model must start on now; 0 for any. */
+  uint64_t requiredVersion(const std::string& aModel, base::TimePoint aNow) const;
+  /** Tells the other entries, more than once, since a datagram may be lost. */
+  void shareCrash(const serving::CrashEvidence& aEvidence);
+  bool isReady() const { return !leaving && deployment != nullptr && listKnown; }
+
+  const RelayOptions options;
+  const Dialect& dialect;
+  telemetry::EventLog& log;
+  RelayMetrics metrics;
+  asio::io_context io{ 1 };
+  ConnectionPool pool;
+  base::Rng rng;
+  std::shared_ptr<const serving::Deployment> deployment;
+  serving::EndpointSet endpoints;
+  serving::RetryLedger ledger;
+  serving::CrashSuspects suspects;
+  std::map<std::string, DeclaredVersion, std::less<>> versions;
+  bool listKnown = false;
+  bool leaving = false;
+  base::TimePoint leavingSince;
+  std::unordered_set<std::shared_ptr<CallerSession>> sessions; ///< All that are open.
+  asio::ip::udp::socket peerSocket{ io };
+  std::vector<asio::ip::udp::endpoint> peers;
+};
+
+} // namespace boragepitch::relay
--- /dev/null
+++ b/libs/relay/src/Relay.cpp
@@ -0,0 +1,430 @@
+#include "relay/Relay.h"
+
+#include <algorithm>
+#include <array>
+
+#include "CallerSession.h"
+#include "Core.h"
+
+namespace boragepitch::relay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Resolution of all time limits of requests. */
+constexpr base::Milliseconds kTick = 50ms;
+constexpr base::Milliseconds kPruneInterval = 1000ms;
+/** After readiness ends the platform sends new callers until it has noticed, within two polls of a
+ * second each; connections are accepted for longer than that. */
+constexpr base::Milliseconds kLeaveAccept = 2600ms;
+constexpr size_t kDatagramBytes = 2048;
+constexpr int kBacklog = 512;
+
+Tcp::endpoint endpointOf(const net::Address& aAddress)
+{
+  return { asio::ip::make_address_v4(aAddress.host), static_cast<uint16_t>(aAddress.port) };
+}
+
+base::Status openAcceptor(Tcp::acceptor& aAcceptor, const net::Address& aAddress)
+{
+  ErrorCode error;
+  aAcceptor.open(Tcp::v4(), error);
+  if (!error) {
+    aAcceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    aAcceptor.bind(endpointOf(aAddress), error);
+  }
+  if (!error) {
+    aAcceptor.listen(kBacklog, error);
+  }
+  if (error) {
+    return base::fail(base::ErrorKind::Unavailable,
+                      aAddress.toString(),
+                      "cannot listen: " + error.message(),
+                      "free the address or correct the setting");
+  }
+  return {};
+}
+
+/** Answers one fixed question per request on a small listener: readiness or metrics. */
+class StatusSession : public std::enable_shared_from_this<StatusSession>
+{
+public:
+  using Answer = std::function<std::pair<int, std::string>(std::string_view)>;
+
+  StatusSession(Tcp::socket aSocket, const Answer& aAnswer)
+    : mSocket(std::move(aSocket))
+    , mAnswer(aAnswer)
+  {
+  }
+
+  void read()
+  {
+    mRequest = {};
+    http::async_read(
+      mSocket, mBuffer, mRequest, [self = shared_from_this()](ErrorCode aError, size_t) {
+        if (!aError) {
+          self->answer();
+        }
+      });
+  }
+
+private:
+  void answer()
+  {
+    auto target = mRequest.target();
+    auto [status, body] = mAnswer({ target.data(), target.size() });
+    mResponse = { http::int_to_status(static_cast<unsigned>(status)), mRequest.version() };
+    mResponse.keep_alive(mRequest.keep_alive());
+    mResponse.set(http::field::content_type, "text/plain");
+    mResponse.body() = std::move(body);
+    mResponse.prepare_payload();
+    http::async_write(mSocket, mResponse, [self = shared_from_this()](ErrorCode aError, size_t) {
+      if (!aError && self->mResponse.keep_alive()) {
+        self->read();
+      }
+    });
+  }
+
+  Tcp::socket mSocket;
+  const Answer& mAnswer;
+  beast::flat_buffer mBuffer;
+  http::request<http::string_body> mRequest;
+  http::response<http::string_body> mResponse;
+};
+
+} // namespace
+
+class RelayImpl final : public Relay
+{
+public:
+  explicit RelayImpl(const Relay::Builder& aBuilder)
+    : mMetrics(*aBuilder.mMetrics)
+    , mCore(aBuilder.mOptions, *aBuilder.mDialect, *aBuilder.mMetrics, *aBuilder.mLog)
+  {
+  }
+
+  base::Status start() override
+  {
+    for (auto [acceptor, address] : { std::pair{ &mCallers, &mCore.options.callers },
+                                      std::pair{ &mReadiness, &mCore.options.readiness } }) {
+      if (auto opened = openAcceptor(*acceptor, *address); !opened) {
+        return opened;
+      }
+    }
+    if (mCore.options.metrics) {
+      if (auto opened = openAcceptor(mMetricsAcceptor, *mCore.options.metrics); !opened) {
+        return opened;
+      }
+      acceptStatus(mMetricsAcceptor, mMetricsAnswer);
+    }
+    if (auto opened = openPeerSocket(); !opened) {
+      return opened;
+    }
+    acceptCaller();
+    acceptStatus(mReadiness, mReadinessAnswer);
+    receivePeer();
+    scheduleTick();
+    return {};
+  }
+
+  void run() override { mCore.io.run(); }
+
+  void startLeaving() override
+  {
+    post([this] {
+      if (mCore.leaving) {
+        return;
+      }
+      mCore.leaving = true;
+      mCore.leavingSince = std::chrono::steady_clock::now();
+      logState("leaving", { { "sessions", std::to_string(mCore.sessions.size()) } });
+    });
+  }
+
+  void setDeployment(std::shared_ptr<const serving::Deployment> aDeployment) override
+  {
+    post([this, deployment = std::move(aDeployment)] {
+      if (mCore.deployment && deployment->version() <= mCore.deployment->version()) {
+        return;
+      }
+      mCore.deployment = deployment;
+      mCore.metrics.deploymentVersion.set(static_cast<int64_t>(deployment->version()));
+      logState("deployment",
+               { { "version", std::to_string(deployment->version()) },
+                 { "routes", std::to_string(deployment->routeCount()) } });
+    });
+  }
+
+  void applyEndpoints(std::vector<serving::EndpointRecord> aRecords) override
+  {
+    post([this, records = std::move(aRecords)] {
+      auto now = std::chrono::steady_clock::now();
+      for (const auto& record : records) {
+        const serving::Service* service =
+          mCore.deployment ? mCore.deployment->service(record.service) : nullptr;
+        mCore.endpoints.apply(record, service, now);
+        logState("endpoint",
+                 { { "id", record.id },
+                   { "service", record.service },
+                   { "address", record.address.toString() },
+                   { "zone", record.zone },
+                   { "born", std::to_string(record.born) },
+                   { "state", record.isDraining ? "draining" : "ready" },
+                   { "cold_ms", std::to_string(record.coldFor.count()) },
+                   { "weights", std::to_string(record.weightVersion.value_or(0)) } });
+      }
+      mCore.metrics.endpoints.set(static_cast<int64_t>(mCore.endpoints.all().size()));
+    });
+  }
+
+  void removeEndpoint(std::string aId) override
+  {
+    post([this, id = std::move(aId)] {
+      mCore.endpoints.remove(id);
+      mCore.pool.dropEndpoint(id);
+      mCore.metrics.endpoints.set(static_cast<int64_t>(mCore.endpoints.all().size()));
+      logState("endpoint_gone", { { "id", id } });
+    });
+  }
+
+  void setEvacuated(std::set<std::string> aZones) override
+  {
+    post([this, zones = std::move(aZones)] {
+      if (zones == mCore.endpoints.evacuated()) {
+        return;
+      }
+      std::string names;
+      for (const std::string& zone : zones) {
+        names += (names.empty() ? "" : ",") + zone;
+      }
+      mCore.endpoints.setEvacuated(zones);
+      logState("evacuated", { { "zones", names.empty() ? "-" : names } });
+    });
+  }
+
+  void declareVersion(std::string aModel, uint64_t aVersion, base::TimePoint aEnforceFrom) override
+  {
+    post([this, model = std::move(aModel), aVersion, aEnforceFrom] {
+      DeclaredVersion& declared = mCore.versions[model];
+      if (aVersion <= declared.version) {
+        return;
+      }
+      declared = { aVersion, aEnforceFrom };
+      auto wait = aEnforceFrom - std::chrono::steady_clock::now();
+      logState("weights_declared",
+               { { "model", model },
+                 { "version", std::to_string(aVersion) },
+                 { "enforced_in_ms", std::to_string(base::toMilliseconds(wait)) } });
+    });
+  }
+
+  void setPeers(std::vector<net::Address> aPeers) override
+  {
+    post([this, peers = std::move(aPeers)] {
+      mCore.peers.clear();
+      for (const net::Address& peer : peers) {
+        mCore.peers.emplace_back(asio::ip::make_address_v4(peer.host),
+                                 static_cast<uint16_t>(peer.port));
+      }
+      int entries = static_cast<int>(peers.size()) + 1;
+      mCore.endpoints.setSenders(entries);
+      mCore.ledger.setSharers(entries);
+      logState("entries", { { "count", std::to_string(entries) } });
+    });
+  }
+
+  void setListKnown() override
+  {
+    post([this] { mCore.listKnown = true; });
+  }
+
+private:
+  template<typename Function>
+  void post(Function aFunction)
+  {
+    asio::post(mCore.io, std::move(aFunction));
+  }
+
+  void logState(std::string_view aEvent, std::initializer_list<telemetry::Field> aFields)
+  {
+    mCore.log.write(telemetry::Weight::Critical, aEvent, aFields, std::chrono::steady_clock::now());
+  }
+
+  void acceptCaller()
+  {
+    mCallers.async_accept([this](ErrorCode aError, Tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError && mCore.sessions.size() < mCore.options.maxCallerConnections) {
+        std::make_shared<CallerSession>(mCore, std::move(aSocket))->start();
+      } else if (aError) {
+        logState("accept_failed", { { "error", aError.message() } });
+      }
+      acceptCaller();
+    });
+  }
+
+  void acceptStatus(Tcp::acceptor& aAcceptor, const StatusSession::Answer& aAnswer)
+  {
+    aAcceptor.async_accept([this, &aAcceptor, &aAnswer](ErrorCode aError, Tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        std::make_shared<StatusSession>(std::move(aSocket), aAnswer)->read();
+      }
+      acceptStatus(aAcceptor, aAnswer);
+    });
+  }
+
+  base::Status openPeerSocket()
+  {
+    ErrorCode error;
+    const net::Address& address = mCore.options.peers;
+    mCore.peerSocket.open(asio::ip::udp::v4(), error);
+    if (!error) {
+      mCore.peerSocket.bind(
+        { asio::ip::make_address_v4(address.host), static_cast<uint16_t>(address.port) }, error);
+    }
+    if (!error) {
+      mCore.peerSocket.non_blocking(true, error);
+    }
+    if (error) {
+      return base::fail(base::ErrorKind::Unavailable,
+                        address.toString(),
+                        "cannot receive datagrams: " + error.message(),
+                        "free the address or correct the setting");
+    }
+    return {};
+  }
+
+  void receivePeer()
+  {
+    mCore.peerSocket.async_receive_from(
+      asio::buffer(mDatagram), mSender, [this](ErrorCode aError, size_t aBytes) {
+        if (aError == asio::error::operation_aborted) {
+          return;
+        }
+        if (!aError) {
+          takeDatagram({ mDatagram.data(), aBytes });
+        }
+        receivePeer();
+      });
+  }
+
+  void takeDatagram(std::string_view aText)
+  {
+    auto now = std::chrono::steady_clock::now();
+    auto message = serving::decode(aText);
+    if (!message) {
+      logState("datagram_invalid", { { "error", message.error().describe() } });
+      return;
+    }
+    if (auto* report = std::get_if<serving::LoadReport>(&*message)) {
+      mCore.endpoints.learn(*report, now);
+    } else if (auto* evidence = std::get_if<serving::CrashEvidence>(&*message)) {
+      mCore.suspects.record(*evidence, now);
+    }
+  }
+
+  void scheduleTick()
+  {
+    mTimer.expires_after(kTick);
+    mTimer.async_wait([this](ErrorCode aError) {
+      if (!aError) {
+        tick(std::chrono::steady_clock::now());
+      }
+    });
+  }
+
+  void tick(base::TimePoint aNow)
+  {
+    // Sessions close and open while they are visited.
+    std::vector<std::shared_ptr<CallerSession>> sessions(mCore.sessions.begin(),
+                                                         mCore.sessions.end());
+    for (const auto& session : sessions) {
+      session->tick(aNow);
+    }
+    if (aNow - mPruned > kPruneInterval) {
+      mPruned = aNow;
+      mCore.pool.prune(aNow);
+    }
+    mCore.log.flush(aNow);
+    if (mCore.leaving && advanceLeaving(aNow)) {
+      mCore.io.stop();
+      return;
+    }
+    scheduleTick();
+  }
+
+  /** True when nothing is left to finish. */
+  bool advanceLeaving(base::TimePoint aNow)
+  {
+    auto since = aNow - mCore.leavingSince;
+    if (since < kLeaveAccept) {
+      return false;
+    }
+    if (mCallers.is_open()) {
+      ErrorCode ignored; // The process is about to end.
+      mCallers.close(ignored);
+    }
+    std::vector<std::shared_ptr<CallerSession>> sessions(mCore.sessions.begin(),
+                                                         mCore.sessions.end());
+    for (const auto& session : sessions) {
+      session->closeIdle();
+    }
+    return mCore.sessions.empty() || since > mCore.options.leaveLimit;
+  }
+
+  telemetry::Registry& mMetrics;
+  Core mCore;
+  Tcp::acceptor mCallers{ mCore.io };
+  Tcp::acceptor mReadiness{ mCore.io };
+  Tcp::acceptor mMetricsAcceptor{ mCore.io };
+  asio::steady_timer mTimer{ mCore.io };
+  base::TimePoint mPruned;
+  std::array<char, kDatagramBytes> mDatagram{};
+  asio::ip::udp::endpoint mSender;
+  const StatusSession::Answer mReadinessAnswer = [this](std::string_view aTarget) {
+    bool known = aTarget == mCore.options.readinessPath;
+    return std::pair{ !known ? 404 : mCore.isReady() ? 200 : 503, std::string() };
+  };
+  const StatusSession::Answer mMetricsAnswer = [this](std::string_view) {
+    return std::pair{ 200, mMetrics.exposition() };
+  };
+};
+
+Relay::Builder& Relay::Builder::options(RelayOptions aOptions)
+{
+  mOptions = std::move(aOptions);
+  return *this;
+}
+
+Relay::Builder& Relay::Builder::dialect(const Dialect* aDialect)
+{
+  mDialect = aDialect;
+  return *this;
+}
+
+Relay::Builder& Relay::Builder::metrics(telemetry::Registry* aRegistry)
+{
+  mMetrics = aRegistry;
+  return *this;
+}
+
+Relay::Builder& Relay::Builder::log(telemetry::EventLog* aLog)
+{
+  mLog = aLog;
+  return *this;
+}
+
+std::unique_ptr<Relay> Relay::Builder::build()
+{
+  return std::make_unique<RelayImpl>(*this);
+}
+
+} // namespace boragepitch::relay
--- /dev/null
+++ b/libs/relay/src/Upstream.cpp
@@ -0,0 +1,340 @@
+#include "Upstream.h"
+
+#include <algorithm>
+
+namespace boragepitch::relay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr size_t kReadBytes = 16384;
+constexpr uint32_t kMaxAnswerHeaderBytes = 32768;
+/** Idle time for which a connection is kept where the endpoint names none. */
+constexpr base::Milliseconds kDefaultKeepAlive = 3000ms;
+/** Subtracted from the time that an endpoint names: a request may cross its close. */
+constexpr base::Milliseconds kKeepAliveMargin = 1000ms;
+constexpr size_t kMaxIdlePerEndpoint = 24;
+
+HeaderLines linesOf(const http::fields& aFields)
+{
+  HeaderLines lines;
+  for (const auto& field : aFields) {
+    lines.push_back({ std::string(field.name_string()), std::string(field.value()) });
+  }
+  return lines;
+}
+
+/** True when the peer has closed the connection or sent something unasked. */
+bool isSpoilt(Tcp::socket& aSocket)
+{
+  ErrorCode error;
+  char byte = 0;
+  aSocket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+} // namespace
+
+std::string_view toString(ExchangeEnd aEnd)
+{
+  switch (aEnd) {
+    case ExchangeEnd::Complete:
+      return "complete";
+    case ExchangeEnd::ConnectFailed:
+      return "connect_failed";
+    case ExchangeEnd::CutShort:
+      return "cut_short";
+    case ExchangeEnd::NotAnAnswer:
+      return "not_an_answer";
+  }
+  return "cut_short";
+}
+
+std::unique_ptr<Connection> ConnectionPool::take(const std::string& aEndpoint,
+                                                 base::Duration aMaxIdle,
+                                                 base::TimePoint aNow)
+{
+  auto found = mIdle.find(aEndpoint);
+  if (found == mIdle.end()) {
+    return nullptr;
+  }
+  auto& idle = found->second;
+  while (!idle.empty()) {
+    auto connection = std::move(idle.back());
+    idle.pop_back();
+    if (aNow < connection->usableUntil && aNow - connection->idleSince <= aMaxIdle &&
+        !isSpoilt(connection->socket)) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void ConnectionPool::put(const std::string& aEndpoint,
+                         std::unique_ptr<Connection> aConnection,
+                         std::optional<base::Milliseconds> aKeepAlive,
+                         base::TimePoint aNow)
+{
+  base::Milliseconds life = kDefaultKeepAlive;
+  if (aKeepAlive) {
+    life = std::max(*aKeepAlive / 2, *aKeepAlive - kKeepAliveMargin);
+  }
+  auto& idle = mIdle[aEndpoint];
+  if (idle.size() >= kMaxIdlePerEndpoint) {
+    return;
+  }
+  aConnection->idleSince = aNow;
+  aConnection->usableUntil = aNow + base::Duration(life);
+  idle.push_back(std::move(aConnection));
+}
+
+void ConnectionPool::prune(base::TimePoint aNow)
+{
+  for (auto entry = mIdle.begin(); entry != mIdle.end();) {
+    std::erase_if(entry->second,
+                  [&](const auto& aConnection) { return aNow >= aConnection->usableUntil; });
+    entry = entry->second.empty() ? mIdle.erase(entry) : std::next(entry);
+  }
+}
+
+size_t ConnectionPool::size() const
+{
+  size_t count = 0;
+  for (const auto& [endpoint, idle] : mIdle) {
+    count += idle.size();
+  }
+  return count;
+}
+
+Exchange::Exchange(asio::io_context& aIo,
+                   ConnectionPool& aPool,
+                   const Dialect& aDialect,
+                   ExchangeRequest aRequest,
+                   std::weak_ptr<ExchangeHandler> aHandler)
+  : mIo(aIo)
+  , mPool(aPool)
+  , mDialect(aDialect)
+  , mRequest(std::move(aRequest))
+  , mHandler(std::move(aHandler))
+{
+}
+
+void Exchange::start(std::string aMessage, base::TimePoint aNow)
+{
+  mMessage = std::move(aMessage);
+  mConnection = mPool.take(mRequest.endpoint, mRequest.maxIdle, aNow);
+  if (mConnection) {
+    mState = State::Exchanging;
+    send();
+  } else {
+    connect();
+  }
+}
+
+void Exchange::connect()
+{
+  mState = State::Connecting;
+  mIsNew = true;
+  mConnection = std::make_unique<Connection>(mIo);
+  ErrorCode error;
+  auto host = asio::ip::make_address_v4(mRequest.address.host, error);
+  if (error) {
+    asio::post(mIo, [self = shared_from_this()] { self->finish(ExchangeEnd::ConnectFailed); });
+    return;
+  }
+  Tcp::endpoint target(host, static_cast<uint16_t>(mRequest.address.port));
+  mConnection->socket.async_connect(target, [self = shared_from_this()](ErrorCode aError) {
+    if (self->mState != State::Connecting) {
+      return;
+    }
+    if (aError) {
+      self->finish(ExchangeEnd::ConnectFailed);
+      return;
+    }
+    ErrorCode ignored; // Without the option small writes are only later.
+    self->mConnection->socket.set_option(Tcp::no_delay(true), ignored);
+    self->mConnection->socket.non_blocking(true, ignored);
+    self->mState = State::Exchanging;
+    self->send();
+  });
+}
+
+void Exchange::send()
+{
+  startParser();
+  asio::async_write(mConnection->socket,
+                    asio::buffer(mMessage),
+                    [self = shared_from_this()](ErrorCode aError, size_t) {
+                      if (self->mState != State::Exchanging) {
+                        return;
+                      }
+                      if (aError) {
+                        // An answer may have arrived before the connection broke: the read tells.
+                        return;
+                      }
+                      self->mSent = true;
+                      if (auto handler = self->mHandler.lock()) {
+                        handler->onSent();
+                      }
+                    });
+  read();
+}
+
+void Exchange::startParser()
+{
+  mParser.emplace();
+  mParser->header_limit(kMaxAnswerHeaderBytes);
+  mParser->body_limit(boost::none);
+  mParser->eager(true);
+  mParser->skip(mRequest.isHead);
+  mHeadSeen = false;
+  mSkipping = false;
+}
+
+void Exchange::read()
+{
+  if (mReading || mPaused || mState != State::Exchanging) {
+    return;
+  }
+  mReading = true;
+  mConnection->socket.async_read_some(
+    mConnection->buffer.prepare(kReadBytes),
+    [self = shared_from_this()](ErrorCode aError, size_t aBytes) { self->onRead(aError, aBytes); });
+}
+
+void Exchange::onRead(ErrorCode aError, size_t aBytes)
+{
+  mReading = false;
+  if (mState != State::Exchanging) {
+    return;
+  }
+  if (aError == asio::error::eof) {
+    // Only an answer without a length may end with its connection, and only with an orderly close.
+    ErrorCode error;
+    mParser->put_eof(error);
+    bool complete = !error && mHeadSeen && !mSkipping && mParser->is_done();
+    finish(complete ? ExchangeEnd::Complete : ExchangeEnd::CutShort);
+    return;
+  }
+  if (aError) {
+    finish(ExchangeEnd::CutShort);
+    return;
+  }
+  mConnection->buffer.commit(aBytes);
+  if (parse()) {
+    read();
+  }
+}
+
+bool Exchange::parse()
+{
+  while (mConnection->buffer.size() > 0) {
+    ErrorCode error;
+    size_t used = mParser->put(mConnection->buffer.data(), error);
+    mConnection->buffer.consume(used);
+    if (error && error != http::error::need_more) {
+      finish(ExchangeEnd::NotAnAnswer);
+      return false;
+    }
+    if (!mHeadSeen && mParser->is_header_done() && !takeHead()) {
+      return false;
+    }
+    if (mHeadSeen) {
+      std::string body;
+      body.swap(mParser->get().body());
+      if (!body.empty() && !mSkipping) {
+        if (auto handler = mHandler.lock()) {
+          handler->onBody(body);
+        }
+        if (mState != State::Exchanging) {
+          return false;
+        }
+      }
+    }
+    if (mParser->is_done()) {
+      bool interim = mParser->get().result_int() / 100 == 1;
+      if (mSkipping || interim) {
+        startParser();
+        continue;
+      }
+      mKeepOpen = mParser->keep_alive() && mSent && mConnection->buffer.size() == 0;
+      finish(ExchangeEnd::Complete);
+      return false;
+    }
+    if (error == http::error::need_more || used == 0) {
+      break;
+    }
+  }
+  return true;
+}
+
+bool Exchange::takeHead()
+{
+  mHeadSeen = true;
+  AnswerHead head;
+  head.status = static_cast<int>(mParser->get().result_int());
+  if (head.status / 100 == 1) {
+    mHeadSeen = false;
+    return true;
+  }
+  head.headers = linesOf(mParser->get());
+  head.facts = mDialect.readAnswer(head.status, head.headers);
+  head.hasLength = !mParser->need_eof();
+  if (!head.facts.attemptId.empty() && head.facts.attemptId != mRequest.attemptId) {
+    if (!head.hasLength) {
+      finish(ExchangeEnd::NotAnAnswer);
+      return false;
+    }
+    mSkipping = true;
+    return true;
+  }
+  mKeepAlive = head.facts.keepAlive;
+  if (auto handler = mHandler.lock()) {
+    handler->onHead(head);
+  }
+  return mState == State::Exchanging;
+}
+
+void Exchange::finish(ExchangeEnd aEnd)
+{
+  if (mState == State::Ended) {
+    return;
+  }
+  mState = State::Ended;
+  if (aEnd == ExchangeEnd::Complete && mKeepOpen) {
+    release();
+  }
+  mConnection.reset();
+  if (auto handler = mHandler.lock()) {
+    handler->onEnd(aEnd);
+  }
+}
+
+void Exchange::release()
+{
+  mPool.put(
+    mRequest.endpoint, std::move(mConnection), mKeepAlive, std::chrono::steady_clock::now());
+}
+
+void Exchange::abort()
+{
+  if (mState == State::Ended) {
+    return;
+  }
+  mState = State::Ended;
+  ErrorCode ignored; // The connection is given up in any case.
+  if (mConnection) {
+    mConnection->socket.close(ignored);
+  }
+}
+
+void Exchange::setPaused(bool aPaused)
+{
+  mPaused = aPaused;
+  if (!aPaused) {
+    read();
+  }
+}
+
+} // namespace boragepitch::relay
--- /dev/null
+++ b/libs/rollout/include/rollout/SwitchCore.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "base/Time.h"
+
+namespace boragepitch::rollout {
+
+/** What an engine says of its weights. */
+struct EngineWeights
+{
+  uint64_t born = 0;    ///< Start of the engine; a restart forgets what it held.
+  uint64_t version = 0; ///< 0 while it holds no complete weights.
+  bool isBusy = false;  ///< An order is under way.
+};
+
+struct SwitchOptions
+{
+  /** An order that changed nothing after this time is given again. */
+  base::Milliseconds orderTimeout{ 4000 };
+};
+
+/**
+ * Decides when one endpoint loads its staged weights. An engine that holds none loads at once; one
+ * that serves an older version waits for its turn, so that the endpoints of a service do not all
+ * stop taking requests together. Answers a rollout under full load. Not thread-safe.
+ */
+class SwitchCore
+{
+public:
+  explicit SwitchCore(SwitchOptions aOptions = {});
+
+  /** @param aTurn earliest time at which a serving engine switches to the version. */
+  void want(uint64_t aVersion, base::TimePoint aTurn);
+  /** True when the staged weights are to be verified and loaded now. */
+  bool isDue(const EngineWeights& aEngine, bool aStagedWhole, base::TimePoint aNow) const;
+  void ordered(const EngineWeights& aEngine, base::TimePoint aNow);
+  uint64_t wanted() const { return mWanted; }
+
+private:
+  struct Order
+  {
+    uint64_t version = 0;
+    uint64_t born = 0;
+    base::TimePoint at;
+  };
+
+  const SwitchOptions mOptions;
+  uint64_t mWanted = 0;
+  base::TimePoint mTurn;
+  std::optional<Order> mOrder;
+};
+
+/**
+ * Turns are spread evenly over a window, in an order that mixes the zones.
+ * @param aRank of the endpoint among aCount of its service.
+ */
+base::Duration turnDelay(size_t aRank,
+                         size_t aCount,
+                         base::Duration aWindowStart,
+                         base::Duration aWindow);
+
+} // namespace boragepitch::rollout
--- a/libs/routing/include/routing/ClaimCore.h
+++ b/libs/routing/include/routing/ClaimCore.h
@@ -9,7 +9,7 @@
 #include "base/Error.h"
 #include "base/Limits.h"
 #include "base/Time.h"
-#include "platform/Platform.h"
+#include "stores/Stores.h"
 
 namespace boragepitch::routing {
 
@@ -34,7 +34,7 @@
 {
   uint64_t id = 0;
   WriteOutcome outcome = WriteOutcome::GivenUp;
-  platform::Row row; ///< The row now; its version is 0 when it is absent.
+  stores::Row row; ///< The row now; its version is 0 when it is absent.
 };
 
 /**
@@ -54,11 +54,11 @@
   /** Rows that must be read before their writes can go on; empty when there are none. */
   std::vector<std::string> keysToRead() const;
   /** @param aRows what was read of keysToRead(). */
-  std::vector<WriteResult> rowsRead(const base::Result<std::vector<platform::Row>>& aRows,
+  std::vector<WriteResult> rowsRead(const base::Result<std::vector<stores::Row>>& aRows,
                                     base::TimePoint aNow);
 
   /** The next transaction; without puts and deletes when nothing may be sent now. */
-  platform::Transaction takeTransaction(base::TimePoint aNow);
+  stores::Transaction takeTransaction(base::TimePoint aNow);
   /** The result of the transaction taken last. */
   std::vector<WriteResult> committed(const base::Result<uint64_t>& aResult, base::TimePoint aNow);
   /** Gives up writes whose deadline has passed. */
@@ -67,7 +67,7 @@
   base::TimePoint nextWake(base::TimePoint aNow) const;
 
 private:
-  std::vector<WriteResult> resolve(const RowWrite& aWrite, const platform::Row& aRow);
+  std::vector<WriteResult> resolve(const RowWrite& aWrite, const stores::Row& aRow);
 
   const size_t mBatch;
   const base::Duration mRetryEvery;
@@ -86,8 +86,7 @@
   PruneCore(base::Duration aAge, size_t aMaxTracked);
 
   /** Notes rows seen by a scan; returns deletions for those unchanged for the whole age. */
-  std::vector<platform::Check> observe(const std::vector<platform::Row>& aRows,
-                                       base::TimePoint aNow);
+  std::vector<stores::Check> observe(const std::vector<stores::Row>& aRows, base::TimePoint aNow);
   void forget(const std::string& aKey) { mSeen.erase(aKey); }
   size_t tracked() const { return mSeen.size(); }
 
--- a/libs/routing/include/routing/ClaimStore.h
+++ b/libs/routing/include/routing/ClaimStore.h
@@ -8,7 +8,7 @@
 
 #include "base/Error.h"
 #include "base/Time.h"
-#include "platform/Platform.h"
+#include "stores/Stores.h"
 
 namespace boragepitch::routing {
 
@@ -42,7 +42,7 @@
 std::string claimKey(std::string_view aWorkspace, std::string_view aKey);
 std::string encodeClaim(const Claim& aClaim);
 /** Corrupt when the value is not a claim. */
-base::Result<Claim> decodeClaim(const platform::Row& aRow);
+base::Result<Claim> decodeClaim(const stores::Row& aRow);
 
 /** What came of an attempt to claim a key. */
 struct ClaimResult
@@ -72,7 +72,7 @@
   };
 
   /** @param aTable outlives this object. */
-  ClaimStore(platform::TableClient& aTable, Options aOptions);
+  ClaimStore(stores::TableClient& aTable, Options aOptions);
   ~ClaimStore();
 
   /**
@@ -113,7 +113,7 @@
 {
 public:
   /** @param aTable outlives this object; @param aAge how long outcomes are kept. */
-  ClaimPruner(platform::TableClient& aTable, base::Duration aAge, size_t aMaxTracked = 100'000);
+  ClaimPruner(stores::TableClient& aTable, base::Duration aAge, size_t aMaxTracked = 100'000);
   ~ClaimPruner();
 
   /** Reads one page of claims and removes the old ones among them in one transaction; returns how
--- a/libs/routing/src/ClaimCore.cpp
+++ b/libs/routing/src/ClaimCore.cpp
@@ -40,7 +40,7 @@
   return { keys.begin(), keys.end() };
 }
 
-std::vector<WriteResult> ClaimCore::resolve(const RowWrite& aWrite, const platform::Row& aRow)
+std::vector<WriteResult> ClaimCore::resolve(const RowWrite& aWrite, const stores::Row& aRow)
 {
   bool removes = aWrite.value.empty();
   bool isWritten = removes ? aRow.version == 0 : aRow.version != 0 && aRow.value == aWrite.value;
@@ -56,7 +56,7 @@
   return { { aWrite.id, WriteOutcome::Overtaken, aRow } };
 }
 
-std::vector<WriteResult> ClaimCore::rowsRead(const base::Result<std::vector<platform::Row>>& aRows,
+std::vector<WriteResult> ClaimCore::rowsRead(const base::Result<std::vector<stores::Row>>& aRows,
                                              base::TimePoint aNow)
 {
   if (!aRows) {
@@ -67,18 +67,17 @@
   std::vector<RowWrite> unclear = std::move(mUnclear);
   mUnclear.clear();
   for (const RowWrite& write : unclear) {
-    auto found = std::find_if(aRows->begin(), aRows->end(), [&](const platform::Row& aRow) {
-      return aRow.key == write.key;
-    });
-    platform::Row row = found == aRows->end() ? platform::Row{ write.key, {}, 0 } : *found;
+    auto found = std::find_if(
+      aRows->begin(), aRows->end(), [&](const stores::Row& aRow) { return aRow.key == write.key; });
+    stores::Row row = found == aRows->end() ? stores::Row{ write.key, {}, 0 } : *found;
     append(results, resolve(write, row));
   }
   return results;
 }
 
-platform::Transaction ClaimCore::takeTransaction(base::TimePoint aNow)
+stores::Transaction ClaimCore::takeTransaction(base::TimePoint aNow)
 {
-  platform::Transaction transaction;
+  stores::Transaction transaction;
   if (!mSent.empty() || mWaiting.empty() || aNow < mNotBefore || !mRate.tryTake(1, aNow)) {
     return transaction;
   }
@@ -160,11 +159,11 @@
 {
 }
 
-std::vector<platform::Check> PruneCore::observe(const std::vector<platform::Row>& aRows,
-                                                base::TimePoint aNow)
+std::vector<stores::Check> PruneCore::observe(const std::vector<stores::Row>& aRows,
+                                              base::TimePoint aNow)
 {
-  std::vector<platform::Check> old;
-  for (const platform::Row& row : aRows) {
+  std::vector<stores::Check> old;
+  for (const stores::Row& row : aRows) {
     auto found = mSeen.find(row.key);
     if (found == mSeen.end()) {
       // Beyond the bound, rows wait until tracked ones are pruned.
--- a/libs/routing/src/ClaimPruner.cpp
+++ b/libs/routing/src/ClaimPruner.cpp
@@ -14,19 +14,19 @@
 
 struct ClaimPruner::Impl
 {
-  Impl(platform::TableClient& aTable, base::Duration aAge, size_t aMaxTracked)
+  Impl(stores::TableClient& aTable, base::Duration aAge, size_t aMaxTracked)
     : table(aTable)
     , core(aAge, aMaxTracked)
   {
   }
 
-  platform::TableClient& table;
+  stores::TableClient& table;
   PruneCore core;
   std::string after;
   uint64_t transactions = 0;
 };
 
-ClaimPruner::ClaimPruner(platform::TableClient& aTable, base::Duration aAge, size_t aMaxTracked)
+ClaimPruner::ClaimPruner(stores::TableClient& aTable, base::Duration aAge, size_t aMaxTracked)
   : mImpl(std::make_unique<Impl>(aTable, aAge, aMaxTracked))
 {
 }
@@ -49,10 +49,10 @@
   if (old.empty()) {
     return 0;
   }
-  platform::Transaction transaction;
+  stores::Transaction transaction;
   transaction.id = "prune-" + std::to_string(++mImpl->transactions);
   transaction.checks = old;
-  for (const platform::Check& check : old) {
+  for (const stores::Check& check : old) {
     transaction.deletes.push_back(check.key);
   }
   auto committed = mImpl->table.commit(transaction);
@@ -60,7 +60,7 @@
     return tl::make_unexpected(committed.error());
   }
   // After a conflict one of the rows changed; the next scan tells which.
-  for (const platform::Check& check : old) {
+  for (const stores::Check& check : old) {
     mImpl->core.forget(check.key);
   }
   return committed ? old.size() : 0;
--- a/libs/routing/src/ClaimStore.cpp
+++ b/libs/routing/src/ClaimStore.cpp
@@ -82,7 +82,7 @@
 
 } // namespace
 
-base::Result<Claim> decodeClaim(const platform::Row& aRow)
+base::Result<Claim> decodeClaim(const stores::Row& aRow)
 {
   constexpr size_t kLargestRow = 1 << 20;
   auto corrupt = [&] {
@@ -112,7 +112,7 @@
 
 struct ClaimStore::Impl
 {
-  Impl(platform::TableClient& aTable, Options aOptions)
+  Impl(stores::TableClient& aTable, Options aOptions)
     : table(aTable)
     , options(std::move(aOptions))
     , core(options.batch, options.transactionsPerSecond, options.retryEvery)
@@ -223,7 +223,7 @@
     return true;
   }
 
-  platform::TableClient& table;
+  stores::TableClient& table;
   const Options options;
   std::mutex mutex;
   std::condition_variable wake;
@@ -240,7 +240,7 @@
   std::thread thread;
 };
 
-ClaimStore::ClaimStore(platform::TableClient& aTable, Options aOptions)
+ClaimStore::ClaimStore(stores::TableClient& aTable, Options aOptions)
   : mImpl(std::make_unique<Impl>(aTable, std::move(aOptions)))
 {
 }
--- /dev/null
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/Rng.h"
+#include "base/Time.h"
+#include "net/Address.h"
+#include "serving/Deployment.h"
+
+namespace boragepitch::serving {
+
+/** What the platform's list says of one endpoint. */
+struct EndpointRecord
+{
+  std::string id; ///< Differs after most restarts.
+  std::string service;
+  net::Address address;
+  std::string zone;
+  std::string region;
+  uint64_t born =
+    0; ///< Start of the endpoint, Unix milliseconds; tells restarts under one id apart.
+  bool isDraining = false;
+  int slots = 1;
+  base::Milliseconds coldFor{ 0 }; ///< How much longer it bears little work.
+  /** Version of the weights that all its layers hold; empty for a service without weights. */
+  std::optional<uint64_t> weightVersion;
+};
+
+/** What the process beside an endpoint has read from it. */
+struct LoadReport
+{
+  std::string address; ///< Of the endpoint, IP:PORT.
+  uint64_t born = 0;
+  int running = 0;
+  int queued = 0;
+  double pace = 1;            ///< Over 1 for an endpoint that is slower than usual.
+  double memoryUsed = 0;      ///< Share of the memory for requests that is in use, 0 to 1.
+  uint64_t weightVersion = 0; ///< 0 while it holds no complete weights.
+  bool isSwitching = false;   ///< An order is under way: it takes no new requests.
+};
+
+/** How a request that was sent to an endpoint ended, as far as it tells about the endpoint. */
+enum class Outcome
+{
+  Success,
+  Failure,     ///< It answered with a failure of its own.
+  Rejected,    ///< It did not run the request: full or switching.
+  Misdirected, ///< Another instance or other weights than expected.
+  Broken,      ///< The connection broke, or bytes came that are no answer.
+  Silent,      ///< Nothing came in time, or it could not be reached.
+  Abandoned,   ///< The caller left; tells nothing.
+};
+
+std::string_view toString(Outcome aOutcome);
+
+/** One endpoint as this process sees it. Created and changed by EndpointSet only. */
+struct Endpoint
+{
+  EndpointRecord record;
+  bool isListed = true;
+  int inFlight = 0; ///< Requests of this process.
+
+  std::optional<LoadReport> report;
+  base::TimePoint reportedAt;
+  int inFlightAtReport = 0;
+
+  base::TimePoint coldUntil;
+  base::TimePoint avoidUntil;
+  uint32_t silences = 0;                    ///< Consecutive; a success resets it.
+  double failureShare = 0;                  ///< Moving average over requests.
+  double firstEventMs = 0;                  ///< Moving average; 0 until one was seen.
+  std::vector<base::TimePoint> recentSends; ///< Within the last second, while cold.
+
+  bool isCold(base::TimePoint aNow) const { return aNow < coldUntil; }
+  /** The last known version of its weights; 0 when it holds none. */
+  uint64_t weightVersion() const;
+};
+
+using EndpointPtr = std::shared_ptr<Endpoint>;
+
+struct PlacementOptions
+{
+  std::string zone; ///< Of this process.
+  std::string region;
+  double coldOvershoot = 1.5;
+  double coldTolerance = 5;
+  /** Requests that may wait at an engine beyond its slots. One slot frees every 90 ms or so under
+   * full load, so that more would miss a first event within 300 to 400 ms. */
+  int engineQueue = 1;
+  /** Requests in flight at an endpoint of a plain service, relative to its slots. */
+  double plainOverbooking = 1.5;
+  /** Load that must be saved by leaving the region; keeps bytes off the links between regions. */
+  double remotePenalty = 0.15;
+};
+
+struct PlacementRequest
+{
+  const Route* route = nullptr;
+  const Service* service = nullptr;
+  const Workspace* workspace = nullptr;  ///< May be null.
+  std::span<const std::string> excluded; ///< Ids of endpoints that were tried already.
+  uint64_t weightVersion = 0;            ///< Only endpoints with this version; 0 for any.
+};
+
+enum class Refusal
+{
+  None,
+  NoEndpoint, ///< No endpoint of the service is listed and allowed.
+  Full,       ///< All allowed endpoints have as much work as they can start in time.
+  Cold,       ///< The endpoints with room are in cold start and had their share of this second.
+};
+
+std::string_view toString(Refusal aRefusal);
+
+struct Placement
+{
+  EndpointPtr endpoint; ///< Null when refused.
+  Refusal refusal = Refusal::None;
+  /** For the decision's log line. */
+  double cost = 0;
+  int candidates = 0;
+};
+
+/**
+ * The endpoints that this process knows, and the choice among them. Answers these load patterns:
+ * several entries that fill the same endpoints, reports that lag, endpoints that are slow, fail,
+ * fall silent or turn cold. No I/O; not thread-safe.
+ */
+class EndpointSet
+{
+public:
+  explicit EndpointSet(PlacementOptions aOptions);
+
+  /** Adds or updates a listed endpoint. */
+  void apply(const EndpointRecord& aRecord, const Service* aService, base::TimePoint aNow);
+  /** It left the list: nothing new is sent to it. */
+  void remove(std::string_view aId);
+  void setEvacuated(std::set<std::string> aZones) { mEvacuated = std::move(aZones); }
+  const std::set<std::string>& evacuated() const { return mEvacuated; }
+  /** Number of processes that send to the same endpoints; cold endpoints are shared evenly. */
+  void setSenders(int aCount) { mSenders = aCount; }
+  void learn(const LoadReport& aReport, base::TimePoint aNow);
+
+  Placement choose(const PlacementRequest& aRequest, base::TimePoint aNow, base::Rng& aRng) const;
+
+  /** A request goes to the endpoint; call finished() exactly once for it. */
+  void started(Endpoint& aEndpoint, base::TimePoint aNow);
+  void finished(Endpoint& aEndpoint, Outcome aOutcome, base::TimePoint aNow);
+  void firstEvent(Endpoint& aEndpoint, base::Duration aAfter);
+  /** An answer named the version of its weights. */
+  void noteVersion(Endpoint& aEndpoint, uint64_t aVersion);
+
+  /** Requests at the endpoint: own ones, and those of others as last reported. */
+  static int load(const Endpoint& aEndpoint, base::TimePoint aNow);
+  const std::map<std::string, EndpointPtr, std::less<>>& all() const { return mById; }
+  /** Free places over all usable endpoints of a service. */
+  int freePlaces(const PlacementRequest& aRequest, base::TimePoint aNow) const;
+
+private:
+  int places(const Endpoint& aEndpoint, const Service& aService) const;
+  bool isAllowed(const Endpoint& aEndpoint,
+                 const PlacementRequest& aRequest,
+                 base::TimePoint aNow) const;
+  bool coldShareUsed(const Endpoint& aEndpoint,
+                     const Service& aService,
+                     base::TimePoint aNow) const;
+  double costOf(const Endpoint& aEndpoint, int aLoad, int aPlaces) const;
+
+  PlacementOptions mOptions;
+  std::map<std::string, EndpointPtr, std::less<>> mById;
+  std::set<std::string> mEvacuated;
+  int mSenders = 1;
+};
+
+} // namespace boragepitch::serving
--- /dev/null
+++ b/libs/serving/src/CrashSuspects.cpp
@@ -0,0 +1,57 @@
+#include "serving/CrashSuspects.h"
+
+#include <algorithm>
+
+#include "base/Digest.h"
+
+namespace boragepitch::serving {
+
+namespace {
+/** Crashes after which a request is no longer run. */
+constexpr size_t kQuarantineCrashes = 3;
+} // namespace
+
+CrashSuspects::CrashSuspects(size_t aMaxFingerprints, base::Duration aMaxAge)
+  : mMaxFingerprints(aMaxFingerprints)
+  , mMaxAge(aMaxAge)
+{
+}
+
+bool CrashSuspects::record(const CrashEvidence& aEvidence, base::TimePoint aNow)
+{
+  std::erase_if(mRecords,
+                [&](const auto& aEntry) { return aNow - aEntry.second.touched > mMaxAge; });
+  if (mRecords.size() >= mMaxFingerprints && !mRecords.contains(aEvidence.fingerprint)) {
+    auto oldest =
+      std::min_element(mRecords.begin(), mRecords.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.touched < aRight.second.touched;
+      });
+    mRecords.erase(oldest);
+  }
+  Record& record = mRecords[aEvidence.fingerprint];
+  record.touched = aNow;
+  return record.crashes.insert(aEvidence.endpoint).second;
+}
+
+void CrashSuspects::clear(uint64_t aFingerprint)
+{
+  mRecords.erase(aFingerprint);
+}
+
+bool CrashSuspects::isQuarantined(uint64_t aFingerprint, base::TimePoint aNow) const
+{
+  auto found = mRecords.find(aFingerprint);
+  return found != mRecords.end() && aNow - found->second.touched <= mMaxAge &&
+         found->second.crashes.size() >= kQuarantineCrashes;
+}
+
+uint64_t requestFingerprint(std::string_view aTarget,
+                            std::string_view aCaller,
+                            std::string_view aBody)
+{
+  uint64_t hash = base::fastHash(base::asBytes(aTarget));
+  hash = base::fastHash(base::asBytes(aCaller), hash);
+  return base::fastHash(base::asBytes(aBody), hash);
+}
+
+} // namespace boragepitch::serving
--- /dev/null
+++ b/libs/serving/src/Deployment.cpp
@@ -0,0 +1,115 @@
+#include "serving/Deployment.h"
+
+#include <algorithm>
+
+namespace boragepitch::serving {
+
+std::string_view toString(CallKind aKind)
+{
+  switch (aKind) {
+    case CallKind::Idempotent:
+      return "idempotent";
+    case CallKind::Mutating:
+      return "mutating";
+    case CallKind::Streaming:
+      return "streaming";
+  }
+  return "mutating";
+}
+
+bool allowsRegion(const Regions& aRegions, std::string_view aRegion)
+{
+  return aRegions.empty() || std::find(aRegions.begin(), aRegions.end(), aRegion) != aRegions.end();
+}
+
+Deployment& Deployment::Builder::result()
+{
+  if (!mResult) {
+    mResult = std::make_shared<Deployment>();
+  }
+  return *mResult;
+}
+
+Deployment::Builder& Deployment::Builder::version(uint64_t aVersion)
+{
+  result().mVersion = aVersion;
+  return *this;
+}
+
+Deployment::Builder& Deployment::Builder::addRoute(Route aRoute)
+{
+  result().mRoutes.push_back(std::make_unique<Route>(std::move(aRoute)));
+  return *this;
+}
+
+Deployment::Builder& Deployment::Builder::addService(Service aService)
+{
+  std::string name = aService.name;
+  result().mServices.insert_or_assign(std::move(name), std::move(aService));
+  return *this;
+}
+
+Deployment::Builder& Deployment::Builder::requireKeys()
+{
+  result().mRequiresKeys = true;
+  return *this;
+}
+
+Deployment::Builder& Deployment::Builder::addWorkspace(Workspace aWorkspace,
+                                                       const std::vector<std::string>& aKeys)
+{
+  Deployment& target = result();
+  target.mWorkspaces.push_back(std::make_unique<Workspace>(std::move(aWorkspace)));
+  for (const std::string& key : aKeys) {
+    target.mByKey.insert_or_assign(key, target.mWorkspaces.back().get());
+  }
+  return *this;
+}
+
+Deployment::Builder& Deployment::Builder::limits(CallerLimits aLimits)
+{
+  result().mLimits = aLimits;
+  return *this;
+}
+
+std::shared_ptr<const Deployment> Deployment::Builder::build()
+{
+  Deployment& target = result();
+  for (const auto& route : target.mRoutes) {
+    target.mByHost[route->host].push_back(route.get());
+  }
+  for (auto& [host, routes] : target.mByHost) {
+    std::stable_sort(routes.begin(), routes.end(), [](const Route* aLeft, const Route* aRight) {
+      return aLeft->pathPrefix.size() > aRight->pathPrefix.size();
+    });
+  }
+  return std::exchange(mResult, nullptr);
+}
+
+const Route* Deployment::match(std::string_view aHost, std::string_view aPath) const
+{
+  auto found = mByHost.find(aHost);
+  if (found == mByHost.end()) {
+    return nullptr;
+  }
+  for (const Route* route : found->second) {
+    if (aPath.starts_with(route->pathPrefix)) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const Service* Deployment::service(std::string_view aName) const
+{
+  auto found = mServices.find(aName);
+  return found == mServices.end() ? nullptr : &found->second;
+}
+
+const Workspace* Deployment::workspaceOf(std::string_view aKey) const
+{
+  auto found = mByKey.find(aKey);
+  return found == mByKey.end() ? nullptr : found->second;
+}
+
+} // namespace boragepitch::serving
--- /dev/null
+++ b/libs/serving/src/PeerMessage.cpp
@@ -0,0 +1,108 @@
+#include "serving/PeerMessage.h"
+
+#include <limits>
+
+#include "base/Json.h"
+
+namespace boragepitch::serving {
+
+namespace {
+
+constexpr size_t kMaxBytes = 2048;
+constexpr int64_t kMaxCount = 1'000'000;
+
+Json::Value toJson(const LoadReport& aReport)
+{
+  Json::Value json;
+  json["kind"] = "load";
+  json["address"] = aReport.address;
+  json["born"] = Json::UInt64{ aReport.born };
+  json["running"] = aReport.running;
+  json["queued"] = aReport.queued;
+  json["pace"] = aReport.pace;
+  json["memory"] = aReport.memoryUsed;
+  json["weights"] = Json::UInt64{ aReport.weightVersion };
+  json["switching"] = aReport.isSwitching;
+  return json;
+}
+
+Json::Value toJson(const CrashEvidence& aEvidence)
+{
+  Json::Value json;
+  json["kind"] = "crash";
+  json["fingerprint"] = std::to_string(aEvidence.fingerprint);
+  json["endpoint"] = aEvidence.endpoint;
+  return json;
+}
+
+double numberOr(const Json::Value& aJson, const char* aKey, double aDefault)
+{
+  const Json::Value& value = aJson[aKey];
+  return value.isNumeric() ? value.asDouble() : aDefault;
+}
+
+base::Result<PeerMessage> loadFrom(const Json::Value& aJson)
+{
+  auto address = base::requireString(aJson, "address");
+  auto born = base::requireInt(aJson, "born", 0, std::numeric_limits<int64_t>::max());
+  auto running = base::requireInt(aJson, "running", 0, kMaxCount);
+  auto queued = base::requireInt(aJson, "queued", 0, kMaxCount);
+  auto weights = base::requireInt(aJson, "weights", 0, std::numeric_limits<int64_t>::max());
+  for (const base::Error* error : { address ? nullptr : &address.error(),
+                                    born ? nullptr : &born.error(),
+                                    running ? nullptr : &running.error(),
+                                    queued ? nullptr : &queued.error(),
+                                    weights ? nullptr : &weights.error() }) {
+    if (error != nullptr) {
+      return tl::make_unexpected(*error);
+    }
+  }
+  LoadReport report;
+  report.address = *address;
+  report.born = static_cast<uint64_t>(*born);
+  report.running = static_cast<int>(*running);
+  report.queued = static_cast<int>(*queued);
+  report.pace = numberOr(aJson, "pace", 1);
+  report.memoryUsed = numberOr(aJson, "memory", 0);
+  report.weightVersion = static_cast<uint64_t>(*weights);
+  report.isSwitching = base::boolOr(aJson, "switching", false);
+  return PeerMessage(report);
+}
+
+base::Result<PeerMessage> crashFrom(const Json::Value& aJson)
+{
+  auto fingerprint = base::requireString(aJson, "fingerprint");
+  auto endpoint = base::requireString(aJson, "endpoint");
+  if (!fingerprint || !endpoint) {
+    return tl::make_unexpected(fingerprint ? endpoint.error() : fingerprint.error());
+  }
+  CrashEvidence evidence;
+  evidence.fingerprint = std::strtoull(fingerprint->c_str(), nullptr, 10);
+  evidence.endpoint = *endpoint;
+  return PeerMessage(evidence);
+}
+
+} // namespace
+
+std::string encode(const PeerMessage& aMessage)
+{
+  return base::writeJson(std::visit([](const auto& aBody) { return toJson(aBody); }, aMessage));
+}
+
+base::Result<PeerMessage> decode(std::string_view aText)
+{
+  auto json = base::parseJson(aText, { .bytes = kMaxBytes, .depth = 2 });
+  if (!json) {
+    return tl::make_unexpected(json.error());
+  }
+  std::string kind = base::stringOr(*json, "kind");
+  if (kind == "load") {
+    return loadFrom(*json);
+  }
+  if (kind == "crash") {
+    return crashFrom(*json);
+  }
+  return base::fail(base::ErrorKind::Invalid, "kind", "unknown message kind", "run one version");
+}
+
+} // namespace boragepitch::serving
--- a/libs/platform/include/platform/HttpPlatform.h
+++ b/libs/stores/include/stores/HttpStores.h
@@ -5,9 +5,9 @@
 
 #include "base/Time.h"
 #include "net/Address.h"
-#include "platform/Platform.h"
+#include "stores/Stores.h"
 
-namespace boragepitch::platform {
+namespace boragepitch::stores {
 
 /** Deadlines and retries of one client of the platform. */
 struct RetrySettings
@@ -103,4 +103,4 @@
   };
 };
 
-} // namespace boragepitch::platform
+} // namespace boragepitch::stores
--- a/libs/platform/include/platform/Lease.h
+++ b/libs/stores/include/stores/Lease.h
@@ -12,9 +12,9 @@
 #include "base/Limits.h"
 #include "base/Rng.h"
 #include "base/Time.h"
-#include "platform/Platform.h"
+#include "stores/Stores.h"
 
-namespace boragepitch::platform {
+namespace boragepitch::stores {
 
 /** What a lease row holds. No wall-clock time: the duration is measured by each reader's clock. */
 struct LeaseRow
@@ -151,4 +151,4 @@
   std::atomic<uint64_t> mCounter{ 0 };
 };
 
-} // namespace boragepitch::platform
+} // namespace boragepitch::stores
--- a/libs/platform/include/platform/Platform.h
+++ b/libs/stores/include/stores/Stores.h
@@ -11,7 +11,7 @@
 #include "base/Error.h"
 #include "net/Address.h"
 
-namespace boragepitch::platform {
+namespace boragepitch::stores {
 
 struct Row
 {
@@ -100,4 +100,4 @@
   virtual base::Result<std::vector<ListedVm>> list() = 0;
 };
 
-} // namespace boragepitch::platform
+} // namespace boragepitch::stores
--- a/libs/platform/src/EpochIssuer.cpp
+++ b/libs/stores/src/EpochIssuer.cpp
@@ -1,9 +1,9 @@
-#include "platform/Lease.h"
+#include "stores/Lease.h"
 
 #include <algorithm>
 #include <charconv>
 
-namespace boragepitch::platform {
+namespace boragepitch::stores {
 
 namespace {
 
@@ -65,4 +65,4 @@
   return tl::make_unexpected(last);
 }
 
-} // namespace boragepitch::platform
+} // namespace boragepitch::stores
--- a/libs/platform/src/HttpCaller.cpp
+++ b/libs/stores/src/HttpCaller.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <thread>
 
-namespace boragepitch::platform {
+namespace boragepitch::stores {
 
 namespace {
 
@@ -111,4 +111,4 @@
   return error;
 }
 
-} // namespace boragepitch::platform
+} // namespace boragepitch::stores
--- a/libs/platform/src/HttpCaller.h
+++ b/libs/stores/src/HttpCaller.h
@@ -7,9 +7,9 @@
 #include "base/Limits.h"
 #include "base/Rng.h"
 #include "net/HttpClient.h"
-#include "platform/HttpPlatform.h"
+#include "stores/HttpStores.h"
 
-namespace boragepitch::platform {
+namespace boragepitch::stores {
 
 /** One attempt at a call, within the given time. */
 template<typename T>
@@ -66,4 +66,4 @@
 /** The error of a response whose status is not the expected one. */
 base::Error statusError(const net::ClientResponse& aResponse, const std::string& aField);
 
-} // namespace boragepitch::platform
+} // namespace boragepitch::stores
--- a/libs/platform/src/HttpObjects.cpp
+++ b/libs/stores/src/HttpObjects.cpp
@@ -1,6 +1,6 @@
 #include "HttpCaller.h"
 
-namespace boragepitch::platform {
+namespace boragepitch::stores {
 
 namespace {
 
@@ -98,4 +98,4 @@
   return std::make_unique<HttpObjectsImpl>(mOptions);
 }
 
-} // namespace boragepitch::platform
+} // namespace boragepitch::stores
--- a/libs/platform/src/HttpTable.cpp
+++ b/libs/stores/src/HttpTable.cpp
@@ -2,7 +2,7 @@
 
 #include "base/Json.h"
 
-namespace boragepitch::platform {
+namespace boragepitch::stores {
 
 namespace {
 
@@ -205,4 +205,4 @@
   return std::make_unique<HttpTableImpl>(mOptions);
 }
 
-} // namespace boragepitch::platform
+} // namespace boragepitch::stores
--- a/libs/platform/src/HttpVmList.cpp
+++ b/libs/stores/src/HttpVmList.cpp
@@ -2,7 +2,7 @@
 
 #include "base/Json.h"
 
-namespace boragepitch::platform {
+namespace boragepitch::stores {
 
 namespace {
 
@@ -88,4 +88,4 @@
   return std::make_unique<HttpVmListImpl>(mOptions);
 }
 
-} // namespace boragepitch::platform
+} // namespace boragepitch::stores
--- a/libs/platform/src/HttpWeightOrigin.cpp
+++ b/libs/stores/src/HttpWeightOrigin.cpp
@@ -4,7 +4,7 @@
 #include <cstring>
 #include <map>
 
-namespace boragepitch::platform {
+namespace boragepitch::stores {
 
 namespace {
 
@@ -200,4 +200,4 @@
   return std::make_unique<HttpWeightOriginImpl>(mOptions);
 }
 
-} // namespace boragepitch::platform
+} // namespace boragepitch::stores
--- a/libs/platform/src/LeaseKeeper.cpp
+++ b/libs/stores/src/LeaseKeeper.cpp
@@ -1,10 +1,10 @@
-#include "platform/Lease.h"
+#include "stores/Lease.h"
 
 #include <algorithm>
 
 #include "base/Json.h"
 
-namespace boragepitch::platform {
+namespace boragepitch::stores {
 
 namespace {
 
@@ -189,4 +189,4 @@
   return holds(aNow) ? std::optional(Check{ mKey, mVersion }) : std::nullopt;
 }
 
-} // namespace boragepitch::platform
+} // namespace boragepitch::stores
--- a/libs/platform/src/LeaseRunner.cpp
+++ b/libs/stores/src/LeaseRunner.cpp
@@ -1,10 +1,10 @@
-#include "platform/Lease.h"
+#include "stores/Lease.h"
 
 #include <condition_variable>
 #include <mutex>
 #include <thread>
 
-namespace boragepitch::platform {
+namespace boragepitch::stores {
 
 namespace {
 
@@ -194,4 +194,4 @@
   return std::make_unique<LeaseRunnerImpl>(*mTable, clock, mSettings, mSeed);
 }
 
-} // namespace boragepitch::platform
+} // namespace boragepitch::stores
--- /dev/null
+++ b/libs/stores/src/Stores.cpp
@@ -0,0 +1,1 @@
+#include "stores/Stores.h"
--- /dev/null
+++ b/libs/stores/src/TableWatcher.cpp
@@ -0,0 +1,132 @@
+#include "stores/TableWatcher.h"
+
+namespace boragepitch::stores {
+
+namespace {
+/** Pages of one read; bounds a table that grows while it is read. */
+constexpr int kMaxPages = 1000;
+} // namespace
+
+TableWatcher::TableWatcher(MakeFeed aMakeFeed, TableListener& aListener, WatchOptions aOptions)
+  : mMakeFeed(std::move(aMakeFeed))
+  , mListener(aListener)
+  , mOptions(std::move(aOptions))
+  , mRng(mOptions.seed)
+  , mBackoff(mOptions.backoffBase, mOptions.backoffCap)
+{
+}
+
+TableWatcher::~TableWatcher()
+{
+  stop();
+}
+
+void TableWatcher::start()
+{
+  mThread = std::thread([this] { run(); });
+}
+
+void TableWatcher::stop()
+{
+  mStopping = true;
+  {
+    std::lock_guard lock(mMutex);
+    if (mFeed) {
+      mFeed->cancel();
+    }
+  }
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+std::shared_ptr<RowFeed> TableWatcher::makeFeed()
+{
+  std::lock_guard lock(mMutex);
+  mFeed = mMakeFeed();
+  return mFeed;
+}
+
+void TableWatcher::run()
+{
+  auto feed = makeFeed();
+  while (!mStopping) {
+    auto status = step(*feed);
+    if (mStopping) {
+      return;
+    }
+    report(status);
+    if (status) {
+      mBackoff.reset();
+      continue;
+    }
+    bool historyGone = status.error().kind == base::ErrorKind::NotFound;
+    if (historyGone) {
+      mHasPosition = false;
+      continue;
+    }
+    std::this_thread::sleep_for(mBackoff.next(mRng) + base::Duration(mOptions.backoffBase));
+    feed = makeFeed();
+  }
+}
+
+void TableWatcher::report(const base::Status& aStatus)
+{
+  auto now = std::chrono::steady_clock::now();
+  bool reachable = aStatus.has_value() || aStatus.error().kind == base::ErrorKind::NotFound;
+  if (reachable != mReachable || !mReported) {
+    mReachable = reachable;
+    mReported = true;
+    mListener.onReachable(reachable, reachable ? "" : aStatus.error().describe(), now);
+  }
+}
+
+base::Status TableWatcher::step(RowFeed& aFeed)
+{
+  if (!mHasPosition) {
+    return readWhole(aFeed);
+  }
+  auto page = aFeed.changes(mOptions.table, mPosition, mOptions.wait);
+  if (!page) {
+    return tl::make_unexpected(page.error());
+  }
+  mPosition = std::max(mPosition, page->position);
+  auto now = std::chrono::steady_clock::now();
+  if (!mReachable) {
+    report({});
+  }
+  if (!page->rows.empty()) {
+    mListener.onChanges(page->rows, now);
+  }
+  mListener.onAlive(now);
+  return {};
+}
+
+base::Status TableWatcher::readWhole(RowFeed& aFeed)
+{
+  std::vector<RowChange> rows;
+  std::string after;
+  uint64_t position = 0;
+  for (int number = 0; number < kMaxPages; ++number) {
+    auto page = aFeed.read(mOptions.table, after);
+    if (!page) {
+      return tl::make_unexpected(page.error());
+    }
+    // Later pages may hold newer rows; following from the first page's position sees them again.
+    position = number == 0 ? page->position : position;
+    rows.insert(rows.end(), page->rows.begin(), page->rows.end());
+    if (!page->hasMore || page->rows.empty()) {
+      break;
+    }
+    after = page->rows.back().key;
+  }
+  mPosition = position;
+  mHasPosition = true;
+  report({});
+  auto now = std::chrono::steady_clock::now();
+  mListener.onSnapshot(rows, now);
+  mListener.onAlive(now);
+  return {};
+}
+
+} // namespace boragepitch::stores
--- a/libs/platform/tests/HttpPlatformTest.cpp
+++ b/libs/stores/tests/HttpStoresTest.cpp
@@ -8,7 +8,7 @@
 #include "base/Digest.h"
 #include "base/Json.h"
 #include "net/HttpServer.h"
-#include "platform/HttpPlatform.h"
+#include "stores/HttpStores.h"
 #include "support/TestAddress.h"
 
 using namespace boragepitch;
@@ -17,10 +17,10 @@
 
 namespace {
 
-constexpr platform::RetrySettings kQuick{ .attemptTimeout = Milliseconds(2000),
-                                          .deadline = Milliseconds(20000),
-                                          .backoffBase = Milliseconds(2),
-                                          .backoffCap = Milliseconds(10) };
+constexpr stores::RetrySettings kQuick{ .attemptTimeout = Milliseconds(2000),
+                                        .deadline = Milliseconds(20000),
+                                        .backoffBase = Milliseconds(2),
+                                        .backoffCap = Milliseconds(10) };
 
 /** A server that answers every request with the handler of the test, and counts. */
 struct Service
@@ -68,7 +68,7 @@
   return response;
 }
 
-const platform::Transaction kTransaction{ "t", { { "a", 3 } }, { { "a", "1" } }, { "b" } };
+const stores::Transaction kTransaction{ "t", { { "a", 3 } }, { { "a", "1" } }, { "b" } };
 
 } // namespace
 
@@ -85,7 +85,7 @@
     }
     return status(200, R"({"rows":[{"key":"a","value":"1","version":9}],"sequence":9})");
   });
-  auto client = service.client<platform::HttpTable>();
+  auto client = service.client<stores::HttpTable>();
   BOOST_TEST(client->commit(kTransaction).value() == 9);
   auto rows = client->scan("a", "", 10).value();
   BOOST_REQUIRE(rows.size() == 1);
@@ -100,7 +100,7 @@
 BOOST_AUTO_TEST_CASE(neverRepeatsAWriteWhoseAnswerWasLost)
 {
   Service service([](const net::HttpRequest&) { return cut(); });
-  auto answer = service.client<platform::HttpTable>()->commit(kTransaction);
+  auto answer = service.client<stores::HttpTable>()->commit(kTransaction);
   BOOST_REQUIRE(!answer);
   BOOST_TEST((answer.error().kind == ErrorKind::UnknownOutcome));
   BOOST_TEST(service.calls == 1);
@@ -110,7 +110,7 @@
 BOOST_AUTO_TEST_CASE(takesServerErrorsOfAWriteForUnknown)
 {
   Service service([](const net::HttpRequest&) { return status(500); });
-  auto answer = service.client<platform::HttpTable>()->commit(kTransaction);
+  auto answer = service.client<stores::HttpTable>()->commit(kTransaction);
   BOOST_TEST((answer.error().kind == ErrorKind::UnknownOutcome));
   BOOST_TEST(service.calls == 1);
 }
@@ -122,7 +122,7 @@
   Service service([&](const net::HttpRequest&) {
     return refusals-- > 0 ? status(429) : status(200, R"({"committed":true,"version":4})");
   });
-  BOOST_TEST(service.client<platform::HttpTable>()->commit(kTransaction).value() == 4);
+  BOOST_TEST(service.client<stores::HttpTable>()->commit(kTransaction).value() == 4);
   BOOST_TEST(service.calls == 4);
 }
 
@@ -132,7 +132,7 @@
   Service service([](const net::HttpRequest&) {
     return status(409, R"({"committed":false,"conflicts":[{"key":"a","version":5}]})");
   });
-  auto answer = service.client<platform::HttpTable>()->commit(kTransaction);
+  auto answer = service.client<stores::HttpTable>()->commit(kTransaction);
   BOOST_TEST((answer.error().kind == ErrorKind::Conflict));
   BOOST_TEST(answer.error().field == "a");
 }
@@ -144,7 +144,7 @@
   Service service([&](const net::HttpRequest&) {
     return losses-- > 0 ? cut() : status(200, R"({"rows":[],"sequence":1})");
   });
-  auto client = service.client<platform::HttpTable>();
+  auto client = service.client<stores::HttpTable>();
   BOOST_TEST(client->read({ "a" }).has_value());
   losses = 1 << 20;
   service.calls = 0;
@@ -158,7 +158,7 @@
 // Guards against confusing a table that nobody serves with a lost answer.
 BOOST_AUTO_TEST_CASE(reportsARefusedConnectionAsUnavailable)
 {
-  auto client = platform::HttpTable::Builder().address(test::unusedAddress()).retry(kQuick).build();
+  auto client = stores::HttpTable::Builder().address(test::unusedAddress()).retry(kQuick).build();
   BOOST_TEST((client->commit(kTransaction).error().kind == ErrorKind::Unavailable));
 }
 
@@ -167,7 +167,7 @@
 {
   std::string body;
   Service service([&](const net::HttpRequest&) { return status(200, body); });
-  auto client = service.client<platform::HttpTable>();
+  auto client = service.client<stores::HttpTable>();
   for (const char* text :
        { "", "[]", "{}", R"({"rows":1})", R"({"rows":[1]})", R"({"rows":[{}]})" }) {
     {
@@ -194,7 +194,7 @@
     auto found = objects.find(aRequest.path);
     return found == objects.end() ? status(404) : status(200, found->second);
   });
-  auto client = service.client<platform::HttpObjects>();
+  auto client = service.client<stores::HttpObjects>();
   BOOST_TEST(client->put("manifests/a b", "bytes").has_value());
   BOOST_TEST(client->fetch("manifests/a b", 100).value() == "bytes");
   BOOST_TEST((client->fetch("manifests/a b", 2).error().kind == ErrorKind::TooLarge));
@@ -218,7 +218,7 @@
     response.headers.emplace_back("ETag", "tag-" + std::to_string(tag));
     return response;
   });
-  auto origin = service.client<platform::HttpWeightOrigin>();
+  auto origin = service.client<stores::HttpWeightOrigin>();
   std::string chunk(4, ' ');
   auto target = std::as_writable_bytes(std::span(chunk));
   BOOST_TEST(origin->size("model/1").value() == 10);
@@ -246,7 +246,7 @@
     };
     return response;
   });
-  auto origin = service.client<platform::HttpWeightOrigin>();
+  auto origin = service.client<stores::HttpWeightOrigin>();
   std::string chunk(4, ' ');
   auto target = std::as_writable_bytes(std::span(chunk));
   BOOST_TEST(!origin->read("model/1", 0, target).has_value());
@@ -262,7 +262,7 @@
                   R"({"vms":[{"name":"v1","address":"127.0.0.9","zone":"z","region":"r",)"
                   R"("kind":"entry","state":"leaving"}]})");
   });
-  auto vms = service.client<platform::HttpVmList>()->list().value();
+  auto vms = service.client<stores::HttpVmList>()->list().value();
   BOOST_REQUIRE(vms.size() == 1);
   BOOST_TEST(vms[0].address == "127.0.0.9");
   BOOST_TEST(vms[0].leaving);
--- a/libs/platform/tests/LeaseTest.cpp
+++ b/libs/stores/tests/LeaseTest.cpp
@@ -5,7 +5,7 @@
 #include <deque>
 #include <thread>
 
-#include "platform/Lease.h"
+#include "stores/Lease.h"
 #include "support/MemoryTable.h"
 
 using namespace boragepitch;
@@ -31,16 +31,16 @@
            std::chrono::microseconds(int64_t(double(aTrueMs) * 1000 * rate));
   }
 
-  platform::LeaseKeeper keeper;
+  stores::LeaseKeeper keeper;
   double rate;
-  std::optional<platform::Transaction> sent; ///< Planned, not yet at the table.
+  std::optional<stores::Transaction> sent; ///< Planned, not yet at the table.
 };
 
 struct World
 {
   test::MemoryTable table;
   std::vector<Process> processes;
-  std::deque<platform::Transaction> late; ///< Lost by the sender, may still reach the table.
+  std::deque<stores::Transaction> late; ///< Lost by the sender, may still reach the table.
   int64_t now = 0;
   uint64_t highestFencing = 0;
   int lastHolder = -1;
@@ -166,16 +166,16 @@
 // Guards against a fencing number that starts again after its row was deleted or damaged.
 BOOST_AUTO_TEST_CASE(neverLowersTheFencingNumber)
 {
-  platform::LeaseKeeper keeper({ "planner", "a", kDuration });
+  stores::LeaseKeeper keeper({ "planner", "a", kDuration });
   TimePoint now{ std::chrono::hours(1) };
-  platform::LeaseRow row{ "b", 7, kDuration, "token" };
-  keeper.observe(platform::Row{ "lease/planner", platform::encodeLeaseRow(row), 5 }, now);
+  stores::LeaseRow row{ "b", 7, kDuration, "token" };
+  keeper.observe(stores::Row{ "lease/planner", stores::encodeLeaseRow(row), 5 }, now);
   BOOST_TEST(!keeper.plan(now + kDuration / 2).has_value());
   keeper.observe(std::nullopt, now);
   auto taken = keeper.plan(now);
   BOOST_REQUIRE(taken.has_value());
-  BOOST_TEST(platform::decodeLeaseRow(taken->puts.front().value)->fencing == 8);
-  keeper.observe(platform::Row{ "lease/planner", "damaged", 9 }, now);
+  BOOST_TEST(stores::decodeLeaseRow(taken->puts.front().value)->fencing == 8);
+  keeper.observe(stores::Row{ "lease/planner", "damaged", 9 }, now);
   BOOST_TEST(!keeper.plan(now + 10 * kDuration).has_value());
 }
 
@@ -197,11 +197,11 @@
   return false;
 }
 
-std::unique_ptr<platform::LeaseRunner> makeRunner(test::MemoryTable& aTable,
-                                                  const base::Clock& aClock,
-                                                  const std::string& aOwner)
+std::unique_ptr<stores::LeaseRunner> makeRunner(test::MemoryTable& aTable,
+                                                const base::Clock& aClock,
+                                                const std::string& aOwner)
 {
-  return platform::LeaseRunner::Builder()
+  return stores::LeaseRunner::Builder()
     .table(aTable)
     .clock(aClock)
     .lease({ "planner", aOwner, Milliseconds(300) })
@@ -263,7 +263,7 @@
   first->start();
   BOOST_REQUIRE(eventually([&] { return first->holds(); }));
   first->stop();
-  auto row = platform::decodeLeaseRow(table.read({ "lease/planner" }).value().front().value);
+  auto row = stores::decodeLeaseRow(table.read({ "lease/planner" }).value().front().value);
   BOOST_TEST(row->owner.empty());
   BOOST_TEST(row->fencing == 1);
 }
@@ -276,7 +276,7 @@
 RC_BOOST_PROP(riseUnderLostAnswers, (const std::vector<uint8_t>& aFaults))
 {
   test::MemoryTable table;
-  platform::EpochIssuer issuer(table, "agent");
+  stores::EpochIssuer issuer(table, "agent");
   uint64_t last = 0;
   for (uint8_t fault : aFaults) {
     table.loseAnswers = fault % 3;
@@ -294,7 +294,7 @@
 BOOST_AUTO_TEST_CASE(failWhileTheStoreIsDown)
 {
   test::MemoryTable table;
-  platform::EpochIssuer issuer(table, "agent");
+  stores::EpochIssuer issuer(table, "agent");
   table.down = true;
   BOOST_TEST(!issuer.issue("endpoint-1").has_value());
 }
--- /dev/null
+++ b/libs/telemetry/src/EventLog.cpp
@@ -0,0 +1,108 @@
+#include "telemetry/EventLog.h"
+
+#include <cerrno>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace boragepitch::telemetry {
+
+namespace {
+
+size_t index(Weight aWeight)
+{
+  return static_cast<size_t>(aWeight);
+}
+
+} // namespace
+
+EventLog::EventLog(int aDescriptor, std::string aNode, EventLogLimits aLimits)
+  : mDescriptor(aDescriptor)
+  , mNode(std::move(aNode))
+  , mLimits(aLimits)
+{
+  int flags = fcntl(mDescriptor, F_GETFL);
+  if (flags >= 0) {
+    fcntl(mDescriptor, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+void EventLog::write(Weight aWeight,
+                     std::string_view aEvent,
+                     std::initializer_list<Field> aFields,
+                     base::TimePoint aNow)
+{
+  std::lock_guard lock(mMutex);
+  startSecond(aNow);
+  size_t at = index(aWeight);
+  if (mLines[at] >= mLimits.linesPerSecond[at] || mPending.size() >= mLimits.pendingBytes) {
+    ++mDropped[at];
+    return;
+  }
+  ++mLines[at];
+  append(aEvent, aFields, aNow);
+}
+
+void EventLog::startSecond(base::TimePoint aNow)
+{
+  int64_t second = base::toMilliseconds(aNow.time_since_epoch()) / 1000;
+  if (second == mSecond) {
+    return;
+  }
+  mSecond = second;
+  mLines = {};
+  if (mDropped != mReported) {
+    append("log_dropped",
+           { { "routine", std::to_string(mDropped[0] - mReported[0]) },
+             { "refused", std::to_string(mDropped[1] - mReported[1]) },
+             { "critical", std::to_string(mDropped[2] - mReported[2]) } },
+           aNow);
+    mReported = mDropped;
+  }
+}
+
+void EventLog::append(std::string_view aEvent,
+                      std::initializer_list<Field> aFields,
+                      base::TimePoint aNow)
+{
+  mPending += "t=";
+  mPending += std::to_string(base::toMilliseconds(aNow.time_since_epoch()));
+  mPending += " node=";
+  mPending += mNode;
+  mPending += ' ';
+  mPending += formatEvent(aEvent, aFields);
+  mPending += '\n';
+}
+
+void EventLog::flush(base::TimePoint aNow)
+{
+  std::lock_guard lock(mMutex);
+  startSecond(aNow);
+  size_t done = 0;
+  while (done < mPending.size()) {
+    ssize_t count = ::write(mDescriptor, mPending.data() + done, mPending.size() - done);
+    if (count <= 0) {
+      if (count < 0 && errno == EINTR) {
+        continue;
+      }
+      // EAGAIN: the reader is slow. Any other error: nobody reads; the limit bounds what waits.
+      break;
+    }
+    done += static_cast<size_t>(count);
+  }
+  mPending.erase(0, done);
+  mWritten += done;
+}
+
+uint64_t EventLog::dropped(Weight aWeight) const
+{
+  std::lock_guard lock(mMutex);
+  return mDropped[index(aWeight)];
+}
+
+uint64_t EventLog::writtenBytes() const
+{
+  std::lock_guard lock(mMutex);
+  return mWritten;
+}
+
+} // namespace boragepitch::telemetry
--- a/libs/weights/include/weights/Distributor.h
+++ b/libs/weights/include/weights/Distributor.h
@@ -13,7 +13,7 @@
 #include "base/Time.h"
 #include "control/FleetView.h"
 #include "net/HttpServer.h"
-#include "platform/Platform.h"
+#include "stores/Stores.h"
 #include "telemetry/Metrics.h"
 #include "weights/PieceSelection.h"
 #include "weights/WeightHost.h"
@@ -109,8 +109,8 @@
   public:
     /** Required; the pointers below must outlive the Distributor. */
     Builder& fleet(const control::FleetView* aFleet);
-    Builder& origin(platform::WeightOrigin* aOrigin);
-    Builder& objects(platform::ObjectClient* aObjects);
+    Builder& origin(stores::WeightOrigin* aOrigin);
+    Builder& objects(stores::ObjectClient* aObjects);
     Builder& host(WeightHost* aHost);
     Builder& metrics(telemetry::Registry* aRegistry);
     Builder& node(std::string aId, std::string aZone, std::string aRegion);
@@ -129,8 +129,8 @@
   private:
     friend class DistributorImpl;
     const control::FleetView* mFleet = nullptr;
-    platform::WeightOrigin* mOrigin = nullptr;
-    platform::ObjectClient* mObjects = nullptr;
+    stores::WeightOrigin* mOrigin = nullptr;
+    stores::ObjectClient* mObjects = nullptr;
     WeightHost* mHost = nullptr;
     telemetry::Registry* mMetrics = nullptr;
     std::string mId;
--- a/libs/weights/include/weights/Manifest.h
+++ b/libs/weights/include/weights/Manifest.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -66,6 +67,12 @@
                                           std::string aVersion,
                                           uint32_t aChunkSize,
                                           std::span<const std::byte> aBytes);
+  /** For a source that lists the digests of equally long chunks only: wholeDigest() is empty, and
+   * the chunks' digests alone vouch for the content. */
+  static base::Result<Manifest> fromDigests(std::string aModel,
+                                            std::string aVersion,
+                                            uint32_t aChunkSize,
+                                            std::vector<base::Digest> aDigests);
   /** Reads the JSON form and checks it against aLimits. */
   static base::Result<Manifest> parse(std::string_view aText, const ManifestLimits& aLimits = {});
   /** As parse(); Corrupt when the id is another one. */
@@ -86,7 +93,7 @@
   /** Bytes of a chunk; only the last may be shorter than chunkSize(). */
   uint32_t sizeOf(uint32_t aChunk) const;
   const base::Digest& digestOf(uint32_t aChunk) const { return mChunks[aChunk]; }
-  const base::Digest& wholeDigest() const { return mWhole; }
+  const std::optional<base::Digest>& wholeDigest() const { return mWhole; }
   /** True when aBytes is exactly the declared content of aChunk. */
   bool verifies(uint32_t aChunk, std::span<const std::byte> aBytes) const;
 
@@ -98,7 +105,7 @@
   std::string mVersion;
   uint64_t mSize = 0;
   uint32_t mChunkSize = 0;
-  base::Digest mWhole{};
+  std::optional<base::Digest> mWhole;
   std::vector<base::Digest> mChunks;
 };
 
--- a/libs/weights/src/Context.h
+++ b/libs/weights/src/Context.h
@@ -62,8 +62,8 @@
   const DistributorOptions options;
   const Place place;
   const control::FleetView* fleet = nullptr;
-  platform::WeightOrigin* origin = nullptr;
-  platform::ObjectClient* objects = nullptr;
+  stores::WeightOrigin* origin = nullptr;
+  stores::ObjectClient* objects = nullptr;
   WeightHost* host = nullptr;
   TransferMetrics metrics;
 
--- a/libs/weights/src/Distributor.cpp
+++ b/libs/weights/src/Distributor.cpp
@@ -327,13 +327,13 @@
   return *this;
 }
 
-Builder& Builder::origin(platform::WeightOrigin* aOrigin)
+Builder& Builder::origin(stores::WeightOrigin* aOrigin)
 {
   mOrigin = aOrigin;
   return *this;
 }
 
-Builder& Builder::objects(platform::ObjectClient* aObjects)
+Builder& Builder::objects(stores::ObjectClient* aObjects)
 {
   mObjects = aObjects;
   return *this;
--- a/libs/weights/src/Manifest.cpp
+++ b/libs/weights/src/Manifest.cpp
@@ -121,6 +121,20 @@
   return builder.build();
 }
 
+base::Result<Manifest> Manifest::fromDigests(std::string aModel,
+                                             std::string aVersion,
+                                             uint32_t aChunkSize,
+                                             std::vector<base::Digest> aDigests)
+{
+  Manifest manifest;
+  manifest.mModel = std::move(aModel);
+  manifest.mVersion = std::move(aVersion);
+  manifest.mChunkSize = aChunkSize;
+  manifest.mSize = uint64_t{ aChunkSize } * aDigests.size();
+  manifest.mChunks = std::move(aDigests);
+  return parse(manifest.canonical());
+}
+
 base::Result<Manifest> Manifest::parse(std::string_view aText, const ManifestLimits& aLimits)
 {
   auto json = base::parseJson(aText, { .bytes = aLimits.textBytes, .depth = 4 });
@@ -153,16 +167,20 @@
   if (!digests) {
     return tl::make_unexpected(digests.error());
   }
-  auto whole = digestMember((*json)["sha256"], "sha256");
-  if (!whole) {
-    return tl::make_unexpected(whole.error());
+  std::optional<base::Digest> whole;
+  if (json->isMember("sha256")) {
+    auto digest = digestMember((*json)["sha256"], "sha256");
+    if (!digest) {
+      return tl::make_unexpected(digest.error());
+    }
+    whole = *digest;
   }
   Manifest manifest;
   manifest.mModel = *model;
   manifest.mVersion = *version;
   manifest.mSize = static_cast<uint64_t>(*size);
   manifest.mChunkSize = static_cast<uint32_t>(*chunkSize);
-  manifest.mWhole = *whole;
+  manifest.mWhole = whole;
   manifest.mChunks = std::move(*digests);
   manifest.mId.value = base::sha256(base::asBytes(manifest.canonical()));
   return manifest;
@@ -189,7 +207,9 @@
   json["version"] = mVersion;
   json["size"] = Json::UInt64(mSize);
   json["chunkSize"] = mChunkSize;
-  json["sha256"] = base::toHex(mWhole);
+  if (mWhole) {
+    json["sha256"] = base::toHex(*mWhole);
+  }
   json["chunks"] = Json::Value(Json::arrayValue);
   for (const base::Digest& digest : mChunks) {
     json["chunks"].append(base::toHex(digest));
--- a/libs/weights/src/Verifier.cpp
+++ b/libs/weights/src/Verifier.cpp
@@ -71,7 +71,8 @@
 void Verifier::conclude(const Step& aStep, Cursor& aCursor)
 {
   const Manifest& manifest = *aStep.manifest;
-  bool matches = aCursor.whole.finish() == manifest.wholeDigest();
+  base::Digest digest = aCursor.whole.finish();
+  bool matches = !manifest.wholeDigest() || digest == *manifest.wholeDigest();
   std::lock_guard lock(mContext.mutex);
   mCursors.erase(manifest.id());
   if (!matches) {
--- a/libs/weights/tests/Fakes.h
+++ b/libs/weights/tests/Fakes.h
@@ -10,7 +10,7 @@
 
 #include "control/FleetView.h"
 #include "net/HttpServer.h"
-#include "platform/Platform.h"
+#include "stores/Stores.h"
 #include "support/TestAddress.h"
 #include "weights/Distributor.h"
 
@@ -74,7 +74,7 @@
 };
 
 /** Weight store with one blob. */
-class FakeOrigin final : public platform::WeightOrigin
+class FakeOrigin final : public stores::WeightOrigin
 {
 public:
   explicit FakeOrigin(Bytes aBlob, double aRate = 0)
@@ -126,7 +126,7 @@
   base::TimePoint mFree;
 };
 
-class FakeObjects final : public platform::ObjectClient
+class FakeObjects final : public stores::ObjectClient
 {
 public:
   base::Status put(std::string_view aKey, std::string_view aValue) override
--- a/tests/support/FakeTable.h
+++ b/tests/support/FakeTable.h
@@ -6,12 +6,12 @@
 #include <set>
 
 #include "base/Rng.h"
-#include "platform/Platform.h"
+#include "stores/Stores.h"
 
 namespace boragepitch::test {
 
 /** Transactional table in memory with faults that tests set. */
-class FakeTable final : public platform::TableClient
+class FakeTable final : public stores::TableClient
 {
 public:
   std::atomic<bool> away{ false };
@@ -20,7 +20,7 @@
   std::atomic<int> failReads{ 0 };        ///< Next reads that fail.
   std::atomic<int> transactions{ 0 };
 
-  base::Result<uint64_t> commit(const platform::Transaction& aTransaction) override
+  base::Result<uint64_t> commit(const stores::Transaction& aTransaction) override
   {
     using base::ErrorKind;
     if (away) {
@@ -31,14 +31,14 @@
     }
     std::lock_guard lock(mMutex);
     ++transactions;
-    for (const platform::Check& check : aTransaction.checks) {
+    for (const stores::Check& check : aTransaction.checks) {
       auto found = mRows.find(check.key);
       if ((found == mRows.end() ? 0 : found->second.version) != check.version) {
         return base::fail(ErrorKind::Conflict, check.key, "version differs", "read the row");
       }
     }
     ++mSequence;
-    for (const platform::Put& put : aTransaction.puts) {
+    for (const stores::Put& put : aTransaction.puts) {
       mRows[put.key] = { put.key, put.value, mSequence };
       history[put.key].insert(put.value);
     }
@@ -51,13 +51,13 @@
     return mSequence;
   }
 
-  base::Result<std::vector<platform::Row>> read(const std::vector<std::string>& aKeys) override
+  base::Result<std::vector<stores::Row>> read(const std::vector<std::string>& aKeys) override
   {
     if (away || takeOne(failReads)) {
       return base::fail(base::ErrorKind::Unavailable, "table", "outage", "retry later");
     }
     std::lock_guard lock(mMutex);
-    std::vector<platform::Row> rows;
+    std::vector<stores::Row> rows;
     for (const std::string& key : aKeys) {
       if (auto found = mRows.find(key); found != mRows.end()) {
         rows.push_back(found->second);
@@ -66,12 +66,12 @@
     return rows;
   }
 
-  base::Result<std::vector<platform::Row>> scan(std::string_view aPrefix,
-                                                std::string_view aAfter,
-                                                size_t aLimit) override
+  base::Result<std::vector<stores::Row>> scan(std::string_view aPrefix,
+                                              std::string_view aAfter,
+                                              size_t aLimit) override
   {
     std::lock_guard lock(mMutex);
-    std::vector<platform::Row> rows;
+    std::vector<stores::Row> rows;
     for (const auto& [key, row] : mRows) {
       if (key.starts_with(aPrefix) && key > aAfter && rows.size() < aLimit) {
         rows.push_back(row);
@@ -92,7 +92,7 @@
   }
 
   std::mutex mMutex;
-  std::map<std::string, platform::Row> mRows;
+  std::map<std::string, stores::Row> mRows;
   uint64_t mSequence = 0;
 };
 
--- a/tests/support/MemoryTable.h
+++ b/tests/support/MemoryTable.h
@@ -5,15 +5,15 @@
 #include <string>
 #include <vector>
 
-#include "platform/Platform.h"
+#include "stores/Stores.h"
 
 namespace boragepitch::test {
 
 /** In-memory table service with faults that tests set. Thread-safe. */
-class MemoryTable final : public platform::TableClient
+class MemoryTable final : public stores::TableClient
 {
 public:
-  base::Result<uint64_t> commit(const platform::Transaction& aTransaction) override
+  base::Result<uint64_t> commit(const stores::Transaction& aTransaction) override
   {
     std::lock_guard lock(mMutex);
     ++commits;
@@ -24,14 +24,14 @@
       --dropRequests;
       return lost();
     }
-    for (const platform::Check& check : aTransaction.checks) {
+    for (const stores::Check& check : aTransaction.checks) {
       auto row = mRows.find(check.key);
       if ((row == mRows.end() ? 0 : row->second.version) != check.version) {
         return base::fail(base::ErrorKind::Conflict, check.key, "changed", "read again");
       }
     }
     ++mSequence;
-    for (const platform::Put& put : aTransaction.puts) {
+    for (const stores::Put& put : aTransaction.puts) {
       mRows[put.key] = { put.key, put.value, mSequence };
     }
     for (const std::string& key : aTransaction.deletes) {
@@ -45,14 +45,14 @@
     return mSequence;
   }
 
-  base::Result<std::vector<platform::Row>> read(const std::vector<std::string>& aKeys) override
+  base::Result<std::vector<stores::Row>> read(const std::vector<std::string>& aKeys) override
   {
     std::lock_guard lock(mMutex);
     ++reads;
     if (down) {
       return unavailable();
     }
-    std::vector<platform::Row> rows;
+    std::vector<stores::Row> rows;
     for (const std::string& key : aKeys) {
       auto row = mRows.find(key);
       if (row != mRows.end()) {
@@ -62,16 +62,16 @@
     return rows;
   }
 
-  base::Result<std::vector<platform::Row>> scan(std::string_view aPrefix,
-                                                std::string_view aAfter,
-                                                size_t aLimit) override
+  base::Result<std::vector<stores::Row>> scan(std::string_view aPrefix,
+                                              std::string_view aAfter,
+                                              size_t aLimit) override
   {
     std::lock_guard lock(mMutex);
     ++reads;
     if (down) {
       return unavailable();
     }
-    std::vector<platform::Row> rows;
+    std::vector<stores::Row> rows;
     std::string from = std::max(std::string(aPrefix), std::string(aAfter));
     for (auto row = mRows.lower_bound(from); row != mRows.end() && rows.size() < aLimit; ++row) {
       if (row->first.rfind(aPrefix, 0) != 0) {
@@ -118,7 +118,7 @@
   }
 
   mutable std::mutex mMutex;
-  std::map<std::string, platform::Row> mRows;
+  std::map<std::string, stores::Row> mRows;
   uint64_t mSequence = 0;
 };
 
--- a/tools/agent/EndpointController.h
+++ b/tools/agent/EndpointController.h
@@ -8,8 +8,8 @@
 #include "EngineClient.h"
 #include "control/Fleet.h"
 #include "gateway/AgentGateway.h"
-#include "platform/Lease.h"
 #include "rollout/ActivationCore.h"
+#include "stores/Lease.h"
 #include "weights/Distributor.h"
 
 namespace boragepitch::tools {
@@ -20,7 +20,7 @@
   control::Fleet& fleet;
   weights::Distributor& distributor;
   gateway::AgentGateway& gateway;
-  platform::EpochIssuer& epochs;
+  stores::EpochIssuer& epochs;
 };
 
 struct EndpointSettings
--- a/tools/agent/main.cpp
+++ b/tools/agent/main.cpp
@@ -141,20 +141,18 @@
   void makePlatform()
   {
     uint64_t seed = tools::nodeSeed(mSettings);
-    mTable = platform::HttpTable::Builder()
-               .address(mSettings.address("platform.table"))
-               .seed(seed)
-               .build();
-    mObjects = platform::HttpObjects::Builder()
+    mTable =
+      stores::HttpTable::Builder().address(mSettings.address("platform.table")).seed(seed).build();
+    mObjects = stores::HttpObjects::Builder()
                  .address(mSettings.address("platform.objects"))
                  .seed(seed)
                  .build();
-    mOrigin = platform::HttpWeightOrigin::Builder()
+    mOrigin = stores::HttpWeightOrigin::Builder()
                 .address(mSettings.address("platform.objects"))
                 .seed(seed)
                 .build();
     mVms =
-      platform::HttpVmList::Builder().address(mSettings.address("platform.vms")).seed(seed).build();
+      stores::HttpVmList::Builder().address(mSettings.address("platform.vms")).seed(seed).build();
     std::string owner = mSelf.id + "-" + std::to_string(mSelf.incarnation);
     mCodec = { &resources::toJson, &resources::fromJson };
     mStore = control::ConfigStore::Builder()
@@ -164,7 +162,7 @@
                .owner(owner)
                .seed(seed)
                .build();
-    mEpochs = std::make_unique<platform::EpochIssuer>(*mTable, owner);
+    mEpochs = std::make_unique<stores::EpochIssuer>(*mTable, owner);
   }
 
   void makeFleet()
@@ -335,12 +333,12 @@
   rpc::RpcServer mRpcServer;
   rpc::RpcClient mRpcClient;
   control::ResourceCodec mCodec;
-  std::unique_ptr<platform::TableClient> mTable;
-  std::unique_ptr<platform::ObjectClient> mObjects;
-  std::unique_ptr<platform::WeightOrigin> mOrigin;
-  std::unique_ptr<platform::VmList> mVms;
+  std::unique_ptr<stores::TableClient> mTable;
+  std::unique_ptr<stores::ObjectClient> mObjects;
+  std::unique_ptr<stores::WeightOrigin> mOrigin;
+  std::unique_ptr<stores::VmList> mVms;
   std::unique_ptr<control::ConfigStore> mStore;
-  std::unique_ptr<platform::EpochIssuer> mEpochs;
+  std::unique_ptr<stores::EpochIssuer> mEpochs;
   weights::EngineWeightHost mHost;
   std::unique_ptr<control::Fleet> mFleet;
   std::unique_ptr<gateway::AgentGateway> mGateway;
--- a/tools/bpctl/src/ManifestCommand.cpp
+++ b/tools/bpctl/src/ManifestCommand.cpp
@@ -3,7 +3,7 @@
 #include <fstream>
 
 #include "base/Json.h"
-#include "platform/HttpPlatform.h"
+#include "stores/HttpStores.h"
 #include "weights/Manifest.h"
 
 namespace boragepitch::bpctl {
@@ -37,7 +37,7 @@
   if (!address) {
     return tl::make_unexpected(address.error());
   }
-  auto objects = platform::HttpObjects::Builder().address(*address).build();
+  auto objects = stores::HttpObjects::Builder().address(*address).build();
   return objects->put("manifests/" + aManifest.id().toString(), aManifest.canonical());
 }
 
--- a/tools/common/Daemon.cpp
+++ b/tools/common/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "Daemon.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -26,7 +27,10 @@
   }
 }
 
-CommandLine parseCommandLine(int aCount, char** aArguments, const std::string& aProgram)
+CommandLine parseCommandLine(int aCount,
+                             char** aArguments,
+                             const std::string& aProgram,
+                             const std::string& aPathVariable)
 {
   std::string usage = aProgram + R"(: a boragepitch daemon.
 
@@ -50,7 +54,14 @@
   for (size_t at = 0; (at = usage.find("NAME", at)) != std::string::npos;) {
     usage.replace(at, 4, aProgram);
   }
-  auto arguments = parseArguments(usage, { aArguments + 1, aArguments + aCount });
+  const char* path = aPathVariable.empty() ? nullptr : std::getenv(aPathVariable.c_str());
+  std::vector<std::string> words(aArguments + 1, aArguments + aCount);
+  bool namesPath = std::find(words.begin(), words.end(), "--settings") != words.end();
+  bool needsPath = words.empty() || words == std::vector<std::string>{ "--check" };
+  if (path != nullptr && !namesPath && needsPath) {
+    words.insert(words.begin(), { "--settings", path });
+  }
+  auto arguments = parseArguments(usage, words);
   CommandLine commandLine;
   commandLine.checkOnly = arguments["--check"].asBool();
   commandLine.printReference = arguments["--print-settings"].asBool();
@@ -93,6 +104,7 @@
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
   sigaddset(&signals, SIGUSR1);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
@@ -106,7 +118,8 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-void SignalLoop::waitForTermination(const std::function<void()>& aOnDump)
+void SignalLoop::waitForTermination(const std::function<void()>& aOnDump,
+                                    const std::function<void()>& aOnReload)
 {
   sigset_t signals = handledSignals();
   for (;;) {
@@ -114,10 +127,13 @@
     if (sigwait(&signals, &signal) != 0) {
       continue;
     }
-    if (signal != SIGUSR1) {
+    if (signal == SIGUSR1) {
+      aOnDump();
+    } else if (signal != SIGHUP) {
       return;
+    } else if (aOnReload) {
+      aOnReload();
     }
-    aOnDump();
   }
 }
 
--- a/tools/common/Daemon.h
+++ b/tools/common/Daemon.h
@@ -40,8 +40,15 @@
   bool printReference = false;
 };
 
-/** Parses a daemon's command line; --help, --version and usage errors end the process. */
-CommandLine parseCommandLine(int aCount, char** aArguments, const std::string& aProgram);
+/**
+ * Parses a daemon's command line; --help, --version and usage errors end the process.
+ * @param aPathVariable environment variable with the path of the settings, used without --settings;
+ * empty when there is none.
+ */
+CommandLine parseCommandLine(int aCount,
+                             char** aArguments,
+                             const std::string& aProgram,
+                             const std::string& aPathVariable = "");
 
 /**
  * Loads settings as the command line says. Prints every error to standard error. Empty when the
@@ -52,15 +59,17 @@
                                                int& aExit);
 
 /**
- * SIGTERM, SIGINT and SIGUSR1 as calls on one thread. Construct before any other thread starts, so
- * that all of them inherit the blocked signals.
+ * SIGTERM, SIGINT, SIGUSR1 and SIGHUP as calls on one thread. Construct before any other thread
+ * starts, so that all of them inherit the blocked signals.
  */
 class SignalLoop
 {
 public:
   SignalLoop();
-  /** Runs aOnDump for each SIGUSR1; returns at the first SIGTERM or SIGINT. */
-  void waitForTermination(const std::function<void()>& aOnDump);
+  /** Runs aOnDump for each SIGUSR1 and aOnReload for each SIGHUP; returns at the first SIGTERM or
+   * SIGINT. Without aOnReload, SIGHUP is ignored. */
+  void waitForTermination(const std::function<void()>& aOnDump,
+                          const std::function<void()>& aOnReload = {});
 };
 
 /** Adds /metrics, /dump, /livez and /readyz to a control server. The functions must be thread-safe.
--- a/tools/common/SharedSettings.h
+++ b/tools/common/SharedSettings.h
@@ -2,8 +2,8 @@
 
 #include "control/Auth.h"
 #include "control/Fleet.h"
-#include "platform/HttpPlatform.h"
 #include "settings/Settings.h"
+#include "stores/HttpStores.h"
 
 namespace boragepitch::tools {
 
--- a/tools/entry/PlannerLoop.cpp
+++ b/tools/entry/PlannerLoop.cpp
@@ -14,25 +14,25 @@
 
 } // namespace
 
-FencedTable::FencedTable(platform::LeaseRunner& aLease, platform::TableClient& aTable)
+FencedTable::FencedTable(stores::LeaseRunner& aLease, stores::TableClient& aTable)
   : mLease(aLease)
   , mTable(aTable)
 {
 }
 
-base::Result<uint64_t> FencedTable::commit(const platform::Transaction& aTransaction)
+base::Result<uint64_t> FencedTable::commit(const stores::Transaction& aTransaction)
 {
   return mLease.fencedCommit(aTransaction);
 }
 
-base::Result<std::vector<platform::Row>> FencedTable::read(const std::vector<std::string>& aKeys)
+base::Result<std::vector<stores::Row>> FencedTable::read(const std::vector<std::string>& aKeys)
 {
   return mTable.read(aKeys);
 }
 
-base::Result<std::vector<platform::Row>> FencedTable::scan(std::string_view aPrefix,
-                                                           std::string_view aAfter,
-                                                           size_t aLimit)
+base::Result<std::vector<stores::Row>> FencedTable::scan(std::string_view aPrefix,
+                                                         std::string_view aAfter,
+                                                         size_t aLimit)
 {
   return mTable.scan(aPrefix, aAfter, aLimit);
 }
@@ -47,9 +47,9 @@
 };
 
 PlannerLoop::PlannerLoop(control::Fleet& aFleet,
-                         platform::LeaseRunner& aLease,
+                         stores::LeaseRunner& aLease,
                          control::ConfigStore& aStore,
-                         platform::TableClient& aTable,
+                         stores::TableClient& aTable,
                          PlannerSettings aSettings)
   : mFleet(aFleet)
   , mLease(aLease)
--- a/tools/entry/PlannerLoop.h
+++ b/tools/entry/PlannerLoop.h
@@ -7,26 +7,26 @@
 
 #include "control/ConfigStore.h"
 #include "control/Fleet.h"
-#include "platform/Lease.h"
+#include "stores/Lease.h"
 
 namespace boragepitch::tools {
 
 /** Commits through the lease: every transaction checks the lease row, reads pass through. */
-class FencedTable final : public platform::TableClient
+class FencedTable final : public stores::TableClient
 {
 public:
   /** Both outlive this object. */
-  FencedTable(platform::LeaseRunner& aLease, platform::TableClient& aTable);
+  FencedTable(stores::LeaseRunner& aLease, stores::TableClient& aTable);
 
-  base::Result<uint64_t> commit(const platform::Transaction& aTransaction) override;
-  base::Result<std::vector<platform::Row>> read(const std::vector<std::string>& aKeys) override;
-  base::Result<std::vector<platform::Row>> scan(std::string_view aPrefix,
-                                                std::string_view aAfter,
-                                                size_t aLimit) override;
+  base::Result<uint64_t> commit(const stores::Transaction& aTransaction) override;
+  base::Result<std::vector<stores::Row>> read(const std::vector<std::string>& aKeys) override;
+  base::Result<std::vector<stores::Row>> scan(std::string_view aPrefix,
+                                              std::string_view aAfter,
+                                              size_t aLimit) override;
 
 private:
-  platform::LeaseRunner& mLease;
-  platform::TableClient& mTable;
+  stores::LeaseRunner& mLease;
+  stores::TableClient& mTable;
 };
 
 struct PlannerSettings
@@ -41,9 +41,9 @@
 public:
   /** aStore commits through a FencedTable of aLease. All outlive the loop. */
   PlannerLoop(control::Fleet& aFleet,
-              platform::LeaseRunner& aLease,
+              stores::LeaseRunner& aLease,
               control::ConfigStore& aStore,
-              platform::TableClient& aTable,
+              stores::TableClient& aTable,
               PlannerSettings aSettings);
   ~PlannerLoop();
 
@@ -57,9 +57,9 @@
   void pruneClaims();
 
   control::Fleet& mFleet;
-  platform::LeaseRunner& mLease;
+  stores::LeaseRunner& mLease;
   control::ConfigStore& mStore;
-  platform::TableClient& mTable;
+  stores::TableClient& mTable;
   PlannerSettings mSettings;
   struct Round;
   std::unique_ptr<Round> mRound;
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -105,7 +105,7 @@
   }
 
 private:
-  std::unique_ptr<control::ConfigStore> makeStore(platform::TableClient& aTable,
+  std::unique_ptr<control::ConfigStore> makeStore(stores::TableClient& aTable,
                                                   const std::string& aSuffix)
   {
     return control::ConfigStore::Builder()
@@ -120,12 +120,10 @@
   void makePlatform()
   {
     uint64_t seed = tools::nodeSeed(mSettings);
-    mTable = platform::HttpTable::Builder()
-               .address(mSettings.address("platform.table"))
-               .seed(seed)
-               .build();
+    mTable =
+      stores::HttpTable::Builder().address(mSettings.address("platform.table")).seed(seed).build();
     mVms =
-      platform::HttpVmList::Builder().address(mSettings.address("platform.vms")).seed(seed).build();
+      stores::HttpVmList::Builder().address(mSettings.address("platform.vms")).seed(seed).build();
     mCodec = { &resources::toJson, &resources::fromJson };
     mStore = makeStore(*mTable, "");
   }
@@ -160,7 +158,7 @@
 
   void makePlanner()
   {
-    mLease = platform::LeaseRunner::Builder()
+    mLease = stores::LeaseRunner::Builder()
                .table(*mTable)
                .clock(mClock)
                .lease({ .name = "planner",
@@ -246,11 +244,11 @@
   rpc::RpcServer mRpcServer;
   rpc::RpcClient mRpcClient;
   control::ResourceCodec mCodec;
-  std::unique_ptr<platform::TableClient> mTable;
-  std::unique_ptr<platform::VmList> mVms;
+  std::unique_ptr<stores::TableClient> mTable;
+  std::unique_ptr<stores::VmList> mVms;
   std::unique_ptr<control::ConfigStore> mStore;
   std::unique_ptr<control::Fleet> mFleet;
-  std::unique_ptr<platform::LeaseRunner> mLease;
+  std::unique_ptr<stores::LeaseRunner> mLease;
   std::unique_ptr<tools::FencedTable> mFencedTable;
   std::unique_ptr<control::ConfigStore> mPlannerStore;
   std::unique_ptr<tools::PlannerLoop> mPlanner;
--- /dev/null
+++ b/tools/loader/LoadReporter.cpp
@@ -0,0 +1,131 @@
+#include "LoadReporter.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "serving/PeerMessage.h"
+
+namespace boragepitch::tools {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** An unchanged report is repeated after this, since a datagram may be lost and reports expire. */
+constexpr base::Milliseconds kRepeat = 600ms;
+
+} // namespace
+
+LoadReporter::LoadReporter(platform::EngineCalls& aEngine,
+                           LoaderFleet& aFleet,
+                           WeightLoader& aWeights,
+                           telemetry::EventLog& aLog,
+                           base::Milliseconds aInterval)
+  : mEngine(aEngine)
+  , mFleet(aFleet)
+  , mWeights(aWeights)
+  , mLog(aLog)
+  , mInterval(aInterval)
+  , mSocket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
+{
+}
+
+LoadReporter::~LoadReporter()
+{
+  stop();
+  if (mSocket >= 0) {
+    ::close(mSocket);
+  }
+}
+
+void LoadReporter::start()
+{
+  mThread = std::thread([this] { run(); });
+}
+
+void LoadReporter::stop()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mStopping = true;
+  }
+  mWake.notify_all();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void LoadReporter::run()
+{
+  std::unique_lock lock(mMutex);
+  while (!mStopping) {
+    lock.unlock();
+    auto now = std::chrono::steady_clock::now();
+    read(now);
+    mLog.flush(now);
+    lock.lock();
+    mWake.wait_for(lock, mInterval, [this] { return mStopping; });
+  }
+}
+
+void LoadReporter::read(base::TimePoint aNow)
+{
+  auto report = mEngine.report();
+  if (report.has_value() != mEngineAnswers) {
+    mEngineAnswers = report.has_value();
+    mLog.write(telemetry::Weight::Critical,
+               mEngineAnswers ? "engine_regained" : "engine_lost",
+               { { "reason", report ? "-" : report.error().describe() } },
+               aNow);
+  }
+  if (!report) {
+    return;
+  }
+  mWeights.onReport(*report, aNow);
+  {
+    std::lock_guard lock(mMutex);
+    mLatest = report->load;
+  }
+  send(aNow);
+}
+
+void LoadReporter::announce()
+{
+  send(std::chrono::steady_clock::now());
+}
+
+void LoadReporter::send(base::TimePoint aNow)
+{
+  std::string text;
+  {
+    std::lock_guard lock(mMutex);
+    if (!mLatest) {
+      return;
+    }
+    serving::LoadReport report = *mLatest;
+    report.isSwitching = report.isSwitching || mWeights.isSwitching();
+    text = serving::encode(report);
+    if (text == mSent && aNow - mSentAt < kRepeat) {
+      return;
+    }
+    mSent = text;
+    mSentAt = aNow;
+  }
+  for (const net::Address& entry : mFleet.entries()) {
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(static_cast<uint16_t>(entry.port));
+    inet_pton(AF_INET, entry.host.c_str(), &target.sin_addr);
+    // A datagram that cannot be sent is replaced by the next report.
+    static_cast<void>(::sendto(mSocket,
+                               text.data(),
+                               text.size(),
+                               0,
+                               reinterpret_cast<const sockaddr*>(&target),
+                               sizeof(target)));
+  }
+}
+
+} // namespace boragepitch::tools
--- /dev/null
+++ b/tools/loader/LoadReporter.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+#include "LoaderFleet.h"
+#include "WeightLoader.h"
+#include "platform/EngineCalls.h"
+#include "telemetry/EventLog.h"
+
+namespace boragepitch::tools {
+
+/** Reads the engine's load over loopback and sends it to the entries in datagrams. */
+class LoadReporter
+{
+public:
+  LoadReporter(platform::EngineCalls& aEngine,
+               LoaderFleet& aFleet,
+               WeightLoader& aWeights,
+               telemetry::EventLog& aLog,
+               base::Milliseconds aInterval);
+  ~LoadReporter();
+
+  void start();
+  void stop();
+  /** Sends the latest report again at once; any thread. */
+  void announce();
+
+private:
+  void run();
+  void read(base::TimePoint aNow);
+  void send(base::TimePoint aNow);
+
+  platform::EngineCalls& mEngine;
+  LoaderFleet& mFleet;
+  WeightLoader& mWeights;
+  telemetry::EventLog& mLog;
+  const base::Milliseconds mInterval;
+  int mSocket = -1;
+  std::mutex mMutex; ///< Guards what follows.
+  std::condition_variable mWake;
+  bool mStopping = false;
+  std::optional<serving::LoadReport> mLatest;
+  std::string mSent;
+  base::TimePoint mSentAt;
+  bool mEngineAnswers = true;
+  std::thread mThread;
+};
+
+} // namespace boragepitch::tools
--- /dev/null
+++ b/tools/loader/LoaderFleet.cpp
@@ -0,0 +1,165 @@
+#include "LoaderFleet.h"
+
+#include <algorithm>
+
+#include "NodeRows.h"
+#include "base/Digest.h"
+#include "base/Json.h"
+
+namespace boragepitch::tools {
+
+std::string writeLoaderRow(const LoaderRow& aRow)
+{
+  Json::Value json;
+  json["zone"] = aRow.zone;
+  json["region"] = aRow.region;
+  json["service"] = aRow.service;
+  json["weights"] = aRow.weights.toString();
+  return base::writeJson(json);
+}
+
+base::Result<LoaderRow> readLoaderRow(std::string_view aText)
+{
+  auto json = base::parseJson(aText);
+  if (!json) {
+    return tl::make_unexpected(json.error());
+  }
+  auto weights = net::parseAddress(base::stringOr(*json, "weights"));
+  if (!weights) {
+    return tl::make_unexpected(weights.error());
+  }
+  return LoaderRow{ base::stringOr(*json, "zone"),
+                    base::stringOr(*json, "region"),
+                    base::stringOr(*json, "service"),
+                    *weights };
+}
+
+LoaderFleet::LoaderFleet(std::string aSelf, LoaderRow aSelfRow, telemetry::EventLog& aLog)
+  : mSelf(std::move(aSelf))
+  , mSelfRow(std::move(aSelfRow))
+  , mLog(aLog)
+  , mConfig(std::make_shared<resources::Snapshot>())
+{
+  std::lock_guard lock(mMutex);
+  rebuild();
+}
+
+std::shared_ptr<const resources::Snapshot> LoaderFleet::config() const
+{
+  return mConfig;
+}
+
+std::shared_ptr<const control::NodeTable> LoaderFleet::nodes() const
+{
+  std::lock_guard lock(mMutex);
+  return mNodes;
+}
+
+bool LoaderFleet::mayStartNewWork(base::TimePoint /*aNow*/) const
+{
+  return true;
+}
+
+void LoaderFleet::publish(control::NodeState /*aSelf*/) {}
+
+control::NodeState LoaderFleet::stateOf(const std::string& aId, const LoaderRow& aRow) const
+{
+  control::NodeState state;
+  state.id = aId;
+  state.kind = control::NodeKind::Agent;
+  state.zone = aRow.zone;
+  state.region = aRow.region;
+  state.weightsAddress = aRow.weights;
+  state.endpoint = aRow.service;
+  state.phase = control::Phase::Ready;
+  return state;
+}
+
+void LoaderFleet::rebuild()
+{
+  mLoaders[mSelf] = mSelfRow;
+  auto nodes = std::make_shared<control::NodeTable>();
+  for (const auto& [id, row] : mLoaders) {
+    (*nodes)[id].state = stateOf(id, row);
+  }
+  mNodes = std::move(nodes);
+}
+
+void LoaderFleet::take(const stores::RowChange& aRow)
+{
+  if (aRow.key.starts_with(kEntryPrefix)) {
+    auto address = net::parseAddress(aRow.value);
+    if (aRow.isDeleted || !address) {
+      mEntries.erase(aRow.key);
+    } else {
+      mEntries[aRow.key] = *address;
+    }
+    return;
+  }
+  if (!aRow.key.starts_with(kAgentPrefix)) {
+    return;
+  }
+  std::string id = aRow.key.substr(std::string_view(kAgentPrefix).size());
+  auto row = readLoaderRow(aRow.value);
+  if (aRow.isDeleted || !row) {
+    mLoaders.erase(id);
+  } else {
+    mLoaders[id] = *row;
+  }
+}
+
+void LoaderFleet::onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint /*aNow*/)
+{
+  std::lock_guard lock(mMutex);
+  mLoaders.clear();
+  mEntries.clear();
+  for (const auto& row : aRows) {
+    take(row);
+  }
+  rebuild();
+}
+
+void LoaderFleet::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint /*aNow*/)
+{
+  std::lock_guard lock(mMutex);
+  for (const auto& row : aRows) {
+    take(row);
+  }
+  rebuild();
+}
+
+void LoaderFleet::onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow)
+{
+  mLog.write(telemetry::Weight::Critical,
+             aReachable ? "store_regained" : "store_lost",
+             { { "table", "nodes" }, { "reason", aReason.empty() ? "-" : aReason } },
+             aNow);
+}
+
+std::vector<net::Address> LoaderFleet::entries() const
+{
+  std::lock_guard lock(mMutex);
+  std::vector<net::Address> addresses;
+  for (const auto& [key, address] : mEntries) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+std::pair<size_t, size_t> LoaderFleet::rank() const
+{
+  std::lock_guard lock(mMutex);
+  auto hashOf = [](const std::string& aId) { return base::fastHash(base::asBytes(aId)); };
+  uint64_t own = hashOf(mSelf);
+  size_t rank = 0;
+  size_t count = 0;
+  for (const auto& [id, row] : mLoaders) {
+    if (row.service == mSelfRow.service) {
+      ++count;
+      rank += hashOf(id) < own ? 1 : 0;
+    }
+  }
+  return { rank, count };
+}
+
+} // namespace boragepitch::tools
--- /dev/null
+++ b/tools/loader/LoaderFleet.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "control/FleetView.h"
+#include "stores/TableWatcher.h"
+#include "telemetry/EventLog.h"
+
+namespace boragepitch::tools {
+
+/** A loader's row in the table of nodes. */
+struct LoaderRow
+{
+  std::string zone;
+  std::string region;
+  std::string service; ///< Of the engine beside it.
+  net::Address weights;
+};
+
+std::string writeLoaderRow(const LoaderRow& aRow);
+base::Result<LoaderRow> readLoaderRow(std::string_view aText);
+
+/**
+ * The fleet as the table of nodes tells it: all loaders count as alive, since a peer that does not
+ * answer is avoided by the transfer itself. Thread-safe.
+ */
+class LoaderFleet final
+  : public control::FleetView
+  , public stores::TableListener
+{
+public:
+  LoaderFleet(std::string aSelf, LoaderRow aSelfRow, telemetry::EventLog& aLog);
+
+  std::shared_ptr<const resources::Snapshot> config() const override;
+  std::shared_ptr<const control::NodeTable> nodes() const override;
+  bool mayStartNewWork(base::TimePoint aNow) const override;
+  void publish(control::NodeState aSelf) override;
+
+  void onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
+  void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
+  void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
+
+  /** Where the entries take load reports. */
+  std::vector<net::Address> entries() const;
+  /** Rank of this loader among those of its service, in an order that mixes the zones, and their
+   * number. */
+  std::pair<size_t, size_t> rank() const;
+
+private:
+  void take(const stores::RowChange& aRow);
+  control::NodeState stateOf(const std::string& aId, const LoaderRow& aRow) const;
+  void rebuild();
+
+  const std::string mSelf;
+  const LoaderRow mSelfRow;
+  telemetry::EventLog& mLog;
+  mutable std::mutex mMutex;
+  std::map<std::string, LoaderRow> mLoaders;
+  std::map<std::string, net::Address> mEntries;
+  std::shared_ptr<const control::NodeTable> mNodes;
+  std::shared_ptr<const resources::Snapshot> mConfig;
+};
+
+} // namespace boragepitch::tools
--- /dev/null
+++ b/tools/loader/WeightLoader.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "LoaderFleet.h"
+#include "base/Rng.h"
+#include "net/HttpServer.h"
+#include "platform/EngineCalls.h"
+#include "rollout/SwitchCore.h"
+#include "serving/Deployment.h"
+#include "stores/TableWatcher.h"
+#include "telemetry/EventLog.h"
+#include "weights/Distributor.h"
+
+namespace boragepitch::tools {
+
+struct LoaderOptions
+{
+  std::string node;
+  std::string zone;
+  std::string region;
+  std::string service;
+  net::Address weights;
+  std::map<std::string, std::string> zones; ///< Region by availability zone.
+  double linkBytesPerSecond = 0;
+  base::Milliseconds versionTime{ 0 };
+  uint64_t seed = 1;
+};
+
+/** Serves manifests that this process has read from the origin. */
+class ManifestCache final : public stores::ObjectClient
+{
+public:
+  void add(const weights::Manifest& aManifest);
+  base::Status put(std::string_view aKey, std::string_view aValue) override;
+  base::Result<std::string> fetch(std::string_view aKey, size_t aMaxBytes) override;
+
+private:
+  std::mutex mMutex;
+  std::map<std::string, std::string, std::less<>> mTexts;
+};
+
+/**
+ * Brings the engine on this VM to the declared weights: reads the manifest, lets the Distributor
+ * stage the chunks, verifies them and orders the engine to load them.
+ */
+class WeightLoader final : public stores::TableListener
+{
+public:
+  WeightLoader(LoaderOptions aOptions,
+               platform::EngineCalls& aEngine,
+               LoaderFleet& aFleet,
+               telemetry::Registry& aMetrics,
+               telemetry::EventLog& aLog);
+  ~WeightLoader() override;
+
+  void start();
+  void stop();
+  /** The latest report of the engine, from the thread that reads it. */
+  void onReport(const platform::EngineReport& aReport, base::TimePoint aNow);
+  /** True from just before an order until the engine reports it. */
+  bool isSwitching() const { return mSwitching; }
+  /** Called just before an order, so that entries stop sending. */
+  void beforeOrder(std::function<void()> aAnnounce) { mAnnounce = std::move(aAnnounce); }
+
+  void onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
+  void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
+  void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
+
+private:
+  struct Target
+  {
+    std::string model;
+    uint64_t version = 0;
+  };
+
+  void run();
+  void step(base::TimePoint aNow);
+  /** The model and version to hold; empty while the configuration is not known. */
+  std::optional<Target> target() const;
+  bool openDistributor();
+  bool readManifest(const Target& aTarget);
+  void order(const Target& aTarget, base::TimePoint aNow);
+  bool verifyStaged() const;
+  void take(const stores::RowChange& aRow, base::TimePoint aNow);
+  void log(std::string_view aEvent, std::initializer_list<telemetry::Field> aFields) const;
+
+  const LoaderOptions mOptions;
+  platform::EngineCalls& mEngine;
+  LoaderFleet& mFleet;
+  telemetry::Registry& mMetrics;
+  telemetry::EventLog& mLog;
+  base::Rng mRng;
+  platform::StagingArea mStaging;
+  ManifestCache mManifests;
+  std::function<void()> mAnnounce;
+  std::atomic<bool> mSwitching{ false };
+
+  mutable std::mutex mMutex;
+  std::condition_variable mWake;
+  bool mStopping = false;
+  std::shared_ptr<const serving::Deployment> mDeployment;
+  std::map<std::string, uint64_t> mDeclared; ///< Version by model.
+  std::map<std::string, base::TimePoint> mDeclaredAt;
+  std::optional<platform::EngineReport> mReport;
+
+  // Used by the loader's thread only.
+  std::unique_ptr<platform::OriginCalls> mOrigin;
+  std::unique_ptr<weights::Distributor> mDistributor;
+  std::unique_ptr<net::HttpServer> mServer;
+  std::shared_ptr<const weights::Manifest> mManifest;
+  std::optional<weights::ManifestId> mOnceRead; ///< A manifest that was read once.
+  rollout::SwitchCore mSwitch;
+  uint64_t mBorn = 0;
+  std::thread mThread;
+};
+
+} // namespace boragepitch::tools
--- /dev/null
+++ b/tools/router/EndpointListener.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "platform/EndpointRows.h"
+#include "relay/Relay.h"
+#include "serving/LapseGuard.h"
+#include "stores/TableWatcher.h"
+#include "telemetry/EventLog.h"
+
+namespace boragepitch::tools {
+
+/** Hands the platform's list of endpoints to the relay. */
+class EndpointListener final : public stores::TableListener
+{
+public:
+  EndpointListener(relay::Relay& aRelay,
+                   telemetry::EventLog& aLog,
+                   platform::ZoneRegions aZones,
+                   base::Milliseconds aLapseGrace);
+
+  void onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
+  void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
+  void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
+  void onAlive(base::TimePoint aNow) override;
+
+private:
+  void take(const stores::RowChange& aRow,
+            std::vector<serving::EndpointRecord>& aRecords,
+            base::TimePoint aNow);
+  void gone(const std::string& aId, base::TimePoint aNow);
+
+  relay::Relay& mRelay;
+  telemetry::EventLog& mLog;
+  const platform::ZoneRegions mZones;
+  serving::LapseGuard mGuard;
+  std::set<std::string> mKnown;
+};
+
+} // namespace boragepitch::tools
--- /dev/null
+++ b/tools/router/EntryListener.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "relay/Relay.h"
+#include "stores/TableWatcher.h"
+#include "telemetry/EventLog.h"
+
+namespace boragepitch::tools {
+
+/** Hands the addresses of the other entries to the relay. */
+class EntryListener final : public stores::TableListener
+{
+public:
+  EntryListener(relay::Relay& aRelay, telemetry::EventLog& aLog, std::string aSelf);
+
+  void onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
+  void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
+  void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
+
+private:
+  void take(const stores::RowChange& aRow);
+  void publish();
+
+  relay::Relay& mRelay;
+  telemetry::EventLog& mLog;
+  const std::string mSelf;
+  std::map<std::string, net::Address> mEntries;
+};
+
+} // namespace boragepitch::tools
