--- a/libs/relay/include/relay/Relay.h
+++ b/libs/relay/include/relay/Relay.h
@@ -79,7 +79,8 @@
   virtual void removeEndpoint(std::string aId) = 0;
   /** Any thread: the zones whose endpoints get no new work. */
   virtual void setEvacuated(std::set<std::string> aZones) = 0;
-  /** Any thread: from aEnforceFrom on, only these weights of the model start requests. */
+  /** Any thread: from aEnforceFrom on, requests start on these weights of the model or newer
+   * ones. */
   virtual void declareVersion(std::string aModel,
                               uint64_t aVersion,
                               base::TimePoint aEnforceFrom) = 0;
--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -178,7 +178,8 @@
   request.workspace = mWorkspace;
   request.excluded = mTried;
   if (mService->engine) {
-    request.weightVersion = mCore.requiredVersion(mFacts.model, aNow);
+    request.minWeightVersion = mCore.requiredVersion(mFacts.model, aNow);
+    request.streamWeightVersion = mBegan ? mStreamWeights : 0;
   }
   return request;
 }
@@ -230,9 +231,8 @@
   facts.priority = std::clamp(facts.priority, 0, kLowestPriority);
   facts.lastEvent = mLastEvent;
   if (mService->engine) {
-    uint64_t version = mCore.requiredVersion(mFacts.model, aNow);
-    if (version != 0) {
-      facts.weightVersion = version;
+    if (mCore.requiredVersion(mFacts.model, aNow) != 0) {
+      facts.weightVersion = mEndpoint->weightVersion();
     }
   }
   HeaderLines headers = mRequest.headers;
@@ -309,6 +309,7 @@
   if (!mBegan) {
     mBegan = true;
     mFirstEventAt = aNow;
+    mStreamWeights = mEndpoint->weightVersion();
     mCore.metrics.firstByte.record(aNow - mRequest.received);
     mSession.beginStream(mHead->status, answerHeaders(*mHead));
   } else {
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -100,7 +100,8 @@
   std::optional<std::pair<AnswerHead, std::string>> mFailure;
 
   serving::EventSplitter mSplitter;
-  bool mBegan = false; ///< The head of the answer was sent to the caller.
+  uint64_t mStreamWeights = 0; ///< Version on which the stream began.
+  bool mBegan = false;         ///< The head of the answer was sent to the caller.
   std::optional<uint64_t> mLastEvent;
   uint64_t mEvents = 0;
   std::optional<base::TimePoint> mFirstEventAt;
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -46,7 +46,15 @@
 uint64_t Core::requiredVersion(const std::string& aModel, base::TimePoint aNow) const
 {
   auto found = versions.find(aModel);
-  return found != versions.end() && aNow >= found->second.enforceFrom ? found->second.version : 0;
+  uint64_t required = 0;
+  if (found != versions.end()) {
+    for (const DeclaredVersion& declared : found->second) {
+      if (aNow >= declared.enforceFrom) {
+        required = declared.version;
+      }
+    }
+  }
+  return required;
 }
 
 void Core::shareCrash(const serving::CrashEvidence& aEvidence)
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -51,7 +51,7 @@
        telemetry::EventLog& aLog);
   ~Core();
 
-  /** The version that a request for the model must start on now; 0 for any. */
+  /** The oldest version that a request for the model may start on now; 0 for any. */
   uint64_t requiredVersion(const std::string& aModel, base::TimePoint aNow) const;
   /** Tells the other entries, more than once, since a datagram may be lost. */
   void shareCrash(const serving::CrashEvidence& aEvidence);
@@ -68,7 +68,8 @@
   serving::EndpointSet endpoints;
   serving::RetryLedger ledger;
   serving::CrashSuspects suspects;
-  std::map<std::string, DeclaredVersion, std::less<>> versions;
+  /** By model, oldest first. A newer declaration does not extend the time of an older one. */
+  std::map<std::string, std::vector<DeclaredVersion>, std::less<>> versions;
   bool listKnown = false;
   bool leaving = false;
   base::TimePoint leavingSince;
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -208,11 +208,11 @@
   void declareVersion(std::string aModel, uint64_t aVersion, base::TimePoint aEnforceFrom) override
   {
     post([this, model = std::move(aModel), aVersion, aEnforceFrom] {
-      DeclaredVersion& declared = mCore.versions[model];
-      if (aVersion <= declared.version) {
+      auto& declared = mCore.versions[model];
+      if (!declared.empty() && aVersion <= declared.back().version) {
         return;
       }
-      declared = { aVersion, aEnforceFrom };
+      declared.push_back({ aVersion, aEnforceFrom });
       auto wait = aEnforceFrom - std::chrono::steady_clock::now();
       logState("weights_declared",
                { { "model", model },
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -108,7 +108,10 @@
   const Service* service = nullptr;
   const Workspace* workspace = nullptr;  ///< May be null.
   std::span<const std::string> excluded; ///< Ids of endpoints that were tried already.
-  uint64_t weightVersion = 0;            ///< Only endpoints with this version; 0 for any.
+  uint64_t minWeightVersion = 0;         ///< Only endpoints with this version or a newer one.
+  /** Version on which a stream began; endpoints with other weights are the last choice. 0 for any.
+   */
+  uint64_t streamWeightVersion = 0;
 };
 
 enum class Refusal
@@ -173,7 +176,10 @@
   bool coldShareUsed(const Endpoint& aEndpoint,
                      const Service& aService,
                      base::TimePoint aNow) const;
-  double costOf(const Endpoint& aEndpoint, int aLoad, int aPlaces) const;
+  double costOf(const Endpoint& aEndpoint,
+                const PlacementRequest& aRequest,
+                int aLoad,
+                int aPlaces) const;
 
   PlacementOptions mOptions;
   std::map<std::string, EndpointPtr, std::less<>> mById;
--- a/libs/serving/include/serving/LapseGuard.h
+++ b/libs/serving/include/serving/LapseGuard.h
@@ -26,6 +26,8 @@
   bool gone(const std::string& aId, base::TimePoint aNow);
   /** Entries whose time has passed without their return. */
   std::vector<std::string> due(base::TimePoint aNow);
+  /** When due() names something next. */
+  std::optional<base::TimePoint> nextDue() const;
 
 private:
   const base::Milliseconds mGrace;
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -25,6 +25,8 @@
 constexpr double kSlowCostPerSecond = 1.0;
 constexpr double kFailureCost = 1.5;
 constexpr double kPaceCost = 0.5;
+/** More than any load: a stream continues on other weights only where no endpoint has its own. */
+constexpr double kOtherWeightsCost = 10;
 /** Memory use above which long contexts make an engine preempt requests. */
 constexpr double kMemoryFull = 0.92;
 /** Differences below this are not worth a preference; spreads equal endpoints at random. */
@@ -160,7 +162,7 @@
   }
   if (aRequest.service->engine) {
     uint64_t version = aEndpoint.weightVersion();
-    if (version == 0 || (aRequest.weightVersion != 0 && version != aRequest.weightVersion)) {
+    if (version == 0 || version < aRequest.minWeightVersion) {
       return false;
     }
     if (aEndpoint.report && aEndpoint.report->isSwitching &&
@@ -185,7 +187,10 @@
   return static_cast<double>(recent) >= share;
 }
 
-double EndpointSet::costOf(const Endpoint& aEndpoint, int aLoad, int aPlaces) const
+double EndpointSet::costOf(const Endpoint& aEndpoint,
+                           const PlacementRequest& aRequest,
+                           int aLoad,
+                           int aPlaces) const
 {
   double cost = static_cast<double>(aLoad) / aPlaces;
   if (aEndpoint.record.region != mOptions.region) {
@@ -193,6 +198,10 @@
   }
   cost += kFailureCost * aEndpoint.failureShare;
   cost += kSlowCostPerSecond * std::max(0.0, aEndpoint.firstEventMs - kNormalFirstEventMs) / 1000;
+  if (aRequest.streamWeightVersion != 0 &&
+      aEndpoint.weightVersion() != aRequest.streamWeightVersion) {
+    cost += kOtherWeightsCost;
+  }
   if (aEndpoint.report) {
     cost += kPaceCost * std::max(0.0, aEndpoint.report->pace - 1);
   }
@@ -224,7 +233,7 @@
       best.refusal = best.endpoint ? best.refusal : Refusal::Cold;
       continue;
     }
-    double cost = costOf(*endpoint, load, limit) + spread(aRng);
+    double cost = costOf(*endpoint, aRequest, load, limit) + spread(aRng);
     if (!best.endpoint || cost < bestCost) {
       best.endpoint = endpoint;
       best.refusal = Refusal::None;
--- a/libs/serving/src/LapseGuard.cpp
+++ b/libs/serving/src/LapseGuard.cpp
@@ -1,5 +1,7 @@
 #include "serving/LapseGuard.h"
 
+#include <algorithm>
+
 namespace boragepitch::serving {
 
 LapseGuard::LapseGuard(base::Milliseconds aGrace)
@@ -17,6 +19,15 @@
   return false;
 }
 
+std::optional<base::TimePoint> LapseGuard::nextDue() const
+{
+  std::optional<base::TimePoint> next;
+  for (const auto& [id, at] : mHeld) {
+    next = next ? std::min(*next, at) : at;
+  }
+  return next;
+}
+
 std::vector<std::string> LapseGuard::due(base::TimePoint aNow)
 {
   std::vector<std::string> ids;
--- a/libs/stores/include/stores/TableWatcher.h
+++ b/libs/stores/include/stores/TableWatcher.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -25,6 +26,8 @@
   virtual void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) = 0;
   /** After each call that succeeded, at least once per wait time. */
   virtual void onAlive(base::TimePoint /*aNow*/) {}
+  /** When onAlive() is wanted at the latest; empty for the watcher's own wait. */
+  virtual std::optional<base::TimePoint> wakeAt() const { return std::nullopt; }
 };
 
 struct WatchOptions
@@ -59,6 +62,7 @@
   void run();
   base::Status step(RowFeed& aFeed);
   base::Status readWhole(RowFeed& aFeed);
+  base::Milliseconds waitTime(base::TimePoint aNow) const;
   std::shared_ptr<RowFeed> makeFeed();
   void report(const base::Status& aStatus);
 
--- a/libs/stores/src/TableWatcher.cpp
+++ b/libs/stores/src/TableWatcher.cpp
@@ -1,5 +1,7 @@
 #include "stores/TableWatcher.h"
 
+#include <algorithm>
+
 namespace boragepitch::stores {
 
 namespace {
@@ -86,7 +88,8 @@
   if (!mHasPosition) {
     return readWhole(aFeed);
   }
-  auto page = aFeed.changes(mOptions.table, mPosition, mOptions.wait);
+  auto wait = waitTime(std::chrono::steady_clock::now());
+  auto page = aFeed.changes(mOptions.table, mPosition, wait);
   if (!page) {
     return tl::make_unexpected(page.error());
   }
@@ -102,6 +105,16 @@
   return {};
 }
 
+base::Milliseconds TableWatcher::waitTime(base::TimePoint aNow) const
+{
+  auto wakeAt = mListener.wakeAt();
+  if (!wakeAt) {
+    return mOptions.wait;
+  }
+  auto left = std::chrono::ceil<base::Milliseconds>(*wakeAt - aNow);
+  return std::clamp(left, base::Milliseconds(1), mOptions.wait);
+}
+
 base::Status TableWatcher::readWhole(RowFeed& aFeed)
 {
   std::vector<RowChange> rows;
--- a/libs/weights/src/Context.cpp
+++ b/libs/weights/src/Context.cpp
@@ -1,7 +1,15 @@
 #include "Context.h"
 
+#include <algorithm>
+
 namespace boragepitch::weights {
 
+namespace {
+/** While every manifest is whole, threads only look again because a notification may be missed by
+ * code outside this library. */
+constexpr base::Milliseconds kSettledWait{ 1000 };
+} // namespace
+
 TransferMetrics::TransferMetrics(telemetry::Registry& aRegistry)
   : originBytes(aRegistry.counter("bp_weights_origin_bytes_total", "Bytes read from the origin."))
   , peerBytes(aRegistry.counter("bp_weights_peer_bytes_total", "Bytes received from peers."))
@@ -63,10 +71,18 @@
 {
   std::unique_lock lock(mutex);
   if (!stopping) {
-    control.wait_for(lock, aTime);
+    control.wait_for(lock, isSettled() ? std::max<base::Duration>(aTime, kSettledWait) : aTime);
   }
 }
 
+bool Context::isSettled() const
+{
+  auto tasks = core.ordered();
+  return std::all_of(tasks.begin(), tasks.end(), [](const Task* aTask) {
+    return aTask->state == TransferState::Whole;
+  });
+}
+
 std::optional<net::Address> Context::addressOf(const std::string& aPeer) const
 {
   auto nodes = fleet->nodes();
--- a/libs/weights/src/Context.h
+++ b/libs/weights/src/Context.h
@@ -53,8 +53,11 @@
   void notifyAll();
   /** Waits up to aTime or until stop; false when stopping. */
   bool pause(base::Duration aTime);
-  /** Waits up to aTime or until notifyAll(). */
+  /** Waits up to aTime or until notifyAll(); longer while every manifest is whole, since all that
+   * ends this state notifies. */
   void idle(base::Duration aTime);
+  /** `mutex` must be held. */
+  bool isSettled() const;
   /** Address of a peer's chunk server; empty when it is not known. */
   std::optional<net::Address> addressOf(const std::string& aPeer) const;
   bool isCurrent(const ManifestId& aId, uint64_t aGeneration) const;
--- a/libs/weights/src/Distributor.cpp
+++ b/libs/weights/src/Distributor.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 constexpr base::Milliseconds kTick{ 50 };
+/** While every manifest is whole: how late a change of the fleet is noticed. */
+constexpr base::Milliseconds kSettledTick{ 500 };
 constexpr size_t kTreeRoots = 4;
 
 tl::unexpected<base::Error> invalid(std::string aField, std::string aMessage)
@@ -232,7 +234,8 @@
       refreshPollers();
       reportChanges();
       std::unique_lock lock(mContext.mutex);
-      mContext.control.wait_for(lock, kTick, [this] { return mContext.stopping || mDirty; });
+      auto tick = mContext.isSettled() ? kSettledTick : kTick;
+      mContext.control.wait_for(lock, tick, [this] { return mContext.stopping || mDirty; });
     }
     for (auto& [id, poller] : mPollers) {
       poller->requestStop();
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -11,7 +11,7 @@
 using namespace std::chrono_literals;
 
 /** Between two looks at what is to be done, when nothing wakes the thread. */
-constexpr base::Milliseconds kStep = 100ms;
+constexpr base::Milliseconds kStep = 250ms;
 /** Pause after the origin did not give a manifest. */
 constexpr base::Milliseconds kManifestRetry = 250ms;
 /** Entries hear of a switch before the engine stops taking requests. */
@@ -110,8 +110,13 @@
 void WeightLoader::onReport(const platform::EngineReport& aReport, base::TimePoint /*aNow*/)
 {
   std::lock_guard lock(mMutex);
+  bool changed = !mReport || mReport->load.born != aReport.load.born ||
+                 mReport->load.weightVersion != aReport.load.weightVersion ||
+                 mReport->load.isSwitching != aReport.load.isSwitching;
   mReport = aReport;
-  mWake.notify_all();
+  if (changed) {
+    mWake.notify_all();
+  }
 }
 
 void WeightLoader::onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
@@ -151,7 +156,7 @@
     uint64_t& known = mDeclared[declared->model];
     if (declared->version > known) {
       known = declared->version;
-      mDeclaredAt[declared->model] = aNow;
+      mDeclaredAt[declared->model].emplace_back(known, aNow);
       log("weights_declared",
           { { "model", declared->model }, { "version", std::to_string(known) } });
     }
@@ -183,6 +188,21 @@
   return target;
 }
 
+base::TimePoint WeightLoader::overdueSince(const std::string& aModel,
+                                           uint64_t aEngineVersion,
+                                           base::TimePoint aNow) const
+{
+  auto declared = mDeclaredAt.find(aModel);
+  if (declared != mDeclaredAt.end()) {
+    for (const auto& [version, at] : declared->second) {
+      if (version > aEngineVersion) {
+        return at;
+      }
+    }
+  }
+  return aNow;
+}
+
 void WeightLoader::run()
 {
   std::unique_lock lock(mMutex);
@@ -203,8 +223,9 @@
     std::lock_guard lock(mMutex);
     wanted = target();
     report = mReport;
-    auto at = wanted ? mDeclaredAt.find(wanted->model) : mDeclaredAt.end();
-    declaredAt = at != mDeclaredAt.end() ? at->second : aNow;
+    if (wanted && report) {
+      declaredAt = overdueSince(wanted->model, report->load.weightVersion, aNow);
+    }
   }
   if (!wanted || !report || !openDistributor()) {
     return;
--- a/tools/loader/WeightLoader.h
+++ b/tools/loader/WeightLoader.h
@@ -85,6 +85,10 @@
   void step(base::TimePoint aNow);
   /** The model and version to hold; empty while the configuration is not known. */
   std::optional<Target> target() const;
+  /** When the oldest version that the engine does not have was declared. */
+  base::TimePoint overdueSince(const std::string& aModel,
+                               uint64_t aEngineVersion,
+                               base::TimePoint aNow) const;
   bool openDistributor();
   bool readManifest(const Target& aTarget);
   void order(const Target& aTarget, base::TimePoint aNow);
@@ -108,7 +112,8 @@
   bool mStopping = false;
   std::shared_ptr<const serving::Deployment> mDeployment;
   std::map<std::string, uint64_t> mDeclared; ///< Version by model.
-  std::map<std::string, base::TimePoint> mDeclaredAt;
+  /** When each version of a model was declared, oldest first. */
+  std::map<std::string, std::vector<std::pair<uint64_t, base::TimePoint>>> mDeclaredAt;
   std::optional<platform::EngineReport> mReport;
 
   // Used by the loader's thread only.
