--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -203,6 +203,8 @@
   mSplitter.restart();
   mSentAt = aNow;
   mProgressAt = aNow;
+  mLoadAtSend = serving::EndpointSet::load(*mEndpoint, aNow);
+  mReportAge = mEndpoint->report ? aNow - mEndpoint->reportedAt : base::Duration(-1);
   mCore.endpoints.started(*mEndpoint, aNow);
   ExchangeRequest exchange;
   exchange.endpoint = record.id;
@@ -611,6 +613,8 @@
                     { "reason", aReason.empty() ? "-" : std::string(aReason) },
                     { "config", std::to_string(mDeployment ? mDeployment->version() : 0) },
                     { "endpoint", mEndpoint ? mEndpoint->record.id : "-" },
+                    { "load", std::to_string(mLoadAtSend) },
+                    { "report_age_ms", milliseconds(mReportAge) },
                     { "sends", std::to_string(mSends) },
                     { "events", std::to_string(mEvents) },
                     { "first_ms", firstMs },
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -91,7 +91,8 @@
   base::TimePoint mProgressAt; ///< Last event or send.
   int mSends = 0;
   int mRuns = 0; ///< Sends that may have run.
-  bool mNoRoom = false;
+  int mLoadAtSend = 0; ///< Requests at the endpoint, as they were known at the send.
+  base::Duration mReportAge{ -1 };
 
   std::optional<AnswerHead> mHead; ///< Of the present send.
   std::string mBody;
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -28,6 +28,10 @@
 /** An importer without progress is replaced after this part of the version time. */
 constexpr base::Milliseconds kImporterTimeout = 1000ms;
 constexpr base::Milliseconds kStallTimeout = 1500ms;
+/** Chunks that arrive within this time are announced together: each announcement costs both sides
+ * processor time, and a chunk takes 35 ms of a link of 7.6 Mbit/s. */
+constexpr base::Milliseconds kAnnounceInterval = 120ms;
+constexpr size_t kNeighbours = 5;
 constexpr size_t kMaxServerConnections = 48;
 
 base::Duration partOf(base::Milliseconds aTime, double aPart)
@@ -289,6 +293,8 @@
   options.fetchThreads = kFetchThreads;
   options.importerTimeout = kImporterTimeout;
   options.stallTimeout = kStallTimeout;
+  options.announceInterval = kAnnounceInterval;
+  options.neighbours = kNeighbours;
   auto distributor =
     weights::Distributor::Builder()
       .fleet(&mFleet)
