Place requests by predicted first event; keep weight versions in memory until they are loaded

Change: EngineModel predicts the first event from running, waiting and unread prompts; requests predicted later than 0.65 of their target are refused at once. StagedWeightHost holds several versions; the newest is fetched first and the engine's staging area is written only before an order. Telling returning callers by the time they have left was tried and reverted: callers of one route start with different times.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -1,6 +1,7 @@
 #include "Call.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -98,7 +99,8 @@
   mCore.metrics.inFlight.add(-1);
   if (mExchange) {
     mExchange->abort();
-    mCore.endpoints.finished(*mEndpoint, Outcome::Abandoned, std::chrono::steady_clock::now());
+    mCore.endpoints.finished(
+      *mEndpoint, mOccupancy, Outcome::Abandoned, std::chrono::steady_clock::now());
   }
 }
 
@@ -130,6 +132,7 @@
   if (mFacts.timeLeft) {
     mDeadline = std::min(mDeadline, mRequest.received + base::Duration(*mFacts.timeLeft));
   }
+  mFirstDue = mRequest.received + base::Duration(mRoute->latencyTarget);
   mService = pickService();
   if (mService == nullptr) {
     refuse("no_service", aNow);
@@ -177,6 +180,10 @@
   request.service = mService;
   request.workspace = mWorkspace;
   request.excluded = mTried;
+  request.promptTokens = mFacts.promptTokens;
+  request.firstEventBudget = mFirstDue - aNow;
+  // What was sent before is served late rather than refused.
+  request.isLate = mRuns > 0;
   if (mService->engine) {
     request.minWeightVersion = mCore.requiredVersion(mFacts.model, aNow);
     request.streamWeightVersion = mBegan ? mStreamWeights : 0;
@@ -205,7 +212,7 @@
   mProgressAt = aNow;
   mLoadAtSend = serving::EndpointSet::load(*mEndpoint, aNow);
   mReportAge = mEndpoint->report ? aNow - mEndpoint->reportedAt : base::Duration(-1);
-  mCore.endpoints.started(*mEndpoint, aNow);
+  mOccupancy = mCore.endpoints.started(placement, request, aNow);
   ExchangeRequest exchange;
   exchange.endpoint = record.id;
   exchange.address = record.address;
@@ -306,7 +313,7 @@
   }
   if (!mSendHadEvent) {
     mSendHadEvent = true;
-    mCore.endpoints.firstEvent(*mEndpoint, aNow - mSentAt);
+    mCore.endpoints.firstEvent(*mEndpoint, mOccupancy, aNow - mSentAt);
   }
   if (!mBegan) {
     mBegan = true;
@@ -410,7 +417,7 @@
 void Call::endSend(Outcome aOutcome, base::TimePoint aNow)
 {
   mExchange.reset();
-  mCore.endpoints.finished(*mEndpoint, aOutcome, aNow);
+  mCore.endpoints.finished(*mEndpoint, mOccupancy, aOutcome, aNow);
 }
 
 void Call::abortSend(const SendResult& aResult, base::TimePoint aNow)
@@ -501,7 +508,11 @@
     giveUp(aNow, "deadline");
     return;
   }
-  if (mRoute->mayRepeat() && mRuns + 1 < mRoute->maxAttempts && aNow - mProgressAt > patience()) {
+  bool impatient =
+    mRoute->mayRepeat() && mRuns + 1 < mRoute->maxAttempts && aNow - mProgressAt > patience();
+  // Without another endpoint the silent one is the best hope.
+  if (impatient && mCore.endpoints.choose(placementRequest(aNow), aNow, mCore.rng).endpoint &&
+      mCore.ledger.remaining(mService->name, aNow) >= 1) {
     abortSend({ Outcome::Silent, true, mSendHadEvent ? "stream_stalled" : "no_answer" }, aNow);
   }
 }
@@ -614,6 +625,8 @@
                     { "config", std::to_string(mDeployment ? mDeployment->version() : 0) },
                     { "endpoint", mEndpoint ? mEndpoint->record.id : "-" },
                     { "load", std::to_string(mLoadAtSend) },
+                    { "predicted_ms", std::to_string(std::lround(mOccupancy.predictedMs)) },
+                    { "late", mRuns > 0 ? "yes" : "no" },
                     { "report_age_ms", milliseconds(mReportAge) },
                     { "sends", std::to_string(mSends) },
                     { "events", std::to_string(mEvents) },
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -91,6 +91,9 @@
   base::TimePoint mProgressAt; ///< Last event or send.
   int mSends = 0;
   int mRuns = 0; ///< Sends that may have run.
+  serving::Occupancy mOccupancy;
+  base::TimePoint mFirstDue; ///< Until then a first event is in time.
+
   int mLoadAtSend = 0; ///< Requests at the endpoint, as they were known at the send.
   base::Duration mReportAge{ -1 };
 
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -1,5 +1,7 @@
 #include "Core.h"
 
+#include <algorithm>
+
 #include "CallerSession.h"
 
 namespace boragepitch::relay {
--- a/libs/serving/include/serving/Deployment.h
+++ b/libs/serving/include/serving/Deployment.h
@@ -66,10 +66,11 @@
   double perSequenceMs = 0;        ///< Added to a step for each running request.
   double contextMsPerThousand = 0; ///< Added to a step for each 1,000 tokens of context.
   double promptTokensPerSecond = 0;
-  int stepsPerPass = 1;    ///< Steps between two chances of a new request to start.
-  double usualPrompt = 0;  ///< Mean tokens.
-  double usualAnswer = 0;  ///< Mean tokens.
-  uint32_t chunkCount = 0; ///< Chunks of a version's weights.
+  double pairsMsPerMillion = 0; ///< For each pair of a prompt's token and an earlier one.
+  int stepsPerPass = 1;         ///< Steps between two chances of a new request to start.
+  double usualPrompt = 0;       ///< Mean tokens.
+  double usualAnswer = 0;       ///< Mean tokens.
+  uint32_t chunkCount = 0;      ///< Chunks of a version's weights.
   uint32_t chunkBytes = 0;
   std::vector<std::string> models;
 };
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -69,15 +69,20 @@
   bool isListed = true;
   int inFlight = 0; ///< Requests of this process.
 
+  int waiting = 0;            ///< Those of them that have no first event yet, late ones excluded.
+  double waitingPromptMs = 0; ///< Time to read the prompts of these.
+  int lateWaiting = 0;        ///< Late ones that have no first event yet.
+
   std::optional<LoadReport> report;
   base::TimePoint reportedAt;
-  int inFlightAtReport = 0;
+  int begunAtReport = 0;   ///< Own requests with a first event.
+  int waitingAtReport = 0; ///< Own requests without, late ones included.
 
   base::TimePoint coldUntil;
   base::TimePoint avoidUntil;
   uint32_t silences = 0;                    ///< Consecutive; a success resets it.
   double failureShare = 0;                  ///< Moving average over requests.
-  double firstEventMs = 0;                  ///< Moving average; 0 until one was seen.
+  double predictionErrorMs = 0;             ///< Moving average of how much later first events came.
   std::vector<base::TimePoint> recentSends; ///< Within the last second, while cold.
 
   bool isCold(base::TimePoint aNow) const { return aNow < coldUntil; }
@@ -93,13 +98,16 @@
   std::string region;
   double coldOvershoot = 1.5;
   double coldTolerance = 5;
-  /** Requests that may wait at an engine beyond its slots. One slot frees every 90 ms or so under
-   * full load, so that more would miss a first event within 300 to 400 ms. */
-  int engineQueue = 1;
+  /** A request is refused when its first event would come later than this many budgets: capacity
+   * then goes to requests that can still be in time. */
+  double budgetFactor = 1.0;
+  /** Late requests of this process that may wait at one engine. They start only where no other
+   * request waits; more would not end before their callers leave. */
+  int lateWaiting = 2;
   /** Requests in flight at an endpoint of a plain service, relative to its slots. */
   double plainOverbooking = 1.5;
-  /** Load that must be saved by leaving the region; keeps bytes off the links between regions. */
-  double remotePenalty = 0.15;
+  /** Time that must be saved by leaving the region; keeps bytes off the links between regions. */
+  base::Milliseconds remotePenalty{ 25 };
 };
 
 struct PlacementRequest
@@ -109,6 +117,11 @@
   const Workspace* workspace = nullptr;  ///< May be null.
   std::span<const std::string> excluded; ///< Ids of endpoints that were tried already.
   uint64_t minWeightVersion = 0;         ///< Only endpoints with this version or a newer one.
+  uint64_t promptTokens = 0;
+  /** Time left in which the first event is worth most. */
+  base::Duration firstEventBudget = base::Duration::max();
+  /** The budget cannot be met any more: the request uses capacity that others leave. */
+  bool isLate = false;
   /** Version on which a stream began; endpoints with other weights are the last choice. 0 for any.
    */
   uint64_t streamWeightVersion = 0;
@@ -129,10 +142,19 @@
   EndpointPtr endpoint; ///< Null when refused.
   Refusal refusal = Refusal::None;
   /** For the decision's log line. */
-  double cost = 0;
+  double predictedMs = 0; ///< Until the first event or answer.
   int candidates = 0;
 };
 
+/** What one request adds to an endpoint's load while it is there. */
+struct Occupancy
+{
+  double promptMs = 0;
+  double predictedMs = 0;
+  bool isLate = false;
+  bool hasBegun = false;
+};
+
 /**
  * The endpoints that this process knows, and the choice among them. Answers these load patterns:
  * several entries that fill the same endpoints, reports that lag, endpoints that are slow, fail,
@@ -155,31 +177,37 @@
 
   Placement choose(const PlacementRequest& aRequest, base::TimePoint aNow, base::Rng& aRng) const;
 
-  /** A request goes to the endpoint; call finished() exactly once for it. */
-  void started(Endpoint& aEndpoint, base::TimePoint aNow);
-  void finished(Endpoint& aEndpoint, Outcome aOutcome, base::TimePoint aNow);
-  void firstEvent(Endpoint& aEndpoint, base::Duration aAfter);
+  /** A request goes to the endpoint as choose() said; call finished() exactly once for it. */
+  Occupancy started(const Placement& aPlacement,
+                    const PlacementRequest& aRequest,
+                    base::TimePoint aNow);
+  void firstEvent(Endpoint& aEndpoint, Occupancy& aOccupancy, base::Duration aAfter);
+  void finished(Endpoint& aEndpoint, Occupancy& aOccupancy, Outcome aOutcome, base::TimePoint aNow);
   /** An answer named the version of its weights. */
   void noteVersion(Endpoint& aEndpoint, uint64_t aVersion);
 
   /** Requests at the endpoint: own ones, and those of others as last reported. */
   static int load(const Endpoint& aEndpoint, base::TimePoint aNow);
   const std::map<std::string, EndpointPtr, std::less<>>& all() const { return mById; }
-  /** Free places over all usable endpoints of a service. */
-  int freePlaces(const PlacementRequest& aRequest, base::TimePoint aNow) const;
 
 private:
-  int places(const Endpoint& aEndpoint, const Service& aService) const;
+  static void begin(Endpoint& aEndpoint, Occupancy& aOccupancy);
+  /** Until the first event or answer; empty when there is no place for the request. */
+  std::optional<double> predictMs(const Endpoint& aEndpoint,
+                                  const PlacementRequest& aRequest,
+                                  base::TimePoint aNow) const;
+  std::optional<double> predictEngineMs(const Endpoint& aEndpoint,
+                                        const PlacementRequest& aRequest,
+                                        base::TimePoint aNow) const;
   bool isAllowed(const Endpoint& aEndpoint,
                  const PlacementRequest& aRequest,
                  base::TimePoint aNow) const;
   bool coldShareUsed(const Endpoint& aEndpoint,
                      const Service& aService,
                      base::TimePoint aNow) const;
-  double costOf(const Endpoint& aEndpoint,
+  double costMs(const Endpoint& aEndpoint,
                 const PlacementRequest& aRequest,
-                int aLoad,
-                int aPlaces) const;
+                double aPredictedMs) const;
 
   PlacementOptions mOptions;
   std::map<std::string, EndpointPtr, std::less<>> mById;
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
+
+#include "serving/EngineModel.h"
 
 namespace boragepitch::serving {
 
@@ -20,17 +23,23 @@
 constexpr base::Milliseconds kRejectPause = 120ms;
 /** Pause after an answer of another instance, until the list tells more. */
 constexpr base::Milliseconds kMisdirectedPause = 1000ms;
-/** First-event time up to which an endpoint counts as normal, and what one second more costs. */
-constexpr double kNormalFirstEventMs = 250;
-constexpr double kSlowCostPerSecond = 1.0;
-constexpr double kFailureCost = 1.5;
-constexpr double kPaceCost = 0.5;
+/** What a failure costs on average: another send. */
+constexpr double kFailureCostMs = 400;
 /** More than any load: a stream continues on other weights only where no endpoint has its own. */
-constexpr double kOtherWeightsCost = 10;
+constexpr double kOtherWeightsCostMs = 10000;
 /** Memory use above which long contexts make an engine preempt requests. */
 constexpr double kMemoryFull = 0.92;
 /** Differences below this are not worth a preference; spreads equal endpoints at random. */
-constexpr double kTieSpread = 0.04;
+constexpr double kTieSpreadMs = 12;
+/** Part of the requests that other processes have waiting at an engine which start before a new
+ * one: some are late ones, some have started since the report. */
+constexpr double kOthersAhead = 0.5;
+/** Other processes send at the same moment: the prompts that wait are this many times one's own. */
+constexpr double kConcurrentPrompts = 1.5;
+/** Requests at an engine beyond its slots, late ones included; its own queue holds twice that. */
+constexpr int kMostBeyondSlots = 12;
+/** Usual time of a call to a plain service, until its endpoints' slots are taken. */
+constexpr double kPlainCallMs = 15;
 
 } // namespace
 
@@ -118,7 +127,8 @@
         endpoint->record.born == aReport.born) {
       endpoint->report = aReport;
       endpoint->reportedAt = aNow;
-      endpoint->inFlightAtReport = endpoint->inFlight;
+      endpoint->waitingAtReport = endpoint->waiting + endpoint->lateWaiting;
+      endpoint->begunAtReport = endpoint->inFlight - endpoint->waitingAtReport;
     }
   }
 }
@@ -127,19 +137,62 @@
 {
   int others = 0;
   if (aEndpoint.report && aNow - aEndpoint.reportedAt < kReportLife) {
-    others = std::max(
-      0, aEndpoint.report->running + aEndpoint.report->queued - aEndpoint.inFlightAtReport);
+    others = std::max(0,
+                      aEndpoint.report->running + aEndpoint.report->queued -
+                        aEndpoint.begunAtReport - aEndpoint.waitingAtReport);
   }
   return aEndpoint.inFlight + others;
 }
 
-int EndpointSet::places(const Endpoint& aEndpoint, const Service& aService) const
+std::optional<double> EndpointSet::predictMs(const Endpoint& aEndpoint,
+                                             const PlacementRequest& aRequest,
+                                             base::TimePoint aNow) const
+{
+  if (aRequest.service->engine) {
+    return predictEngineMs(aEndpoint, aRequest, aNow);
+  }
+  int load = EndpointSet::load(aEndpoint, aNow);
+  if (load >= aEndpoint.record.slots * mOptions.plainOverbooking) {
+    return std::nullopt;
+  }
+  return kPlainCallMs * (1 + static_cast<double>(load) / aEndpoint.record.slots);
+}
+
+std::optional<double> EndpointSet::predictEngineMs(const Endpoint& aEndpoint,
+                                                   const PlacementRequest& aRequest,
+                                                   base::TimePoint aNow) const
 {
-  if (aService.engine) {
-    return aEndpoint.record.slots + mOptions.engineQueue;
+  const EngineProfile& profile = *aRequest.service->engine;
+  int ownWaiting = aEndpoint.waiting + aEndpoint.lateWaiting;
+  EngineLoad load;
+  load.running = aEndpoint.inFlight - ownWaiting;
+  load.waiting = aEndpoint.waiting;
+  load.waitingPromptMs = kConcurrentPrompts * aEndpoint.waitingPromptMs;
+  double pace = 1;
+  int othersWaiting = 0;
+  if (aEndpoint.report && aNow - aEndpoint.reportedAt < kReportLife) {
+    const LoadReport& report = *aEndpoint.report;
+    load.running += std::max(0, report.running - aEndpoint.begunAtReport);
+    othersWaiting = std::max(0, report.queued - aEndpoint.waitingAtReport);
+    pace = std::max(1.0, report.pace);
+  }
+  load.running = std::min(load.running, profile.slots);
+  load.waiting += kOthersAhead * othersWaiting;
+  int beyond = load.running + ownWaiting + othersWaiting - profile.slots;
+  if (beyond >= kMostBeyondSlots) {
+    return std::nullopt;
+  }
+  if (aRequest.isLate && beyond >= 0 && aEndpoint.lateWaiting >= mOptions.lateWaiting) {
+    return std::nullopt;
   }
-  return std::max(
-    1, static_cast<int>(std::lround(aEndpoint.record.slots * mOptions.plainOverbooking)));
+  EngineModel model(profile);
+  double predicted = pace * model.firstEventMs(load, aRequest.promptTokens) +
+                     std::max(0.0, aEndpoint.predictionErrorMs);
+  double budget = std::chrono::duration<double, std::milli>(aRequest.firstEventBudget).count();
+  if (!aRequest.isLate && predicted > mOptions.budgetFactor * budget) {
+    return std::nullopt;
+  }
+  return predicted;
 }
 
 bool EndpointSet::isAllowed(const Endpoint& aEndpoint,
@@ -187,23 +240,17 @@
   return static_cast<double>(recent) >= share;
 }
 
-double EndpointSet::costOf(const Endpoint& aEndpoint,
+double EndpointSet::costMs(const Endpoint& aEndpoint,
                            const PlacementRequest& aRequest,
-                           int aLoad,
-                           int aPlaces) const
+                           double aPredictedMs) const
 {
-  double cost = static_cast<double>(aLoad) / aPlaces;
+  double cost = aPredictedMs + kFailureCostMs * aEndpoint.failureShare;
   if (aEndpoint.record.region != mOptions.region) {
-    cost += mOptions.remotePenalty;
+    cost += static_cast<double>(mOptions.remotePenalty.count());
   }
-  cost += kFailureCost * aEndpoint.failureShare;
-  cost += kSlowCostPerSecond * std::max(0.0, aEndpoint.firstEventMs - kNormalFirstEventMs) / 1000;
   if (aRequest.streamWeightVersion != 0 &&
       aEndpoint.weightVersion() != aRequest.streamWeightVersion) {
-    cost += kOtherWeightsCost;
-  }
-  if (aEndpoint.report) {
-    cost += kPaceCost * std::max(0.0, aEndpoint.report->pace - 1);
+    cost += kOtherWeightsCostMs;
   }
   return cost;
 }
@@ -215,17 +262,17 @@
   Placement best;
   best.refusal = Refusal::NoEndpoint;
   double bestCost = 0;
-  std::uniform_real_distribution<double> spread(0, kTieSpread);
+  std::uniform_real_distribution<double> spread(0, kTieSpreadMs);
   for (const auto& [id, endpoint] : mById) {
     if (!isAllowed(*endpoint, aRequest, aNow)) {
       continue;
     }
     ++best.candidates;
-    int load = EndpointSet::load(*endpoint, aNow);
-    int limit = places(*endpoint, *aRequest.service);
     bool onProbation = endpoint->silences > 0 && endpoint->inFlight > 0;
     bool memoryFull = endpoint->report && endpoint->report->memoryUsed > kMemoryFull;
-    if (load >= limit || aNow < endpoint->avoidUntil || onProbation || memoryFull) {
+    bool avoided = aNow < endpoint->avoidUntil || onProbation || memoryFull;
+    auto predicted = avoided ? std::nullopt : predictMs(*endpoint, aRequest, aNow);
+    if (!predicted) {
       best.refusal = best.endpoint ? best.refusal : Refusal::Full;
       continue;
     }
@@ -233,37 +280,59 @@
       best.refusal = best.endpoint ? best.refusal : Refusal::Cold;
       continue;
     }
-    double cost = costOf(*endpoint, aRequest, load, limit) + spread(aRng);
+    double cost = costMs(*endpoint, aRequest, *predicted) + spread(aRng);
     if (!best.endpoint || cost < bestCost) {
       best.endpoint = endpoint;
       best.refusal = Refusal::None;
+      best.predictedMs = *predicted;
       bestCost = cost;
     }
   }
-  best.cost = bestCost;
   return best;
 }
 
-int EndpointSet::freePlaces(const PlacementRequest& aRequest, base::TimePoint aNow) const
+Occupancy EndpointSet::started(const Placement& aPlacement,
+                               const PlacementRequest& aRequest,
+                               base::TimePoint aNow)
 {
-  int count = 0;
-  for (const auto& [id, endpoint] : mById) {
-    if (isAllowed(*endpoint, aRequest, aNow) && aNow >= endpoint->avoidUntil) {
-      count += std::max(0, places(*endpoint, *aRequest.service) - load(*endpoint, aNow));
-    }
+  Endpoint& endpoint = *aPlacement.endpoint;
+  Occupancy occupancy;
+  occupancy.predictedMs = aPlacement.predictedMs;
+  occupancy.isLate = aRequest.isLate;
+  if (aRequest.service->engine) {
+    occupancy.promptMs = EngineModel(*aRequest.service->engine).promptMs(aRequest.promptTokens);
+  }
+  ++endpoint.inFlight;
+  if (occupancy.isLate) {
+    ++endpoint.lateWaiting;
+  } else {
+    ++endpoint.waiting;
+    endpoint.waitingPromptMs += occupancy.promptMs;
   }
-  return count;
+  std::erase_if(endpoint.recentSends, [&](base::TimePoint aAt) { return aNow - aAt >= 1s; });
+  endpoint.recentSends.push_back(aNow);
+  return occupancy;
 }
 
-void EndpointSet::started(Endpoint& aEndpoint, base::TimePoint aNow)
+void EndpointSet::begin(Endpoint& aEndpoint, Occupancy& aOccupancy)
 {
-  ++aEndpoint.inFlight;
-  std::erase_if(aEndpoint.recentSends, [&](base::TimePoint aAt) { return aNow - aAt >= 1s; });
-  aEndpoint.recentSends.push_back(aNow);
+  if (std::exchange(aOccupancy.hasBegun, true)) {
+    return;
+  }
+  if (aOccupancy.isLate) {
+    --aEndpoint.lateWaiting;
+  } else {
+    --aEndpoint.waiting;
+    aEndpoint.waitingPromptMs -= aOccupancy.promptMs;
+  }
 }
 
-void EndpointSet::finished(Endpoint& aEndpoint, Outcome aOutcome, base::TimePoint aNow)
+void EndpointSet::finished(Endpoint& aEndpoint,
+                           Occupancy& aOccupancy,
+                           Outcome aOutcome,
+                           base::TimePoint aNow)
 {
+  begin(aEndpoint, aOccupancy);
   --aEndpoint.inFlight;
   bool failed = aOutcome == Outcome::Failure || aOutcome == Outcome::Broken;
   if (failed || aOutcome == Outcome::Success) {
@@ -293,13 +362,14 @@
   }
 }
 
-void EndpointSet::firstEvent(Endpoint& aEndpoint, base::Duration aAfter)
+void EndpointSet::firstEvent(Endpoint& aEndpoint, Occupancy& aOccupancy, base::Duration aAfter)
 {
-  double ms = std::chrono::duration<double, std::milli>(aAfter).count();
-  aEndpoint.firstEventMs =
-    aEndpoint.firstEventMs == 0
-      ? ms
-      : aEndpoint.firstEventMs + kAverageWeight * (ms - aEndpoint.firstEventMs);
+  begin(aEndpoint, aOccupancy);
+  if (!aOccupancy.isLate) {
+    double ms = std::chrono::duration<double, std::milli>(aAfter).count();
+    double error = ms - aOccupancy.predictedMs;
+    aEndpoint.predictionErrorMs += kAverageWeight * (error - aEndpoint.predictionErrorMs);
+  }
 }
 
 void EndpointSet::noteVersion(Endpoint& aEndpoint, uint64_t aVersion)
--- /dev/null
+++ b/libs/serving/src/EngineModel.cpp
@@ -0,0 +1,50 @@
+#include "serving/EngineModel.h"
+
+#include <algorithm>
+
+namespace boragepitch::serving {
+
+namespace {
+constexpr double kPerMillion = 1e-6;
+constexpr double kPerThousand = 1e-3;
+/** A request arrives in the middle of a pass on average. */
+constexpr double kPassWait = 0.5;
+} // namespace
+
+double EngineModel::promptMs(uint64_t aTokens) const
+{
+  auto tokens = static_cast<double>(aTokens);
+  double rate = std::max(mProfile.promptTokensPerSecond, 1.0) * kPerThousand;
+  double pairs = tokens * tokens / 2 * kPerMillion;
+  return tokens / rate + pairs * mProfile.pairsMsPerMillion;
+}
+
+double EngineModel::stepMs(int aRunning) const
+{
+  double contextTokens = aRunning * (mProfile.usualPrompt + mProfile.usualAnswer / 2);
+  return mProfile.stepMs + mProfile.perSequenceMs * aRunning +
+         mProfile.contextMsPerThousand * contextTokens * kPerThousand;
+}
+
+double EngineModel::passMs(int aRunning) const
+{
+  return mProfile.stepsPerPass * stepMs(aRunning);
+}
+
+double EngineModel::slotIntervalMs() const
+{
+  int slots = std::max(mProfile.slots, 1);
+  return promptMs(static_cast<uint64_t>(mProfile.usualPrompt)) +
+         mProfile.usualAnswer * stepMs(slots) / slots;
+}
+
+double EngineModel::firstEventMs(const EngineLoad& aLoad, uint64_t aPromptTokens) const
+{
+  double pass = passMs(aLoad.running);
+  double free = std::max(0, mProfile.slots - aLoad.running);
+  double behind = std::max(0.0, aLoad.waiting + 1 - free);
+  double wait = aLoad.running > 0 ? kPassWait * pass : 0;
+  return wait + behind * slotIntervalMs() + aLoad.waitingPromptMs + promptMs(aPromptTokens) + pass;
+}
+
+} // namespace boragepitch::serving
--- /dev/null
+++ b/libs/weights/include/weights/StagedWeightHost.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "weights/WeightHost.h"
+
+namespace boragepitch::weights {
+
+/** The staging area of an engine: one version of each model, by chunk. Thread-safe. */
+class ChunkStaging
+{
+public:
+  virtual ~ChunkStaging() = default;
+  virtual base::Status putChunk(const std::string& aModel,
+                                uint32_t aChunk,
+                                std::span<const std::byte> aBytes) = 0;
+  /** NotFound when the chunk is not there. */
+  virtual base::Result<std::string> chunk(const std::string& aModel, uint32_t aChunk) = 0;
+};
+
+/**
+ * Keeps the chunks of several versions in this process's memory and writes one version to the
+ * engine's staging area when it is to be loaded. Until then the staged version stays usable: an
+ * engine that restarts during a transfer loads it again. Thread-safe.
+ */
+class StagedWeightHost final : public WeightHost
+{
+public:
+  explicit StagedWeightHost(ChunkStaging& aStaging);
+
+  /** The version is not in the staging area: nothing is read from there until a commit. */
+  void noteNew(const ManifestId& aId);
+  bool mayHold(const ManifestId& aId) override;
+  base::Status allocate(const Manifest& aManifest) override;
+  base::Status write(const ManifestId& aId,
+                     uint32_t aChunk,
+                     std::span<const std::byte> aBytes) override;
+  /** From memory, else what lies in the staging area; the caller verifies it. */
+  base::Result<size_t> read(const ManifestId& aId,
+                            uint32_t aChunk,
+                            std::span<std::byte> aTarget) override;
+  base::Status release(const ManifestId& aId) override;
+
+  /**
+   * Writes all chunks of a version to the staging area. Chunks that are in no memory of this
+   * process must lie there already and are verified. Corrupt when one does not match.
+   */
+  base::Status commit(const Manifest& aManifest);
+  size_t memoryBytes() const;
+
+private:
+  struct Version
+  {
+    std::string model;
+    std::vector<std::string> chunks; ///< Empty for a chunk that is not in memory.
+  };
+
+  ChunkStaging& mStaging;
+  mutable std::mutex mMutex;
+  std::map<ManifestId, Version> mVersions;
+  std::set<ManifestId> mNew; ///< Known not to be in the staging area.
+};
+
+} // namespace boragepitch::weights
--- a/libs/weights/src/Verifier.cpp
+++ b/libs/weights/src/Verifier.cpp
@@ -40,7 +40,8 @@
     }
     Cursor& cursor = mCursors[task->manifest->id()];
     cursor.generation = task->generation;
-    if (task->own.test(cursor.next) || task->state == TransferState::Verifying) {
+    bool readable = task->manifest->wholeDigest() && task->own.test(cursor.next);
+    if (readable || task->state == TransferState::Verifying) {
       return Step{ task->manifest, task->generation };
     }
   }
@@ -49,7 +50,9 @@
 
 bool Verifier::advance(const Step& aStep, Cursor& aCursor)
 {
-  if (aCursor.next == aStep.manifest->chunkCount()) {
+  // Without a digest of the whole there is nothing to compute: each chunk was verified.
+  bool computed = aCursor.next == aStep.manifest->chunkCount();
+  if (computed || !aStep.manifest->wholeDigest()) {
     conclude(aStep, aCursor);
     return true;
   }
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -22,8 +22,11 @@
  * enough to finish what runs. */
 constexpr double kTurnsBegin = 0.35;
 constexpr double kTurnsLast = 0.45;
-/** Chunk memory: the chunks of one version are 2 MiB. */
-constexpr size_t kCacheBytes = 4 << 20;
+/** Chunks in flight and those that peers ask for just after they came; all are in the host too. */
+constexpr size_t kCacheBytes = 1 << 20;
+/** A version further back is not to be had from the origin. */
+constexpr size_t kTargets = 2;
+constexpr int kHighestUrgency = 9;
 constexpr size_t kFetchThreads = 4;
 /** An importer without progress is replaced after this part of the version time. */
 constexpr base::Milliseconds kImporterTimeout = 1000ms;
@@ -175,21 +178,25 @@
              aNow);
 }
 
-std::optional<WeightLoader::Target> WeightLoader::target() const
+std::vector<WeightLoader::Target> WeightLoader::targets() const
 {
-  if (!mDeployment) {
-    return std::nullopt;
-  }
-  const serving::Service* service = mDeployment->service(mOptions.service);
+  std::vector<Target> targets;
+  const serving::Service* service = mDeployment ? mDeployment->service(mOptions.service) : nullptr;
   if (service == nullptr || !service->engine || service->engine->models.empty()) {
-    return std::nullopt;
+    return targets;
+  }
+  const std::string& model = service->engine->models.front();
+  auto declared = mDeclaredAt.find(model);
+  if (declared == mDeclaredAt.end() || declared->second.empty()) {
+    targets.push_back({ model, kFirstVersion });
+    return targets;
   }
-  Target target{ service->engine->models.front(), kFirstVersion };
-  auto declared = mDeclared.find(target.model);
-  if (declared != mDeclared.end()) {
-    target.version = declared->second;
+  for (auto entry = declared->second.rbegin();
+       entry != declared->second.rend() && targets.size() < kTargets;
+       ++entry) {
+    targets.push_back({ model, entry->first });
   }
-  return target;
+  return targets;
 }
 
 base::TimePoint WeightLoader::overdueSince(const std::string& aModel,
@@ -220,18 +227,18 @@
 
 void WeightLoader::step(base::TimePoint aNow)
 {
-  std::optional<Target> wanted;
+  std::vector<Target> wanted;
   std::optional<platform::EngineReport> report;
   base::TimePoint declaredAt = aNow;
   {
     std::lock_guard lock(mMutex);
-    wanted = target();
+    wanted = targets();
     report = mReport;
-    if (wanted && report) {
-      declaredAt = overdueSince(wanted->model, report->load.weightVersion, aNow);
+    if (!wanted.empty() && report) {
+      declaredAt = overdueSince(wanted.front().model, report->load.weightVersion, aNow);
     }
   }
-  if (!wanted || !report || !openDistributor()) {
+  if (wanted.empty() || !report || !openDistributor()) {
     return;
   }
   if (report->load.born != mBorn) {
@@ -242,28 +249,42 @@
     }
     mBorn = report->load.born;
   }
-  bool known = mManifest && mManifest->model() == wanted->model &&
-               mManifest->version() == std::to_string(wanted->version);
-  if (!known && !readManifest(*wanted)) {
-    return;
-  }
-  auto [rank, count] = mFleet.rank();
-  mSwitch.want(wanted->version,
-               declaredAt + rollout::turnDelay(rank,
-                                               count,
-                                               partOf(mOptions.versionTime, kTurnsBegin),
-                                               partOf(mOptions.versionTime, kTurnsLast)));
+  forgetOthers(wanted);
+  std::vector<std::shared_ptr<const weights::Manifest>> manifests;
   auto held = mDistributor->held();
-  bool whole = std::find(held.begin(), held.end(), mManifest->id().toString()) != held.end();
+  std::shared_ptr<const weights::Manifest> newest;
+  uint64_t newestVersion = 0;
+  for (const Target& target : wanted) {
+    auto manifest = manifestOf(target, aNow);
+    if (!manifest) {
+      continue;
+    }
+    manifests.push_back(manifest);
+    bool whole = std::find(held.begin(), held.end(), manifest->id().toString()) != held.end();
+    if (whole && !newest) {
+      newest = manifest;
+      newestVersion = target.version;
+    }
+  }
+  wantManifests(manifests);
   rollout::EngineWeights engine{ report->load.born,
                                  report->load.weightVersion,
                                  report->load.isSwitching };
-  if (mSwitching && engine.version >= wanted->version && !engine.isBusy) {
+  if (mSwitching && engine.version >= mSwitch.wanted() && !engine.isBusy) {
     mSwitching = false;
     log("weights_loaded", { { "version", std::to_string(engine.version) } });
   }
-  if (mSwitch.isDue(engine, whole, aNow)) {
-    order(*wanted, aNow);
+  if (!newest) {
+    return;
+  }
+  auto [rank, count] = mFleet.rank();
+  mSwitch.want(newestVersion,
+               declaredAt + rollout::turnDelay(rank,
+                                               count,
+                                               partOf(mOptions.versionTime, kTurnsBegin),
+                                               partOf(mOptions.versionTime, kTurnsLast)));
+  if (mSwitch.isDue(engine, newestVersion == mSwitch.wanted(), aNow)) {
+    order(*newest, newestVersion, aNow);
   }
 }
 
@@ -325,56 +346,81 @@
   return true;
 }
 
-bool WeightLoader::readManifest(const Target& aTarget)
+void WeightLoader::forgetOthers(const std::vector<Target>& aTargets)
+{
+  std::erase_if(mKnown, [&](const auto& aEntry) {
+    return std::none_of(aTargets.begin(), aTargets.end(), [&](const Target& aTarget) {
+      return aTarget.version == aEntry.first;
+    });
+  });
+}
+
+std::shared_ptr<const weights::Manifest> WeightLoader::manifestOf(const Target& aTarget,
+                                                                  base::TimePoint aNow)
 {
   // The origin may send wrong bytes: two equal answers are taken as right. A wrong manifest would
   // otherwise condemn all right chunks.
+  KnownManifest& known = mKnown[aTarget.version];
+  if (known.manifest || aNow < known.retryAt) {
+    return known.manifest;
+  }
   auto manifest = mOrigin->manifest(aTarget.model, aTarget.version);
   if (!manifest) {
     log("manifest_missing",
         { { "model", aTarget.model },
           { "version", std::to_string(aTarget.version) },
           { "error", manifest.error().describe() } });
-    std::this_thread::sleep_for(kManifestRetry);
-    return false;
+    known.retryAt = aNow + base::Duration(kManifestRetry);
+    return nullptr;
   }
-  if (mOnceRead != manifest->id()) {
-    mOnceRead = manifest->id();
-    return false;
+  if (known.onceRead != manifest->id()) {
+    known.onceRead = manifest->id();
+    mWake.notify_all();
+    return nullptr;
   }
-  mManifest = std::make_shared<const weights::Manifest>(std::move(*manifest));
-  mManifests.add(*mManifest);
-  weights::Wanted wanted;
-  wanted.manifest = mManifest->id();
-  wanted.originName = aTarget.model + "/" + std::to_string(aTarget.version);
-  wanted.since = std::chrono::steady_clock::now();
-  wanted.endpoints = { mOptions.service };
-  mDistributor->want({ wanted });
+  known.manifest = std::make_shared<const weights::Manifest>(std::move(*manifest));
+  mManifests.add(*known.manifest);
   log("manifest",
       { { "model", aTarget.model },
         { "version", std::to_string(aTarget.version) },
-        { "id", mManifest->id().toString() } });
-  return true;
+        { "id", known.manifest->id().toString() } });
+  return known.manifest;
 }
 
-bool WeightLoader::verifyStaged() const
+void WeightLoader::wantManifests(
+  const std::vector<std::shared_ptr<const weights::Manifest>>& aManifests)
 {
-  for (uint32_t chunk = 0; chunk < mManifest->chunkCount(); ++chunk) {
-    auto bytes = mEngine.chunk(mManifest->model(), chunk);
-    if (!bytes || !mManifest->verifies(chunk, base::asBytes(*bytes))) {
-      log("staged_chunk_bad",
-          { { "chunk", std::to_string(chunk) },
-            { "reason", bytes ? "digest" : bytes.error().describe() } });
-      return false;
+  std::vector<weights::ManifestId> ids;
+  std::vector<weights::Wanted> wanted;
+  for (const auto& manifest : aManifests) {
+    ids.push_back(manifest->id());
+    weights::Wanted one;
+    one.manifest = manifest->id();
+    one.originName = manifest->model() + "/" + manifest->version();
+    // The newest first: an engine that loads it may skip the older one.
+    one.urgency = kHighestUrgency - static_cast<int>(wanted.size());
+    one.endpoints = { mOptions.service };
+    wanted.push_back(std::move(one));
+  }
+  if (ids != mWanted) {
+    for (const weights::ManifestId& id : ids) {
+      // Only this process stages chunks on this VM.
+      if (!mWanted.empty() && std::find(mWanted.begin(), mWanted.end(), id) == mWanted.end()) {
+        mStaging.noteNew(id);
+      }
     }
+    mWanted = std::move(ids);
+    mDistributor->want(std::move(wanted));
   }
-  return true;
 }
 
-void WeightLoader::order(const Target& aTarget, base::TimePoint aNow)
+void WeightLoader::order(const weights::Manifest& aManifest,
+                         uint64_t aVersion,
+                         base::TimePoint aNow)
 {
-  // Staged chunks may turn bad after they were written.
-  if (!verifyStaged()) {
+  // Staged chunks may turn bad at any time, so that all are written or verified just before.
+  if (auto staged = mStaging.commit(aManifest); !staged) {
+    log("staging_failed", { { "error", staged.error().describe() } });
     mDistributor->hostLost();
     return;
   }
@@ -389,10 +435,10 @@
     log("engine_silent", { { "error", report.error().describe() } });
     return;
   }
-  auto answer = mEngine.start(aTarget.model, aTarget.version, report->orders);
+  auto answer = mEngine.start(aManifest.model(), aVersion, report->orders);
   bool begun = answer && *answer != platform::OrderAnswer::Refused;
   log("order",
-      { { "version", std::to_string(aTarget.version) },
+      { { "version", std::to_string(aVersion) },
         { "from", std::to_string(report->load.weightVersion) },
         { "answer",
           !answer                                         ? answer.error().describe()
--- a/tools/loader/WeightLoader.h
+++ b/tools/loader/WeightLoader.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "LoaderFleet.h"
 #include "base/Rng.h"
@@ -83,16 +84,21 @@
 
   void run();
   void step(base::TimePoint aNow);
-  /** The model and version to hold; empty while the configuration is not known. */
-  std::optional<Target> target() const;
+  /** The model and the versions to hold, newest first; empty while the configuration is not known.
+   */
+  std::vector<Target> targets() const;
   /** When the oldest version that the engine does not have was declared. */
   base::TimePoint overdueSince(const std::string& aModel,
                                uint64_t aEngineVersion,
                                base::TimePoint aNow) const;
   bool openDistributor();
-  bool readManifest(const Target& aTarget);
-  void order(const Target& aTarget, base::TimePoint aNow);
-  bool verifyStaged() const;
+  /** The manifest of a target; null until two answers of the origin agree. */
+  std::shared_ptr<const weights::Manifest> manifestOf(const Target& aTarget, base::TimePoint aNow);
+  /** Tells the Distributor what to fetch when that changed. */
+  void wantManifests(const std::vector<std::shared_ptr<const weights::Manifest>>& aManifests);
+  /** Drops manifests that are no target any more. */
+  void forgetOthers(const std::vector<Target>& aTargets);
+  void order(const weights::Manifest& aManifest, uint64_t aVersion, base::TimePoint aNow);
   void take(const stores::RowChange& aRow, base::TimePoint aNow);
   void log(std::string_view aEvent, std::initializer_list<telemetry::Field> aFields) const;
 
@@ -102,7 +108,7 @@
   telemetry::Registry& mMetrics;
   telemetry::EventLog& mLog;
   base::Rng mRng;
-  platform::StagingArea mStaging;
+  weights::StagedWeightHost mStaging;
   ManifestCache mManifests;
   std::function<void()> mAnnounce;
   std::atomic<bool> mSwitching{ false };
@@ -120,8 +126,14 @@
   std::unique_ptr<platform::OriginCalls> mOrigin;
   std::unique_ptr<weights::Distributor> mDistributor;
   std::unique_ptr<net::HttpServer> mServer;
-  std::shared_ptr<const weights::Manifest> mManifest;
-  std::optional<weights::ManifestId> mOnceRead; ///< A manifest that was read once.
+  struct KnownManifest
+  {
+    std::shared_ptr<const weights::Manifest> manifest; ///< Null until it was read twice alike.
+    std::optional<weights::ManifestId> onceRead;
+    base::TimePoint retryAt;
+  };
+  std::map<uint64_t, KnownManifest> mKnown; ///< By version.
+  std::vector<weights::ManifestId> mWanted;
   rollout::SwitchCore mSwitch;
   uint64_t mBorn = 0;
   std::thread mThread;
--- a/tools/router/RouterSettings.cpp
+++ b/tools/router/RouterSettings.cpp
@@ -41,6 +41,14 @@
               0,
               60000,
               1500)
+    .number(
+      "admission.budget_factor",
+      "Requests whose first event is predicted later than this part of the latency target are "
+      "refused; what is above leaves room for the error of the prediction.",
+      "",
+      0.1,
+      100,
+      0.65)
     .duration("leave.limit", "Longest wait for requests in flight at shutdown.", 100, 600000, 7000);
   return builder.build();
 }
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -40,6 +40,7 @@
   options.placement.region = aSettings.text("node.region");
   options.placement.coldOvershoot = aSettings.number("cold.overshoot");
   options.placement.coldTolerance = aSettings.number("cold.tolerance");
+  options.placement.budgetFactor = aSettings.number("admission.budget_factor");
   options.retries.ratio = aSettings.number("retries.ratio");
   options.retries.slack = aSettings.number("retries.slack");
   options.retries.window = aSettings.duration("retries.window");
