--- a/libs/relay/include/relay/Relay.h
+++ b/libs/relay/include/relay/Relay.h
@@ -30,6 +30,9 @@
   size_t maxCallerConnections = 3000;
   serving::PlacementOptions placement;
   serving::RetryLimits retries;
+  /** After readiness ends the platform sends new callers until it has noticed, within two polls of
+   * a second each; connections are accepted for longer than that. */
+  base::Milliseconds leaveAccept{ 2600 };
   /** How long a stop waits for requests in flight. */
   base::Milliseconds leaveLimit{ 7000 };
   uint64_t seed = 1;
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -15,9 +15,6 @@
 /** Resolution of all time limits of requests. */
 constexpr base::Milliseconds kTick = 50ms;
 constexpr base::Milliseconds kPruneInterval = 1000ms;
-/** After readiness ends the platform sends new callers until it has noticed, within two polls of a
- * second each; connections are accepted for longer than that. */
-constexpr base::Milliseconds kLeaveAccept = 2600ms;
 constexpr size_t kDatagramBytes = 2048;
 constexpr int kBacklog = 512;
 
@@ -365,7 +362,7 @@
   bool advanceLeaving(base::TimePoint aNow)
   {
     auto since = aNow - mCore.leavingSince;
-    if (since < kLeaveAccept) {
+    if (since < mCore.options.leaveAccept) {
       return false;
     }
     if (mCallers.is_open()) {
--- /dev/null
+++ b/libs/rollout/tests/SwitchTest.cpp
@@ -0,0 +1,57 @@
+#define BOOST_TEST_MODULE rollout_switch
+#include <boost/test/unit_test.hpp>
+
+#include "rollout/SwitchCore.h"
+
+using namespace boragepitch;
+using namespace boragepitch::rollout;
+using namespace std::chrono_literals;
+
+namespace {
+const base::TimePoint kNow{ 1h };
+} // namespace
+
+// Guards against a rollout that stops all endpoints together: turns are spread over the window.
+BOOST_AUTO_TEST_CASE(servingEngineWaitsForItsTurn)
+{
+  SwitchCore core;
+  core.want(2, kNow + 3s);
+  EngineWeights engine{ .born = 1, .version = 1 };
+  BOOST_TEST(!core.isDue(engine, true, kNow));
+  BOOST_TEST(core.isDue(engine, true, kNow + 3s));
+  BOOST_TEST(!core.isDue(engine, false, kNow + 3s));
+  BOOST_TEST((turnDelay(0, 4, 1s, 4s) == base::Duration(1s)));
+  BOOST_TEST((turnDelay(3, 4, 1s, 4s) == base::Duration(4s)));
+  BOOST_TEST((turnDelay(0, 0, 1s, 4s) == base::Duration(1s)));
+}
+
+// An engine that restarted holds nothing: waiting for a turn would only leave it idle.
+BOOST_AUTO_TEST_CASE(emptyEngineLoadsAtOnce)
+{
+  SwitchCore core;
+  core.want(2, kNow + 3s);
+  BOOST_TEST(core.isDue({ .born = 1, .version = 0 }, true, kNow));
+}
+
+// Guards against doubled orders, and against one that was lost for good.
+BOOST_AUTO_TEST_CASE(orderIsRepeatedOnlyAfterItsTimeoutOrARestart)
+{
+  SwitchCore core({ .orderTimeout = 4s });
+  core.want(2, kNow);
+  EngineWeights engine{ .born = 1, .version = 1 };
+  core.ordered(engine, kNow);
+  BOOST_TEST(!core.isDue(engine, true, kNow + 3s));
+  BOOST_TEST(core.isDue(engine, true, kNow + 4s));
+  BOOST_TEST(core.isDue({ .born = 2, .version = 0 }, true, kNow + 1s));
+  BOOST_TEST(!core.isDue({ .born = 1, .version = 1, .isBusy = true }, true, kNow + 9s));
+  BOOST_TEST(!core.isDue({ .born = 1, .version = 2 }, true, kNow + 9s));
+}
+
+// Guards against a version that is taken back by late news of an older one.
+BOOST_AUTO_TEST_CASE(wantedVersionOnlyRises)
+{
+  SwitchCore core;
+  core.want(3, kNow);
+  core.want(2, kNow);
+  BOOST_TEST(core.wanted() == 3U);
+}
--- /dev/null
+++ b/libs/serving/tests/DeploymentTest.cpp
@@ -0,0 +1,63 @@
+#define BOOST_TEST_MODULE serving_deployment
+#include <boost/test/unit_test.hpp>
+
+#include "serving/Deployment.h"
+
+using namespace boragepitch::serving;
+
+namespace {
+
+Route route(std::string aName, std::string aHost, std::string aPrefix)
+{
+  Route made;
+  made.name = std::move(aName);
+  made.host = std::move(aHost);
+  made.pathPrefix = std::move(aPrefix);
+  return made;
+}
+
+std::shared_ptr<const Deployment> sample()
+{
+  Deployment::Builder builder;
+  builder.version(7)
+    .addRoute(route("short", "a.example", "/x/"))
+    .addRoute(route("long", "a.example", "/x/y/"))
+    .addRoute(route("other", "b.example", "/x/"))
+    .requireKeys()
+    .addWorkspace({ .name = "hoops" }, { "key-1", "key-2" });
+  return builder.build();
+}
+
+} // namespace
+
+// Guards against a shorter prefix that hides a longer one.
+BOOST_AUTO_TEST_CASE(longestPrefixOfTheHostWins)
+{
+  auto deployment = sample();
+  BOOST_TEST(deployment->match("a.example", "/x/y/z")->name == "long");
+  BOOST_TEST(deployment->match("a.example", "/x/z")->name == "short");
+  BOOST_TEST(deployment->match("b.example", "/x/y/z")->name == "other");
+  BOOST_TEST(deployment->match("a.example", "/x") == nullptr);
+  BOOST_TEST(deployment->match("c.example", "/x/") == nullptr);
+}
+
+// Guards against a key of one workspace that opens another, or an unknown one that opens any.
+BOOST_AUTO_TEST_CASE(keysNameTheirWorkspace)
+{
+  auto deployment = sample();
+  BOOST_TEST(deployment->workspaceOf("key-2")->name == "hoops");
+  BOOST_TEST(deployment->workspaceOf("key-3") == nullptr);
+  BOOST_TEST(deployment->workspaceOf("") == nullptr);
+}
+
+// Guards against repeating a stream that cannot be resumed, which counts as mutating.
+BOOST_AUTO_TEST_CASE(onlyResumableStreamsMayRepeat)
+{
+  Route stream = route("s", "a.example", "/");
+  stream.kind = CallKind::Streaming;
+  BOOST_TEST(!stream.mayRepeat());
+  stream.isResumable = true;
+  BOOST_TEST(stream.mayRepeat());
+  stream.kind = CallKind::Mutating;
+  BOOST_TEST(!stream.mayRepeat());
+}
--- /dev/null
+++ b/libs/serving/tests/TextTest.cpp
@@ -0,0 +1,95 @@
+#define BOOST_TEST_MODULE serving_text
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include "serving/EventSplitter.h"
+#include "serving/PeerMessage.h"
+
+using namespace boragepitch;
+using namespace boragepitch::serving;
+
+namespace {
+
+std::vector<std::pair<std::string, std::optional<uint64_t>>> drain(EventSplitter& aSplitter)
+{
+  std::vector<std::pair<std::string, std::optional<uint64_t>>> events;
+  while (auto event = aSplitter.next()) {
+    events.emplace_back(std::string(event->text), event->id);
+  }
+  return events;
+}
+
+} // namespace
+
+// However the bytes are cut, the same whole events come out.
+RC_BOOST_PROP(eventsDoNotDependOnTheCuts, (std::vector<uint8_t> aCuts))
+{
+  std::string text;
+  for (int i = 1; i <= 20; ++i) {
+    text += "id: " + std::to_string(i) + (i % 3 == 0 ? "\r\n" : "\n") + "data: x" +
+            std::string(static_cast<size_t>(i), 'y') + (i % 3 == 0 ? "\r\n\r\n" : "\n\n");
+  }
+  EventSplitter whole;
+  whole.feed(text);
+  auto expected = drain(whole);
+  RC_ASSERT(expected.size() == 20U);
+  EventSplitter cut;
+  std::vector<std::pair<std::string, std::optional<uint64_t>>> events;
+  std::string_view rest = text;
+  for (uint8_t size : aCuts) {
+    cut.feed(rest.substr(0, size));
+    rest.remove_prefix(std::min<size_t>(size, rest.size()));
+    auto part = drain(cut);
+    events.insert(events.end(), part.begin(), part.end());
+  }
+  cut.feed(rest);
+  auto last = drain(cut);
+  events.insert(events.end(), last.begin(), last.end());
+  RC_ASSERT(events == expected);
+  RC_ASSERT(cut.pending() == 0U);
+}
+
+// An endpoint that stops within an event: the part is not joined with another endpoint's bytes.
+BOOST_AUTO_TEST_CASE(restartDropsThePartialEvent)
+{
+  EventSplitter splitter;
+  splitter.feed("id: 1\ndata: a\n\nid: 2\nda");
+  BOOST_TEST(drain(splitter).size() == 1U);
+  BOOST_TEST(splitter.pending() > 0U);
+  splitter.restart();
+  splitter.feed("id: 2\ndata: b\n\n");
+  auto events = drain(splitter);
+  BOOST_REQUIRE(events.size() == 1U);
+  BOOST_TEST(events[0].first == "id: 2\ndata: b\n\n");
+}
+
+RC_BOOST_PROP(reportsSurviveTheWire, (uint32_t aBorn, uint16_t aRunning, bool aSwitching))
+{
+  LoadReport report;
+  report.address = "10.0.0.1:80";
+  report.born = aBorn;
+  report.running = aRunning;
+  report.weightVersion = aBorn / 2;
+  report.isSwitching = aSwitching;
+  auto decoded = decode(encode(report));
+  RC_ASSERT(decoded.has_value());
+  const auto& back = std::get<LoadReport>(*decoded);
+  RC_ASSERT(back.born == report.born);
+  RC_ASSERT(back.running == report.running);
+  RC_ASSERT(back.weightVersion == report.weightVersion);
+  RC_ASSERT(back.isSwitching == aSwitching);
+}
+
+// Guards against a datagram of another sender that changes what the process believes.
+RC_BOOST_PROP(foreignDatagramsAreErrors, (std::string aText))
+{
+  RC_ASSERT(!decode(aText).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(evidenceSurvivesTheWire)
+{
+  auto decoded = decode(encode(CrashEvidence{ 18446744073709551615ULL, "i-1/5" }));
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(std::get<CrashEvidence>(*decoded).fingerprint == 18446744073709551615ULL);
+  BOOST_TEST(std::get<CrashEvidence>(*decoded).endpoint == "i-1/5");
+}
--- /dev/null
+++ b/libs/stores/tests/TableWatcherTest.cpp
@@ -0,0 +1,192 @@
+#define BOOST_TEST_MODULE stores_watcher
+#include <boost/test/unit_test.hpp>
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+#include "stores/TableWatcher.h"
+
+using namespace boragepitch;
+using namespace boragepitch::stores;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A table whose answers are scripted; thread-safe. */
+struct Script
+{
+  std::mutex mutex;
+  std::deque<base::Result<RowPage>> reads;
+  std::deque<base::Result<RowPage>> changes;
+  std::vector<std::string> calls;
+  std::vector<base::Milliseconds> waits;
+  int feeds = 0;
+};
+
+class ScriptedFeed final : public RowFeed
+{
+public:
+  explicit ScriptedFeed(Script& aScript)
+    : mScript(aScript)
+  {
+  }
+  base::Result<RowPage> read(std::string_view, std::string_view aAfter) override
+  {
+    return next(mScript.reads, "read " + std::string(aAfter));
+  }
+  base::Result<RowPage> changes(std::string_view,
+                                uint64_t aSince,
+                                base::Milliseconds aWait) override
+  {
+    {
+      std::lock_guard lock(mScript.mutex);
+      mScript.waits.push_back(aWait);
+    }
+    return next(mScript.changes, "changes " + std::to_string(aSince));
+  }
+  base::Status put(std::string_view, std::string_view, std::string_view) override { return {}; }
+  void cancel() override { mCancelled = true; }
+
+private:
+  base::Result<RowPage> next(std::deque<base::Result<RowPage>>& aAnswers, std::string aCall)
+  {
+    {
+      std::lock_guard lock(mScript.mutex);
+      if (!aAnswers.empty()) {
+        mScript.calls.push_back(std::move(aCall));
+        auto answer = aAnswers.front();
+        aAnswers.pop_front();
+        return answer;
+      }
+    }
+    while (!mCancelled) {
+      std::this_thread::sleep_for(1ms);
+    }
+    return base::fail(base::ErrorKind::Cancelled, "", "cancelled", "");
+  }
+
+  Script& mScript;
+  std::atomic<bool> mCancelled{ false };
+};
+
+struct Recorder final : TableListener
+{
+  void onSnapshot(const std::vector<RowChange>& aRows, base::TimePoint) override
+  {
+    add("snapshot " + std::to_string(aRows.size()));
+  }
+  void onChanges(const std::vector<RowChange>& aRows, base::TimePoint) override
+  {
+    add("change " + aRows[0].key);
+  }
+  void onReachable(bool aReachable, const std::string&, base::TimePoint) override
+  {
+    add(aReachable ? "regained" : "lost");
+  }
+  std::optional<base::TimePoint> wakeAt() const override { return wake; }
+
+  void add(std::string aEvent)
+  {
+    std::lock_guard lock(mutex);
+    events.push_back(std::move(aEvent));
+    changed.notify_all();
+  }
+  /** Events once there are that many, or after five seconds. */
+  std::vector<std::string> wait(size_t aCount)
+  {
+    std::unique_lock lock(mutex);
+    changed.wait_for(lock, 5s, [&] { return events.size() >= aCount; });
+    return events;
+  }
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<std::string> events;
+  std::optional<base::TimePoint> wake;
+};
+
+RowPage page(std::vector<std::string> aKeys, uint64_t aPosition, bool aMore = false)
+{
+  RowPage made;
+  for (auto& key : aKeys) {
+    made.rows.push_back({ std::move(key), "v", false });
+  }
+  made.position = aPosition;
+  made.hasMore = aMore;
+  return made;
+}
+
+base::Result<RowPage> failure(base::ErrorKind aKind)
+{
+  return base::fail(aKind, "store", "scripted", "");
+}
+
+struct Fixture
+{
+  void run(size_t aEvents)
+  {
+    TableWatcher watcher(
+      [this] {
+        std::lock_guard lock(script.mutex);
+        ++script.feeds;
+        return std::make_unique<ScriptedFeed>(script);
+      },
+      recorder,
+      { .table = "t", .wait = 2500ms, .backoffBase = 1ms, .backoffCap = 2ms });
+    watcher.start();
+    events = recorder.wait(aEvents);
+    watcher.stop();
+  }
+
+  Script script;
+  Recorder recorder;
+  std::vector<std::string> events;
+};
+
+using Texts = std::vector<std::string>;
+
+} // namespace
+
+// Guards against changes that are lost between the pages of a long table and its feed.
+BOOST_FIXTURE_TEST_CASE(followsFromTheFirstPage, Fixture)
+{
+  script.reads = { page({ "a", "b" }, 10, true), page({ "c" }, 14) };
+  script.changes = { page({ "b" }, 12) };
+  run(3);
+  BOOST_TEST((events == Texts{ "regained", "snapshot 3", "change b" }));
+  BOOST_TEST((script.calls == Texts{ "read ", "read b", "changes 10" }));
+}
+
+// The store forgets its history: the table is read whole again, without counting as an outage.
+BOOST_FIXTURE_TEST_CASE(readsWholeWhenTheHistoryIsGone, Fixture)
+{
+  script.reads = { page({ "a" }, 10), page({ "a", "b" }, 50) };
+  script.changes = { failure(base::ErrorKind::NotFound), page({ "c" }, 51) };
+  run(4);
+  BOOST_TEST((events == Texts{ "regained", "snapshot 1", "snapshot 2", "change c" }));
+}
+
+// An outage is told once at its begin and end; each failed call gets a new connection, since the
+// old one may stay silent for good.
+BOOST_FIXTURE_TEST_CASE(tellsAnOutageOnceAndReconnects, Fixture)
+{
+  script.reads = { page({ "a" }, 10) };
+  script.changes = { failure(base::ErrorKind::UnknownOutcome),
+                     failure(base::ErrorKind::Unavailable),
+                     page({ "b" }, 11) };
+  run(5);
+  BOOST_TEST((events == Texts{ "regained", "snapshot 1", "lost", "regained", "change b" }));
+  BOOST_TEST(script.feeds == 3);
+}
+
+// Found on hoopline trouble-1: work that is due between two answers must shorten the wait.
+BOOST_FIXTURE_TEST_CASE(waitEndsWhenTheListenerHasWork, Fixture)
+{
+  recorder.wake = std::chrono::steady_clock::now() + 300ms;
+  script.reads = { page({ "a" }, 10) };
+  script.changes = { page({ "b" }, 11) };
+  run(3);
+  BOOST_REQUIRE(!script.waits.empty());
+  BOOST_TEST(script.waits[0].count() <= 300);
+}
--- /dev/null
+++ b/libs/telemetry/tests/EventLogTest.cpp
@@ -0,0 +1,91 @@
+#define BOOST_TEST_MODULE telemetry_event_log
+#include <boost/test/unit_test.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "telemetry/EventLog.h"
+
+using namespace boragepitch;
+using namespace boragepitch::telemetry;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Pipe
+{
+  Pipe()
+  {
+    BOOST_REQUIRE(::pipe(ends) == 0);
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+  }
+  ~Pipe()
+  {
+    ::close(ends[0]);
+    ::close(ends[1]);
+  }
+  std::string read()
+  {
+    std::string text;
+    char buffer[65536];
+    for (ssize_t count = 0; (count = ::read(ends[0], buffer, sizeof(buffer))) > 0;) {
+      text.append(buffer, static_cast<size_t>(count));
+    }
+    return text;
+  }
+  int ends[2];
+};
+
+size_t linesWith(const std::string& aText, const std::string& aPart)
+{
+  size_t count = 0;
+  for (size_t at = 0; (at = aText.find(aPart, at)) != std::string::npos; ++at) {
+    ++count;
+  }
+  return count;
+}
+
+const base::TimePoint kNow{ 1h };
+
+} // namespace
+
+// Overload: routine lines are bounded and counted, and never push out those of failures.
+BOOST_AUTO_TEST_CASE(boundsLinesByWeightAndCountsWhatIsLeftOut)
+{
+  Pipe pipe;
+  EventLog log(pipe.ends[1], "n", { .linesPerSecond = { 10, 20, 30 } });
+  for (int i = 0; i < 100; ++i) {
+    log.write(Weight::Routine, "routine", {}, kNow);
+    log.write(Weight::Refused, "refused", {}, kNow);
+  }
+  log.write(Weight::Critical, "critical", {}, kNow);
+  log.flush(kNow);
+  std::string text = pipe.read();
+  BOOST_TEST(linesWith(text, "event=routine") == 10U);
+  BOOST_TEST(linesWith(text, "event=refused") == 20U);
+  BOOST_TEST(linesWith(text, "event=critical") == 1U);
+  BOOST_TEST(log.dropped(Weight::Routine) == 90U);
+  log.flush(kNow + 1s);
+  BOOST_TEST(linesWith(pipe.read(), "event=log_dropped routine=90 refused=80 critical=0") == 1U);
+}
+
+// A reader that stopped: flush returns at once, memory is bounded, and lines stay whole.
+BOOST_AUTO_TEST_CASE(fullPipeNeverBlocks)
+{
+  Pipe pipe;
+  EventLog log(pipe.ends[1], "n", { .linesPerSecond = { 1000000, 1, 1 }, .pendingBytes = 100000 });
+  auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < 5000; ++i) {
+    log.write(Weight::Routine, "line", { { "text", std::string(100, 'x') } }, kNow);
+    log.flush(kNow);
+  }
+  BOOST_TEST((std::chrono::steady_clock::now() - start < 5s));
+  BOOST_TEST(log.dropped(Weight::Routine) > 0U);
+  std::string text;
+  for (std::string part = pipe.read(); !part.empty(); part = pipe.read()) {
+    text += part;
+    log.flush(kNow);
+  }
+  BOOST_TEST(text.back() == '\n');
+  BOOST_TEST(linesWith(text, "event=line text=") == linesWith(text, "\n"));
+}
--- /dev/null
+++ b/libs/weights/tests/StagedWeightHostTest.cpp
@@ -0,0 +1,132 @@
+#define BOOST_TEST_MODULE weights_staged_host
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+#include "weights/StagedWeightHost.h"
+
+using namespace boragepitch;
+using namespace boragepitch::weights;
+
+namespace {
+
+constexpr uint32_t kChunkBytes = 4;
+
+struct FakeStaging final : ChunkStaging
+{
+  base::Status putChunk(const std::string&,
+                        uint32_t aChunk,
+                        std::span<const std::byte> aBytes) override
+  {
+    chunks[aChunk] = base::asText(aBytes);
+    return {};
+  }
+  base::Result<std::string> chunk(const std::string&, uint32_t aChunk) override
+  {
+    ++reads;
+    auto found = chunks.find(aChunk);
+    if (found == chunks.end()) {
+      return base::fail(base::ErrorKind::NotFound, "", "absent", "");
+    }
+    return found->second;
+  }
+  std::map<uint32_t, std::string> chunks;
+  int reads = 0;
+};
+
+Manifest manifestOf(const std::string& aVersion, const std::string& aBytes)
+{
+  std::vector<base::Digest> digests;
+  for (size_t at = 0; at < aBytes.size(); at += kChunkBytes) {
+    digests.push_back(base::sha256(base::asBytes(aBytes).subspan(at, kChunkBytes)));
+  }
+  return *Manifest::fromDigests("m", aVersion, kChunkBytes, digests);
+}
+
+void fill(StagedWeightHost& aHost, const Manifest& aManifest, const std::string& aBytes)
+{
+  BOOST_REQUIRE(aHost.allocate(aManifest).has_value());
+  for (uint32_t chunk = 0; chunk < aManifest.chunkCount(); ++chunk) {
+    auto part = base::asBytes(aBytes).subspan(chunk * kChunkBytes, kChunkBytes);
+    BOOST_REQUIRE(aHost.write(aManifest.id(), chunk, part).has_value());
+  }
+}
+
+std::string staged(const FakeStaging& aStaging)
+{
+  std::string text;
+  for (const auto& [chunk, bytes] : aStaging.chunks) {
+    text += bytes;
+  }
+  return text;
+}
+
+} // namespace
+
+// An engine that restarts during a transfer must find the earlier version whole.
+BOOST_AUTO_TEST_CASE(transferLeavesTheStagedVersionAlone)
+{
+  FakeStaging staging;
+  StagedWeightHost host(staging);
+  auto one = manifestOf("1", "aaaabbbb");
+  auto two = manifestOf("2", "ccccdddd");
+  fill(host, one, "aaaabbbb");
+  BOOST_REQUIRE(host.commit(one).has_value());
+  fill(host, two, "ccccdddd");
+  BOOST_TEST(staged(staging) == "aaaabbbb");
+  BOOST_REQUIRE(host.commit(two).has_value());
+  BOOST_TEST(staged(staging) == "ccccdddd");
+}
+
+// Chunks that turned bad in the staging area are replaced or noticed before they are loaded.
+BOOST_AUTO_TEST_CASE(commitRepairsOrRejectsRottenChunks)
+{
+  FakeStaging staging;
+  auto one = manifestOf("1", "aaaabbbb");
+  {
+    StagedWeightHost host(staging);
+    fill(host, one, "aaaabbbb");
+    BOOST_REQUIRE(host.commit(one).has_value());
+    staging.chunks[1] = "bbxb";
+    BOOST_REQUIRE(host.commit(one).has_value());
+    BOOST_TEST(staged(staging) == "aaaabbbb");
+  }
+  // A process that restarted has nothing in memory: the staged chunks count, once verified.
+  StagedWeightHost host(staging);
+  BOOST_REQUIRE(host.allocate(one).has_value());
+  BOOST_TEST(host.commit(one).has_value());
+  staging.chunks[1] = "bbxb";
+  auto rotten = host.commit(one);
+  BOOST_REQUIRE(!rotten.has_value());
+  BOOST_TEST((rotten.error().kind == base::ErrorKind::Corrupt));
+}
+
+// Guards against reading two megabytes of another version for each new one.
+BOOST_AUTO_TEST_CASE(newVersionsAreNotLookedForInTheStagingArea)
+{
+  FakeStaging staging;
+  StagedWeightHost host(staging);
+  auto two = manifestOf("2", "ccccdddd");
+  host.noteNew(two.id());
+  BOOST_TEST(!host.mayHold(two.id()));
+  fill(host, two, "ccccdddd");
+  BOOST_TEST(host.mayHold(two.id()));
+  std::vector<std::byte> target(kChunkBytes);
+  BOOST_TEST(*host.read(two.id(), 0, target) == kChunkBytes);
+  BOOST_TEST(staging.reads == 0);
+  BOOST_TEST(host.memoryBytes() == 8U);
+  BOOST_REQUIRE(host.release(two.id()).has_value());
+  BOOST_TEST(host.memoryBytes() == 0U);
+  BOOST_TEST(!host.read(two.id(), 0, target).has_value());
+}
+
+// A manifest without a digest of the whole keeps its identity through its text form.
+BOOST_AUTO_TEST_CASE(manifestOfDigestsSurvivesItsText)
+{
+  auto one = manifestOf("1", "aaaabbbb");
+  BOOST_TEST(!one.wholeDigest().has_value());
+  auto again = Manifest::parseExpecting(one.id(), one.canonical());
+  BOOST_REQUIRE(again.has_value());
+  BOOST_TEST(!again->wholeDigest().has_value());
+  BOOST_TEST(again->verifies(1, base::asBytes("bbbb")));
+}
