--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -14,6 +14,8 @@
 constexpr base::Milliseconds kStep = 250ms;
 /** Pause after the origin did not give a manifest. */
 constexpr base::Milliseconds kManifestRetry = 250ms;
+/** Between the turns of two loaders at the origin's manifest. */
+constexpr base::Milliseconds kManifestTurn = 120ms;
 /** Entries hear of a switch before the engine stops taking requests. */
 constexpr base::Milliseconds kAnnounceTime = 20ms;
 /** The first version of a model, which engines hold when nothing was ever declared. */
@@ -361,9 +363,20 @@
   // The origin may send wrong bytes: two equal answers are taken as right. A wrong manifest would
   // otherwise condemn all right chunks.
   KnownManifest& known = mKnown[aTarget.version];
-  if (known.manifest || aNow < known.retryAt) {
+  if (known.manifest) {
     return known.manifest;
   }
+  if (auto shared = mFleet.manifest(aTarget.model, aTarget.version)) {
+    adopt(known, std::move(shared));
+    return known.manifest;
+  }
+  if (std::exchange(known.isNew, false)) {
+    // One loader asks the origin, whose connections are few; the others get what it publishes.
+    known.retryAt = aNow + kManifestTurn * static_cast<int64_t>(mFleet.rank().first);
+  }
+  if (aNow < known.retryAt) {
+    return nullptr;
+  }
   auto manifest = mOrigin->manifest(aTarget.model, aTarget.version);
   if (!manifest) {
     log("manifest_missing",
@@ -378,15 +391,23 @@
     mWake.notify_all();
     return nullptr;
   }
-  known.manifest = std::make_shared<const weights::Manifest>(std::move(*manifest));
-  mManifests.add(*known.manifest);
-  log("manifest",
-      { { "model", aTarget.model },
-        { "version", std::to_string(aTarget.version) },
-        { "id", known.manifest->id().toString() } });
+  adopt(known, std::make_shared<const weights::Manifest>(std::move(*manifest)));
+  if (mPublish) {
+    mPublish(manifestKey(aTarget.model, aTarget.version), known.manifest->canonical());
+  }
   return known.manifest;
 }
 
+void WeightLoader::adopt(KnownManifest& aKnown, std::shared_ptr<const weights::Manifest> aManifest)
+{
+  aKnown.manifest = std::move(aManifest);
+  mManifests.add(*aKnown.manifest);
+  log("manifest",
+      { { "model", aKnown.manifest->model() },
+        { "version", aKnown.manifest->version() },
+        { "id", aKnown.manifest->id().toString() } });
+}
+
 void WeightLoader::wantManifests(
   const std::vector<std::shared_ptr<const weights::Manifest>>& aManifests)
 {
--- a/tools/loader/WeightLoader.h
+++ b/tools/loader/WeightLoader.h
@@ -70,6 +70,9 @@
   bool isSwitching() const { return mSwitching; }
   /** Called just before an order, so that entries stop sending. */
   void beforeOrder(std::function<void()> aAnnounce) { mAnnounce = std::move(aAnnounce); }
+  /** Called on the loader's thread with a manifest that other loaders do not know yet. */
+  using Publish = std::function<void(const std::string& aKey, const std::string& aText)>;
+  void publishManifests(Publish aPublish) { mPublish = std::move(aPublish); }
 
   void onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
@@ -82,6 +85,14 @@
     uint64_t version = 0;
   };
 
+  struct KnownManifest
+  {
+    std::shared_ptr<const weights::Manifest> manifest; ///< Null until it was read twice alike.
+    std::optional<weights::ManifestId> onceRead;
+    base::TimePoint retryAt; ///< Earliest next call of the origin.
+    bool isNew = true;       ///< Not looked for yet.
+  };
+
   void run();
   void step(base::TimePoint aNow);
   /** The model and the versions to hold, newest first; empty while the configuration is not known.
@@ -94,6 +105,7 @@
   bool openDistributor();
   /** The manifest of a target; null until two answers of the origin agree. */
   std::shared_ptr<const weights::Manifest> manifestOf(const Target& aTarget, base::TimePoint aNow);
+  void adopt(KnownManifest& aKnown, std::shared_ptr<const weights::Manifest> aManifest);
   /** Tells the Distributor what to fetch when that changed. */
   void wantManifests(const std::vector<std::shared_ptr<const weights::Manifest>>& aManifests);
   /** Drops manifests that are no target any more. */
@@ -111,6 +123,7 @@
   weights::StagedWeightHost mStaging;
   ManifestCache mManifests;
   std::function<void()> mAnnounce;
+  Publish mPublish;
   std::atomic<bool> mSwitching{ false };
 
   mutable std::mutex mMutex;
@@ -126,12 +139,6 @@
   std::unique_ptr<platform::OriginCalls> mOrigin;
   std::unique_ptr<weights::Distributor> mDistributor;
   std::unique_ptr<net::HttpServer> mServer;
-  struct KnownManifest
-  {
-    std::shared_ptr<const weights::Manifest> manifest; ///< Null until it was read twice alike.
-    std::optional<weights::ManifestId> onceRead;
-    base::TimePoint retryAt;
-  };
   std::map<uint64_t, KnownManifest> mKnown; ///< By version.
   std::vector<weights::ManifestId> mWanted;
   rollout::SwitchCore mSwitch;
--- a/tools/loader/main.cpp
+++ b/tools/loader/main.cpp
@@ -20,7 +20,7 @@
 using namespace std::chrono_literals;
 
 /** The list of nodes changes rarely, and a late change only shifts the choice of peers. */
-constexpr base::Milliseconds kNodeTableWait = 10000ms;
+constexpr base::Milliseconds kNodeTableWait = 8000ms;
 constexpr base::Milliseconds kRegisterRetry = 500ms;
 constexpr double kBitsPerByte = 8;
 constexpr double kMega = 1e6;
@@ -71,6 +71,16 @@
       return started;
     }
     mWeights.beforeOrder([this] { mReporter.announce(); });
+    mWeights.publishManifests([this](const std::string& aKey, const std::string& aText) {
+      platform::StoreCalls store(mStore, 0ms);
+      if (auto written = store.put(tools::kNodeTable, aKey, aText); !written) {
+        // Every loader that needs it asks the origin in its turn.
+        mLog.write(telemetry::Weight::Critical,
+                   "manifest_not_published",
+                   { { "key", aKey }, { "error", written.error().describe() } },
+                   std::chrono::steady_clock::now());
+      }
+    });
     watch(platform::kOperatorTable, mWeights, mSettings.duration("store.wait"));
     watch(tools::kNodeTable, mFleet, kNodeTableWait);
     mWeights.start();
