--- a/tools/loader/LoaderSettings.cpp
+++ b/tools/loader/LoaderSettings.cpp
@@ -17,7 +17,7 @@
     .duration("store.wait", "Longest wait for a change.", 200, 30000, 4000)
     .freeSection("zones", "Region of each availability zone.", 1)
     .number("links.vm_mbps", "Rate of this VM's link, each way.", "Mbit/s", 0.01, 1000000, 1000)
-    .number("links.weights_share", "Part of the link that weights may use.", "", 0.05, 1, 0.9)
+    .number("links.weights_share", "Part of the link that weights may use.", "", 0.05, 1, 1)
     .duration("weights.version_time",
               "After a version was declared, requests start on no older one.",
               500,
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -23,16 +23,20 @@
 /** Parts of the version time: turns begin when most engines have staged the weights, and end early
  * enough to finish what runs. */
 constexpr double kTurnsBegin = 0.35;
-constexpr double kTurnsLast = 0.45;
+constexpr double kTurnsLast = 0.48;
 /** Chunks in flight and those that peers ask for just after they came; all are in the host too. */
 constexpr size_t kCacheBytes = 1 << 20;
 /** A version further back is not to be had from the origin. */
 constexpr size_t kTargets = 2;
 constexpr int kHighestUrgency = 9;
+/** Part of an older version's chunks with which it is finished before a newer one. */
+constexpr double kFinishFirst = 0.5;
 constexpr size_t kFetchThreads = 4;
 /** An importer without progress is replaced after this part of the version time. */
 constexpr base::Milliseconds kImporterTimeout = 1000ms;
 constexpr base::Milliseconds kStallTimeout = 1500ms;
+/** Longest pause between two tries of the origin: a version must be loaded within 8 s. */
+constexpr base::Milliseconds kOriginBackoff = 600ms;
 /** Chunks that arrive within this time are announced together: each announcement costs both sides
  * processor time, and a chunk takes 35 ms of a link of 7.6 Mbit/s. */
 constexpr base::Milliseconds kAnnounceInterval = 120ms;
@@ -268,7 +272,7 @@
       newestVersion = target.version;
     }
   }
-  wantManifests(manifests);
+  wantManifests(std::move(manifests));
   rollout::EngineWeights engine{ report->load.born,
                                  report->load.weightVersion,
                                  report->load.isSwitching };
@@ -316,6 +320,7 @@
   options.fetchThreads = kFetchThreads;
   options.importerTimeout = kImporterTimeout;
   options.stallTimeout = kStallTimeout;
+  options.backoffCap = kOriginBackoff;
   options.announceInterval = kAnnounceInterval;
   options.neighbours = kNeighbours;
   auto distributor =
@@ -408,31 +413,47 @@
         { "id", aKnown.manifest->id().toString() } });
 }
 
-void WeightLoader::wantManifests(
-  const std::vector<std::shared_ptr<const weights::Manifest>>& aManifests)
+bool WeightLoader::isNearlyHeld(const weights::ManifestId& aId) const
 {
-  std::vector<weights::ManifestId> ids;
+  for (const weights::Progress& one : mDistributor->progress(std::chrono::steady_clock::now())) {
+    if (one.manifest == aId) {
+      return one.chunks > 0 && one.chunksHeld >= kFinishFirst * one.chunks;
+    }
+  }
+  return false;
+}
+
+void WeightLoader::wantManifests(std::vector<std::shared_ptr<const weights::Manifest>> aManifests)
+{
+  // The newest comes first, so that the engine may skip the older one; but what has mostly arrived
+  // is finished, since its own time ends earlier.
+  std::vector<weights::ManifestId> set;
+  for (const auto& manifest : aManifests) {
+    set.push_back(manifest->id());
+  }
+  if (set == mWanted) {
+    return;
+  }
+  mWanted = set;
+  if (aManifests.size() > 1 && isNearlyHeld(aManifests[1]->id())) {
+    std::swap(aManifests[0], aManifests[1]);
+  }
   std::vector<weights::Wanted> wanted;
   for (const auto& manifest : aManifests) {
-    ids.push_back(manifest->id());
+    // Only this process stages chunks on this VM: what it wants later is not there yet.
+    if (mStarted && !mSeen.contains(manifest->id())) {
+      mStaging.noteNew(manifest->id());
+    }
+    mSeen.insert(manifest->id());
     weights::Wanted one;
     one.manifest = manifest->id();
     one.originName = manifest->model() + "/" + manifest->version();
-    // The newest first: an engine that loads it may skip the older one.
     one.urgency = kHighestUrgency - static_cast<int>(wanted.size());
     one.endpoints = { mOptions.service };
     wanted.push_back(std::move(one));
   }
-  if (ids != mWanted) {
-    for (const weights::ManifestId& id : ids) {
-      // Only this process stages chunks on this VM.
-      if (!mWanted.empty() && std::find(mWanted.begin(), mWanted.end(), id) == mWanted.end()) {
-        mStaging.noteNew(id);
-      }
-    }
-    mWanted = std::move(ids);
-    mDistributor->want(std::move(wanted));
-  }
+  mStarted = true;
+  mDistributor->want(std::move(wanted));
 }
 
 void WeightLoader::order(const weights::Manifest& aManifest,
--- a/tools/loader/WeightLoader.h
+++ b/tools/loader/WeightLoader.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -107,7 +108,8 @@
   std::shared_ptr<const weights::Manifest> manifestOf(const Target& aTarget, base::TimePoint aNow);
   void adopt(KnownManifest& aKnown, std::shared_ptr<const weights::Manifest> aManifest);
   /** Tells the Distributor what to fetch when that changed. */
-  void wantManifests(const std::vector<std::shared_ptr<const weights::Manifest>>& aManifests);
+  void wantManifests(std::vector<std::shared_ptr<const weights::Manifest>> aManifests);
+  bool isNearlyHeld(const weights::ManifestId& aId) const;
   /** Drops manifests that are no target any more. */
   void forgetOthers(const std::vector<Target>& aTargets);
   void order(const weights::Manifest& aManifest, uint64_t aVersion, base::TimePoint aNow);
@@ -140,7 +142,9 @@
   std::unique_ptr<weights::Distributor> mDistributor;
   std::unique_ptr<net::HttpServer> mServer;
   std::map<uint64_t, KnownManifest> mKnown; ///< By version.
-  std::vector<weights::ManifestId> mWanted;
+  std::vector<weights::ManifestId> mWanted; ///< Newest first.
+  std::set<weights::ManifestId> mSeen;      ///< All that were ever wanted.
+  bool mStarted = false;                    ///< Something was wanted before.
   rollout::SwitchCore mSwitch;
   uint64_t mBorn = 0;
   std::thread mThread;
--- a/tools/router/RouterSettings.cpp
+++ b/tools/router/RouterSettings.cpp
@@ -40,7 +40,7 @@
               "Part of that time kept for news on their way and requests that wait at an engine.",
               0,
               60000,
-              1500)
+              1000)
     .number(
       "admission.budget_factor",
       "Requests whose first event is predicted later than this part of the latency target are "
