--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -101,6 +101,10 @@
   /** A request is refused when its first event would come later than this many budgets: capacity
    * then goes to requests that can still be in time. */
   double budgetFactor = 1.0;
+  /** ... but not when it is predicted within this time, if that is within the budget. Engines under
+   * full load predict about 200 ms for any request: without this, requests with tight targets would
+   * carry most refusals. */
+  base::Milliseconds leastBudget{ 0 };
   /** Late requests of this process that may wait at one engine. They start only where no other
    * request waits; more would not end before their callers leave. */
   int lateWaiting = 2;
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -189,7 +189,9 @@
   double predicted = pace * model.firstEventMs(load, aRequest.promptTokens) +
                      std::max(0.0, aEndpoint.predictionErrorMs);
   double budget = std::chrono::duration<double, std::milli>(aRequest.firstEventBudget).count();
-  if (!aRequest.isLate && predicted > mOptions.budgetFactor * budget) {
+  double allowed = std::max(mOptions.budgetFactor * budget,
+                            std::min(budget, static_cast<double>(mOptions.leastBudget.count())));
+  if (!aRequest.isLate && predicted > allowed) {
     return std::nullopt;
   }
   return predicted;
--- a/libs/stores/include/stores/TableWatcher.h
+++ b/libs/stores/include/stores/TableWatcher.h
@@ -26,6 +26,8 @@
   virtual void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) = 0;
   /** After each call that succeeded, at least once per wait time. */
   virtual void onAlive(base::TimePoint /*aNow*/) {}
+  /** False while the listener can wait: changes are then gathered for the watcher's pause. */
+  virtual bool isUrgent() const { return false; }
   /** When onAlive() is wanted at the latest; empty for the watcher's own wait. */
   virtual std::optional<base::TimePoint> wakeAt() const { return std::nullopt; }
 };
@@ -36,6 +38,9 @@
   /** Longest wait for a change. A connection that went silent is noticed after this time and the
    * call's own time limit. */
   base::Milliseconds wait{ 2500 };
+  /** After changes arrived, time in which further ones gather; a call for each of a series of
+   * changes would multiply the calls of all processes. */
+  base::Milliseconds pause{ 0 };
   base::Milliseconds backoffBase{ 50 };
   base::Milliseconds backoffCap{ 500 };
   uint64_t seed = 1;
@@ -63,6 +68,7 @@
   base::Status step(RowFeed& aFeed);
   base::Status readWhole(RowFeed& aFeed);
   base::Milliseconds waitTime(base::TimePoint aNow) const;
+  void gather();
   std::shared_ptr<RowFeed> makeFeed();
   void report(const base::Status& aStatus);
 
--- a/libs/stores/src/TableWatcher.cpp
+++ b/libs/stores/src/TableWatcher.cpp
@@ -7,6 +7,8 @@
 namespace {
 /** Pages of one read; bounds a table that grows while it is read. */
 constexpr int kMaxPages = 1000;
+/** How soon a pause ends when the listener becomes urgent. */
+constexpr base::Milliseconds kGatherStep{ 100 };
 } // namespace
 
 TableWatcher::TableWatcher(MakeFeed aMakeFeed, TableListener& aListener, WatchOptions aOptions)
@@ -102,9 +104,25 @@
     mListener.onChanges(page->rows, now);
   }
   mListener.onAlive(now);
+  if (!page->rows.empty()) {
+    gather();
+  }
   return {};
 }
 
+void TableWatcher::gather()
+{
+  auto until = std::chrono::steady_clock::now() + mOptions.pause;
+  for (auto now = std::chrono::steady_clock::now(); now < until && !mStopping;
+       now = std::chrono::steady_clock::now()) {
+    auto wakeAt = mListener.wakeAt();
+    if (mListener.isUrgent() || (wakeAt && *wakeAt <= now)) {
+      return;
+    }
+    std::this_thread::sleep_for(std::min<base::Duration>(kGatherStep, until - now));
+  }
+}
+
 base::Milliseconds TableWatcher::waitTime(base::TimePoint aNow) const
 {
   auto wakeAt = mListener.wakeAt();
--- a/tools/loader/LoaderFleet.h
+++ b/tools/loader/LoaderFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -48,6 +49,9 @@
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
 
+  /** While a manifest is awaited, news of the table is wanted at once. */
+  void setAwaiting(bool aAwaiting) { mAwaiting = aAwaiting; }
+  bool isUrgent() const override { return mAwaiting; }
   /** Where the entries take load reports. */
   std::vector<net::Address> entries() const;
   /** A manifest that a loader has published; null when none was. */
@@ -65,6 +69,7 @@
   const std::string mSelf;
   const LoaderRow mSelfRow;
   telemetry::EventLog& mLog;
+  std::atomic<bool> mAwaiting{ true };
   mutable std::mutex mMutex;
   std::map<std::string, LoaderRow> mLoaders;
   std::map<std::string, net::Address> mEntries;
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -272,6 +272,7 @@
       newestVersion = target.version;
     }
   }
+  mFleet.setAwaiting(manifests.size() < wanted.size());
   wantManifests(std::move(manifests));
   rollout::EngineWeights engine{ report->load.born,
                                  report->load.weightVersion,
--- a/tools/loader/main.cpp
+++ b/tools/loader/main.cpp
@@ -21,6 +21,9 @@
 
 /** The list of nodes changes rarely, and a late change only shifts the choice of peers. */
 constexpr base::Milliseconds kNodeTableWait = 8000ms;
+/** Configurations are of little interest to a loader, versions are loaded within seconds. */
+constexpr base::Milliseconds kNewsPause = 300ms;
+constexpr base::Milliseconds kNodeTablePause = 2500ms;
 constexpr base::Milliseconds kRegisterRetry = 500ms;
 constexpr double kBitsPerByte = 8;
 constexpr double kMega = 1e6;
@@ -81,8 +84,8 @@
                    std::chrono::steady_clock::now());
       }
     });
-    watch(platform::kOperatorTable, mWeights, mSettings.duration("store.wait"));
-    watch(tools::kNodeTable, mFleet, kNodeTableWait);
+    watch(platform::kOperatorTable, mWeights, mSettings.duration("store.wait"), kNewsPause);
+    watch(tools::kNodeTable, mFleet, kNodeTableWait, kNodeTablePause);
     mWeights.start();
     mReporter.start();
     mRegistration = std::thread([this] { registerSelf(); });
@@ -111,11 +114,15 @@
   }
 
 private:
-  void watch(const char* aTable, stores::TableListener& aListener, base::Milliseconds aWait)
+  void watch(const char* aTable,
+             stores::TableListener& aListener,
+             base::Milliseconds aWait,
+             base::Milliseconds aPause)
   {
     stores::WatchOptions options;
     options.table = aTable;
     options.wait = aWait;
+    options.pause = aPause;
     options.seed = base::fastHash(base::asBytes(mOptions.node + aTable));
     auto makeFeed = [this, aWait] { return std::make_unique<platform::StoreCalls>(mStore, aWait); };
     mWatchers.push_back(
--- a/tools/router/RouterSettings.cpp
+++ b/tools/router/RouterSettings.cpp
@@ -17,7 +17,7 @@
               "Longest wait for a change; a silent connection is noticed after this and a second.",
               200,
               30000,
-              2500)
+              3000)
     .duration("store.lapse_grace",
               "After the store's return, time in which lapsed endpoints are listed again.",
               0,
@@ -49,6 +49,11 @@
       0.1,
       100,
       0.65)
+    .duration("admission.least_budget",
+              "Requests predicted within this time and their target are not refused.",
+              0,
+              60000,
+              230)
     .duration("leave.limit", "Longest wait for requests in flight at shutdown.", 100, 600000, 7000);
   return builder.build();
 }
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -22,6 +22,9 @@
 
 /** The list of entries changes rarely, and a late change only shifts budgets. */
 constexpr base::Milliseconds kNodeTableWait = 10000ms;
+/** News of endpoints and configurations must be in force within two seconds. */
+constexpr base::Milliseconds kNewsPause = 150ms;
+constexpr base::Milliseconds kNodeTablePause = 2000ms;
 constexpr base::Milliseconds kRegisterRetry = 500ms;
 /** After a start it is not known when a version was declared; by then the process must know. */
 constexpr base::Milliseconds kEnforceAfterStart = 2000ms;
@@ -41,6 +44,7 @@
   options.placement.coldOvershoot = aSettings.number("cold.overshoot");
   options.placement.coldTolerance = aSettings.number("cold.tolerance");
   options.placement.budgetFactor = aSettings.number("admission.budget_factor");
+  options.placement.leastBudget = aSettings.duration("admission.least_budget");
   options.retries.ratio = aSettings.number("retries.ratio");
   options.retries.slack = aSettings.number("retries.slack");
   options.retries.window = aSettings.duration("retries.window");
@@ -80,9 +84,9 @@
       return started;
     }
     auto wait = mSettings.duration("store.wait");
-    watch(platform::kOperatorTable, mOperators, wait);
-    watch(platform::kEndpointTable, mEndpoints, wait);
-    watch(kNodeTableName, mEntries, kNodeTableWait);
+    watch(platform::kOperatorTable, mOperators, wait, kNewsPause);
+    watch(platform::kEndpointTable, mEndpoints, wait, kNewsPause);
+    watch(kNodeTableName, mEntries, kNodeTableWait, kNodeTablePause);
     mRegistration = std::thread([this] { registerSelf(); });
     log("started", {});
     return {};
@@ -116,11 +120,15 @@
 private:
   static constexpr const char* kNodeTableName = tools::kNodeTable;
 
-  void watch(const char* aTable, stores::TableListener& aListener, base::Milliseconds aWait)
+  void watch(const char* aTable,
+             stores::TableListener& aListener,
+             base::Milliseconds aWait,
+             base::Milliseconds aPause)
   {
     stores::WatchOptions options;
     options.table = aTable;
     options.wait = aWait;
+    options.pause = aPause;
     options.seed = base::fastHash(base::asBytes(mNode + aTable));
     auto makeFeed = [this, aWait] { return std::make_unique<platform::StoreCalls>(mStore, aWait); };
     mWatchers.push_back(
