Skip an older version of the weights while the newest arrives

Cause: each switch costs an engine about 2 s in which it finishes what runs and takes nothing new; versions declared 2 to 4 s apart cost two switches. Change: a loader with an older version whole does not order it while the newest one is expected within the older one's time and 2 s.

--- a/libs/rollout/include/rollout/SwitchCore.h
+++ b/libs/rollout/include/rollout/SwitchCore.h
@@ -61,4 +61,13 @@
                          base::Duration aWindowStart,
                          base::Duration aWindow);
 
+/**
+ * Whether a transfer is expected to be whole in time. Answers versions that are declared shortly
+ * after each other: each switch costs an engine the time to finish what runs, so that an older
+ * version is skipped when the newest one comes soon enough.
+ * @param aHeld part of the chunks that have arrived, 0 to 1.
+ * @param aSince time since the transfer began.
+ */
+bool isExpectedWithin(double aHeld, base::Duration aSince, base::Duration aLeft);
+
 } // namespace boragepitch::rollout
--- a/libs/rollout/src/SwitchCore.cpp
+++ b/libs/rollout/src/SwitchCore.cpp
@@ -4,6 +4,14 @@
 
 namespace boragepitch::rollout {
 
+namespace {
+/** Usual time of a transfer, until its own progress tells more. */
+constexpr base::Milliseconds kUsualTransfer{ 4000 };
+/** A transfer without progress after this time has no source. */
+constexpr base::Milliseconds kNoProgress{ 1500 };
+constexpr double kLittleProgress = 0.02;
+} // namespace
+
 SwitchCore::SwitchCore(SwitchOptions aOptions)
   : mOptions(aOptions)
 {
@@ -46,4 +54,13 @@
          aWindow * static_cast<int64_t>(std::min(aRank, count)) / static_cast<int64_t>(count);
 }
 
+bool isExpectedWithin(double aHeld, base::Duration aSince, base::Duration aLeft)
+{
+  if (aHeld < kLittleProgress) {
+    return aSince < kNoProgress && kUsualTransfer - aSince <= aLeft;
+  }
+  auto remaining = std::chrono::duration<double>(aSince) * (1 - aHeld) / aHeld;
+  return remaining <= std::chrono::duration<double>(aLeft);
+}
+
 } // namespace boragepitch::rollout
--- a/libs/rollout/tests/SwitchTest.cpp
+++ b/libs/rollout/tests/SwitchTest.cpp
@@ -47,6 +47,18 @@
   BOOST_TEST(!core.isDue({ .born = 1, .version = 2 }, true, kNow + 9s));
 }
 
+// Versions declared 2 to 4 s apart: the older is skipped only while the newer one arrives.
+BOOST_AUTO_TEST_CASE(transferIsExpectedByItsProgress)
+{
+  BOOST_TEST(isExpectedWithin(0.5, 2s, 2s));
+  BOOST_TEST(!isExpectedWithin(0.5, 2s, 1900ms));
+  BOOST_TEST(isExpectedWithin(0, 100ms, 5s));
+  BOOST_TEST(!isExpectedWithin(0, 100ms, 3s));
+  // Found on peachwarm scale-1: the origin went down, and the newer version did not come.
+  BOOST_TEST(!isExpectedWithin(0, 2s, 60s));
+  BOOST_TEST(isExpectedWithin(1, 1s, 0s));
+}
+
 // Guards against a version that is taken back by late news of an older one.
 BOOST_AUTO_TEST_CASE(wantedVersionOnlyRises)
 {
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -29,8 +29,8 @@
 /** A version further back is not to be had from the origin. */
 constexpr size_t kTargets = 2;
 constexpr int kHighestUrgency = 9;
-/** Part of an older version's chunks with which it is finished before a newer one. */
-constexpr double kFinishFirst = 0.5;
+/** An engine may be without allowed weights for this long, where that saves it a second switch. */
+constexpr base::Milliseconds kSkipGrace = 2000ms;
 constexpr size_t kFetchThreads = 4;
 /** An importer without progress is replaced after this part of the version time. */
 constexpr base::Milliseconds kImporterTimeout = 1000ms;
@@ -273,7 +273,7 @@
     }
   }
   mFleet.setAwaiting(manifests.size() < wanted.size());
-  wantManifests(std::move(manifests));
+  wantManifests(manifests);
   rollout::EngineWeights engine{ report->load.born,
                                  report->load.weightVersion,
                                  report->load.isSwitching };
@@ -290,7 +290,10 @@
                                                count,
                                                partOf(mOptions.versionTime, kTurnsBegin),
                                                partOf(mOptions.versionTime, kTurnsLast)));
-  if (mSwitch.isDue(engine, newestVersion == mSwitch.wanted(), aNow)) {
+  bool newerComes = newest != manifests.front() && engine.version > 0 &&
+                    comesInTime(manifests.front()->id(),
+                                declaredAt + base::Duration(mOptions.versionTime + kSkipGrace));
+  if (!newerComes && mSwitch.isDue(engine, newestVersion == mSwitch.wanted(), aNow)) {
     order(*newest, newestVersion, aNow);
   }
 }
@@ -414,20 +417,21 @@
         { "id", aKnown.manifest->id().toString() } });
 }
 
-bool WeightLoader::isNearlyHeld(const weights::ManifestId& aId) const
+bool WeightLoader::comesInTime(const weights::ManifestId& aId, base::TimePoint aDue) const
 {
-  for (const weights::Progress& one : mDistributor->progress(std::chrono::steady_clock::now())) {
+  auto now = std::chrono::steady_clock::now();
+  for (const weights::Progress& one : mDistributor->progress(now)) {
     if (one.manifest == aId) {
-      return one.chunks > 0 && one.chunksHeld >= kFinishFirst * one.chunks;
+      double held = one.chunks > 0 ? static_cast<double>(one.chunksHeld) / one.chunks : 0;
+      return rollout::isExpectedWithin(held, one.age, aDue - now);
     }
   }
   return false;
 }
 
-void WeightLoader::wantManifests(std::vector<std::shared_ptr<const weights::Manifest>> aManifests)
+void WeightLoader::wantManifests(
+  const std::vector<std::shared_ptr<const weights::Manifest>>& aManifests)
 {
-  // The newest comes first, so that the engine may skip the older one; but what has mostly arrived
-  // is finished, since its own time ends earlier.
   std::vector<weights::ManifestId> set;
   for (const auto& manifest : aManifests) {
     set.push_back(manifest->id());
@@ -436,9 +440,6 @@
     return;
   }
   mWanted = set;
-  if (aManifests.size() > 1 && isNearlyHeld(aManifests[1]->id())) {
-    std::swap(aManifests[0], aManifests[1]);
-  }
   std::vector<weights::Wanted> wanted;
   for (const auto& manifest : aManifests) {
     // Only this process stages chunks on this VM: what it wants later is not there yet.
--- a/tools/loader/WeightLoader.h
+++ b/tools/loader/WeightLoader.h
@@ -108,8 +108,8 @@
   std::shared_ptr<const weights::Manifest> manifestOf(const Target& aTarget, base::TimePoint aNow);
   void adopt(KnownManifest& aKnown, std::shared_ptr<const weights::Manifest> aManifest);
   /** Tells the Distributor what to fetch when that changed. */
-  void wantManifests(std::vector<std::shared_ptr<const weights::Manifest>> aManifests);
-  bool isNearlyHeld(const weights::ManifestId& aId) const;
+  void wantManifests(const std::vector<std::shared_ptr<const weights::Manifest>>& aManifests);
+  bool comesInTime(const weights::ManifestId& aId, base::TimePoint aDue) const;
   /** Drops manifests that are no target any more. */
   void forgetOthers(const std::vector<Target>& aTargets);
   void order(const weights::Manifest& aManifest, uint64_t aVersion, base::TimePoint aNow);
