--- a/tools/common/Daemon.cpp
+++ b/tools/common/Daemon.cpp
@@ -137,6 +137,13 @@
   }
 }
 
+void endProcess(ExitCode aCode)
+{
+  std::cout.flush();
+  std::cerr.flush();
+  std::_Exit(static_cast<int>(aCode));
+}
+
 void addControlRoutes(net::HttpServer& aServer,
                       telemetry::Registry& aMetrics,
                       std::function<Json::Value()> aDump,
--- a/tools/common/Daemon.h
+++ b/tools/common/Daemon.h
@@ -72,6 +72,13 @@
                           const std::function<void()>& aOnReload = {});
 };
 
+/**
+ * Ends the process without the destructors of static objects. Call last in main(), when every
+ * thread has ended and every line is written: on the users' platform a process that ended in the
+ * usual way stayed until it was killed.
+ */
+[[noreturn]] void endProcess(ExitCode aCode);
+
 /** Adds /metrics, /dump, /livez and /readyz to a control server. The functions must be thread-safe.
  */
 void addControlRoutes(net::HttpServer& aServer,
--- a/tools/loader/main.cpp
+++ b/tools/loader/main.cpp
@@ -189,5 +189,5 @@
                                                                                 : "reload_invalid");
                              });
   loader.stop();
-  return 0;
+  tools::endProcess(tools::ExitCode::Success);
 }
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -197,5 +197,5 @@
   router.serve();
   router.stop();
   signalThread.join();
-  return 0;
+  tools::endProcess(tools::ExitCode::Success);
 }
