--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -215,8 +215,10 @@
   if (aError == asio::error::eof) {
     // Only an answer without a length may end with its connection, and only with an orderly close.
     ErrorCode error;
-    mParser->put_eof(error);
-    bool complete = !error && mHeadSeen && !mSkipping && mParser->is_done();
+    if (mHeadSeen) {
+      mParser->put_eof(error);
+    }
+    bool complete = mHeadSeen && !error && !mSkipping && mParser->is_done();
     finish(complete ? ExchangeEnd::Complete : ExchangeEnd::CutShort);
     return;
   }
