Use an endpoint that lapsed from the list only as the last resort

Change: until it is listed again or its time has passed, such an endpoint gets requests only where its service has no other one.

--- a/libs/relay/include/relay/Relay.h
+++ b/libs/relay/include/relay/Relay.h
@@ -78,6 +78,8 @@
   virtual void setDeployment(std::shared_ptr<const serving::Deployment> aDeployment) = 0;
   /** Any thread: adds or updates endpoints. */
   virtual void applyEndpoints(std::vector<serving::EndpointRecord> aRecords) = 0;
+  /** Any thread: it is missing from a list that was away. */
+  virtual void lapseEndpoint(std::string aId) = 0;
   /** Any thread. */
   virtual void removeEndpoint(std::string aId) = 0;
   /** Any thread: the zones whose endpoints get no new work. */
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -177,6 +177,14 @@
     });
   }
 
+  void lapseEndpoint(std::string aId) override
+  {
+    post([this, id = std::move(aId)] {
+      mCore.endpoints.lapse(id);
+      logState("endpoint_lapsed", { { "id", id } });
+    });
+  }
+
   void removeEndpoint(std::string aId) override
   {
     post([this, id = std::move(aId)] {
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -67,7 +67,8 @@
 {
   EndpointRecord record;
   bool isListed = true;
-  int inFlight = 0; ///< Requests of this process.
+  bool isLapsed = false; ///< Missing from the list, perhaps only because that was away.
+  int inFlight = 0;      ///< Requests of this process.
 
   int waiting = 0;            ///< Those of them that have no first event yet, late ones excluded.
   double waitingPromptMs = 0; ///< Time to read the prompts of these.
@@ -171,6 +172,9 @@
 
   /** Adds or updates a listed endpoint. */
   void apply(const EndpointRecord& aRecord, const Service* aService, base::TimePoint aNow);
+  /** It is missing from a list that was away: used only where the service has no other endpoint,
+   * until it is listed again or removed. */
+  void lapse(std::string_view aId);
   /** It left the list: nothing new is sent to it. */
   void remove(std::string_view aId);
   void setEvacuated(std::set<std::string> aZones) { mEvacuated = std::move(aZones); }
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -104,6 +104,7 @@
   }
   endpoint->record = aRecord;
   endpoint->isListed = true;
+  endpoint->isLapsed = false;
   base::TimePoint coldUntil = aNow + aRecord.coldFor;
   if (restarted && aService != nullptr) {
     coldUntil = std::max(coldUntil, aNow + base::Duration(aService->coldTime));
@@ -111,6 +112,14 @@
   endpoint->coldUntil = std::max(endpoint->coldUntil, coldUntil);
 }
 
+void EndpointSet::lapse(std::string_view aId)
+{
+  auto found = mById.find(aId);
+  if (found != mById.end()) {
+    found->second->isLapsed = true;
+  }
+}
+
 void EndpointSet::remove(std::string_view aId)
 {
   auto found = mById.find(aId);
@@ -265,8 +274,11 @@
   best.refusal = Refusal::NoEndpoint;
   double bestCost = 0;
   std::uniform_real_distribution<double> spread(0, kTieSpreadMs);
+  bool lapsedOnly = std::none_of(mById.begin(), mById.end(), [&](const auto& aEntry) {
+    return !aEntry.second->isLapsed && isAllowed(*aEntry.second, aRequest, aNow);
+  });
   for (const auto& [id, endpoint] : mById) {
-    if (!isAllowed(*endpoint, aRequest, aNow)) {
+    if (!isAllowed(*endpoint, aRequest, aNow) || (endpoint->isLapsed && !lapsedOnly)) {
       continue;
     }
     ++best.candidates;
--- a/libs/serving/tests/EndpointSetTest.cpp
+++ b/libs/serving/tests/EndpointSetTest.cpp
@@ -159,6 +159,24 @@
   BOOST_TEST(place(late) == "n");
 }
 
+// Found on hoopline trouble-1, seed 559808999839: an endpoint that had left while this process was
+// cut off from the list got requests until its time to return had passed.
+BOOST_FIXTURE_TEST_CASE(lapsedEndpointIsTheLastResort, Fixture)
+{
+  list("gone", "north", millbook);
+  list("there", "south", millbook);
+  set.lapse("gone");
+  for (int i = 0; i < 9; ++i) {
+    BOOST_TEST(place(request(millbook)) == "there");
+  }
+  BOOST_TEST(place(request(millbook)).empty());
+  set.remove("there");
+  BOOST_TEST(place(request(millbook)) == "gone");
+  list("there", "south", millbook);
+  list("gone", "north", millbook);
+  BOOST_TEST(place(request(millbook)) == "gone");
+}
+
 // Several entries that fill the same endpoint: the report shows the others' requests.
 BOOST_FIXTURE_TEST_CASE(reportsShowTheLoadOfOthers, Fixture)
 {
--- a/tools/router/EndpointListener.cpp
+++ b/tools/router/EndpointListener.cpp
@@ -61,9 +61,14 @@
 
 void EndpointListener::gone(const std::string& aId, base::TimePoint aNow)
 {
-  if (mKnown.contains(aId) && mGuard.gone(aId, aNow)) {
+  if (!mKnown.contains(aId)) {
+    return;
+  }
+  if (mGuard.gone(aId, aNow)) {
     mKnown.erase(aId);
     mRelay.removeEndpoint(aId);
+  } else {
+    mRelay.lapseEndpoint(aId);
   }
 }
 
