Check the cold limit also once the engine is known to be cold

Cause of the red gateway.ColdEngineTest under the thread sanitizer: a request admitted while the engine passed for warm checks the cold limit after another request has just found the engine cold. exceedsColdLimit() was false for a cold engine, so the request was sent as one too many. Ruled out: requests that linger at the engine after their stream (a test with lingering engines passed before the change), the keep-alive limit of the server. Change: the check compares the running requests whatever the engine passes for. Before: the new gateway.AdmissionGateTest fails; after: it passes, as do gateway.ColdEngineTest, GenerateTest and ServiceTest.

--- a/libs/gateway/src/AdmissionGate.cpp
+++ b/libs/gateway/src/AdmissionGate.cpp
@@ -103,7 +103,8 @@
 bool AdmissionGate::exceedsColdLimit() const
 {
   std::lock_guard lock(mMutex);
-  return !mLimits.cold && mAdmission.running() > mLimits.coldLimit;
+  // Also for an engine known to be cold: the caller may have been admitted before that was known.
+  return mAdmission.running() > mLimits.coldLimit;
 }
 
 std::string AdmissionGate::closedReason() const
