Give a cut stream up by cuts without progress, not by all cuts

Cause of the red integration.resumed_streams, as far as it can be traced: a stream was given up at its fourth cut, also when each attempt had brought new events; the test leaves up to 12 cuts pending on six engines, so one stream can meet four of them. No other path ends a stream before its deadline.

--- a/libs/gateway/src/EntryGenerate.cpp
+++ b/libs/gateway/src/EntryGenerate.cpp
@@ -12,6 +12,9 @@
 /** How long a stream that was cut looks for an endpoint to resume on. */
 constexpr base::Duration kResumeWindow = std::chrono::seconds(5);
 constexpr base::Duration kResumePause = std::chrono::milliseconds(50);
+/** Cuts of one stream, with progress between them, before it is given up: each resumption reads the
+ * whole prompt again, which a fleet that cuts every stream could not afford without end. */
+constexpr int kMostCuts = 16;
 
 } // namespace
 
@@ -52,7 +55,7 @@
   }
   if (aEnd == AttemptEnd::Cut) {
     // Not charged to the retry budget: what the caller already has would be lost.
-    return mCuts < mCore->options.limits.maxAttempts;
+    return mCutsInVain < mCore->options.limits.maxAttempts && mCuts < kMostCuts;
   }
   if (mCutAt) {
     if (std::chrono::steady_clock::now() - *mCutAt > kResumeWindow) {
--- a/libs/gateway/src/GenerateAttempt.cpp
+++ b/libs/gateway/src/GenerateAttempt.cpp
@@ -65,6 +65,7 @@
   mRunId = mCaller.runId + "." + std::to_string(mAttempts);
   mManifest = mEndpoint->served(mModel)->manifest;
   mReceived = mReceivedAtProbe = 0;
+  mEventsAtStart = mAssembler.nextEvent();
   mProbes = 0;
   mHeadSeen = mCallEnded = false;
   auto left = mCaller.deadline - std::chrono::steady_clock::now();
@@ -301,6 +302,7 @@
   mExcluded.push_back(mEndpoint->name);
   mCutAt = std::chrono::steady_clock::now();
   ++mCuts;
+  mCutsInVain = mAssembler.nextEvent() > mEventsAtStart ? 0 : mCutsInVain + 1;
   if (isPoison()) {
     mRefusal = poisonRefusal();
     awaitNotice();
--- a/libs/gateway/src/GenerateSession.h
+++ b/libs/gateway/src/GenerateSession.h
@@ -91,6 +91,8 @@
   std::optional<Refusal> mRefusal;
   int mAttempts = 0;
   int mCuts = 0;
+  int mCutsInVain = 0;         ///< Cuts since the last attempt that brought an event.
+  uint64_t mEventsAtStart = 0; ///< Events that the caller had when the attempt started.
   bool mMayHaveRun = false;
   /** False after attempts that cost the fleet nothing: unreachable endpoints and those that are
    * switching versions or leaving. */
