Keep the time of a version's declaration in the store

Change: the process that sees a declaration first records the time of the store's clock in a row declared/MODEL/VERSION of the system's own table; one that starts reads it and enforces the version when the others do. Without a record a running process takes the last list without the version as the earliest time. RowFeed gains get() and create(), the watcher hands on the service's clock. Tests: router.OperatorListenerTest, serving.BudgetsTest.

--- a/libs/serving/tests/BudgetsTest.cpp
+++ b/libs/serving/tests/BudgetsTest.cpp
@@ -8,6 +8,7 @@
 #include "serving/CrashSuspects.h"
 #include "serving/LapseGuard.h"
 #include "serving/RetryLedger.h"
+#include "serving/VersionTiming.h"
 
 using namespace boragepitch;
 using namespace boragepitch::serving;
@@ -108,3 +109,26 @@
   BOOST_TEST(!guard.nextDue().has_value());
   BOOST_TEST(guard.gone("later", now + 3s));
 }
+
+// Restart during a rollout: an entry that enforced a version earlier than the others would refuse
+// everything until the first engine has loaded it.
+BOOST_AUTO_TEST_CASE(enforcesARecordedVersionAtTheTimeOfItsDeclaration)
+{
+  const VersionTiming timing{ .afterDeclaration = 7000ms, .whenUnknown = 2000ms };
+  const base::TimePoint now{ 1h };
+  BOOST_TEST((enforceFrom({ .age = 0ms }, timing, now) == now + 7000ms));
+  BOOST_TEST((enforceFrom({ .age = 3000ms }, timing, now) == now + 4000ms));
+  BOOST_TEST((enforceFrom({ .age = 60000ms }, timing, now) == now));
+  BOOST_TEST((enforceFrom({ .age = -500ms }, timing, now) == now + 7000ms));
+  BOOST_TEST((enforceFrom({ .age = 3000ms, .notBefore = now - 1s }, timing, now) == now + 4000ms));
+}
+
+// Lost history: the declaration came after the last answer of the list.
+BOOST_AUTO_TEST_CASE(enforcesAVersionWithoutRecordByTheLastListWithoutIt)
+{
+  const VersionTiming timing{ .afterDeclaration = 7000ms, .whenUnknown = 2000ms };
+  const base::TimePoint now{ 1h };
+  BOOST_TEST((enforceFrom({ .notBefore = now - 1s }, timing, now) == now + 6000ms));
+  BOOST_TEST((enforceFrom({ .notBefore = now - 20s }, timing, now) == now));
+  BOOST_TEST((enforceFrom({}, timing, now) == now + 2000ms));
+}
--- a/libs/stores/include/stores/TableWatcher.h
+++ b/libs/stores/include/stores/TableWatcher.h
@@ -24,6 +24,8 @@
   virtual void onChanges(const std::vector<RowChange>& aRows, base::TimePoint aNow) = 0;
   /** The service answers again after a call failed, or fails after a call succeeded. */
   virtual void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) = 0;
+  /** Clock of the service, before the news that came with it. */
+  virtual void onServiceTime(base::Milliseconds /*aServiceTime*/) {}
   /** After each call that succeeded, at least once per wait time. */
   virtual void onAlive(base::TimePoint /*aNow*/) {}
   /** False while the listener can wait: changes are then gathered for the watcher's pause. */
--- a/libs/stores/src/TableWatcher.cpp
+++ b/libs/stores/src/TableWatcher.cpp
@@ -100,6 +100,7 @@
   if (!mReachable) {
     report({});
   }
+  mListener.onServiceTime(page->serviceTime);
   if (!page->rows.empty()) {
     mListener.onChanges(page->rows, now);
   }
@@ -138,6 +139,7 @@
   std::vector<RowChange> rows;
   std::string after;
   uint64_t position = 0;
+  base::Milliseconds serviceTime{ 0 };
   for (int number = 0; number < kMaxPages; ++number) {
     auto page = aFeed.read(mOptions.table, after);
     if (!page) {
@@ -145,6 +147,7 @@
     }
     // Later pages may hold newer rows; following from the first page's position sees them again.
     position = number == 0 ? page->position : position;
+    serviceTime = page->serviceTime;
     rows.insert(rows.end(), page->rows.begin(), page->rows.end());
     if (!page->hasMore || page->rows.empty()) {
       break;
@@ -155,6 +158,7 @@
   mHasPosition = true;
   report({});
   auto now = std::chrono::steady_clock::now();
+  mListener.onServiceTime(serviceTime);
   mListener.onSnapshot(rows, now);
   mListener.onAlive(now);
   return {};
--- a/libs/stores/tests/TableWatcherTest.cpp
+++ b/libs/stores/tests/TableWatcherTest.cpp
@@ -45,7 +45,9 @@
     }
     return next(mScript.changes, "changes " + std::to_string(aSince));
   }
+  base::Result<RowPage> get(std::string_view, std::string_view) override { return RowPage{}; }
   base::Status put(std::string_view, std::string_view, std::string_view) override { return {}; }
+  base::Status create(std::string_view, std::string_view, std::string_view) override { return {}; }
   void cancel() override { mCancelled = true; }
 
 private:
--- a/tools/common/NodeRows.h
+++ b/tools/common/NodeRows.h
@@ -10,6 +10,9 @@
  * canonical text. Kept for loaders that start while the origin is away or has no connection left.
  */
 inline constexpr const char* kManifestPrefix = "manifest/";
+/** Key of a declared version: this, the model, a slash and the version; the value is the time of
+ * the store's clock, in milliseconds, at which a process first saw the declaration. */
+inline constexpr const char* kDeclaredPrefix = "declared/";
 /** Key of a loader: this and its name; the value is a LoaderRow. */
 inline constexpr const char* kAgentPrefix = "agent/";
 
--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -1,5 +1,8 @@
 #include "OperatorListener.h"
 
+#include <charconv>
+
+#include "NodeRows.h"
 #include "platform/OperatorRows.h"
 
 namespace boragepitch::tools {
@@ -8,10 +11,12 @@
 
 OperatorListener::OperatorListener(relay::Relay& aRelay,
                                    telemetry::EventLog& aLog,
-                                   VersionTiming aTiming)
+                                   serving::VersionTiming aTiming,
+                                   stores::TableWatcher::MakeFeed aMakeFeed)
   : mRelay(aRelay)
   , mLog(aLog)
   , mTiming(aTiming)
+  , mMakeFeed(std::move(aMakeFeed))
 {
 }
 
@@ -19,7 +24,7 @@
 {
   mEvacuated.clear();
   for (const auto& row : aRows) {
-    take(row, mTiming.afterStart, aNow);
+    take(row, Origin::Snapshot, aNow);
   }
   mRelay.setEvacuated(mEvacuated);
 }
@@ -27,14 +32,12 @@
 void OperatorListener::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
   for (const auto& row : aRows) {
-    take(row, mTiming.afterNews, aNow);
+    take(row, Origin::News, aNow);
   }
   mRelay.setEvacuated(mEvacuated);
 }
 
-void OperatorListener::take(const stores::RowChange& aRow,
-                            base::Milliseconds aEnforceAfter,
-                            base::TimePoint aNow)
+void OperatorListener::take(const stores::RowChange& aRow, Origin aOrigin, base::TimePoint aNow)
 {
   auto key = platform::readOperatorKey(aRow.key);
   switch (key.kind) {
@@ -49,7 +52,7 @@
       }
       break;
     case OperatorRowKind::WeightVersion:
-      takeVersion(aRow, aEnforceAfter, aNow);
+      takeVersion(aRow, aOrigin, aNow);
       break;
     case OperatorRowKind::Other:
       break;
@@ -73,7 +76,7 @@
 }
 
 void OperatorListener::takeVersion(const stores::RowChange& aRow,
-                                   base::Milliseconds aEnforceAfter,
+                                   Origin aOrigin,
                                    base::TimePoint aNow)
 {
   if (aRow.isDeleted) {
@@ -87,7 +90,73 @@
                aNow);
     return;
   }
-  mRelay.declareVersion(declared->model, declared->version, aNow + base::Duration(aEnforceAfter));
+  std::string key = kDeclaredPrefix + declared->model + "/" + std::to_string(declared->version);
+  if (!mKnownVersions.insert(key).second) {
+    return;
+  }
+  serving::DeclarationEvidence evidence;
+  if (aOrigin == Origin::News) {
+    evidence.age = base::Milliseconds(0);
+    mUnwritten[key] = mServiceTime;
+  } else {
+    evidence = readEvidence(key, aNow);
+  }
+  mRelay.declareVersion(
+    declared->model, declared->version, serving::enforceFrom(evidence, mTiming, aNow));
+}
+
+serving::DeclarationEvidence OperatorListener::readEvidence(const std::string& aKey,
+                                                            base::TimePoint aNow)
+{
+  serving::DeclarationEvidence evidence;
+  evidence.notBefore = mLastAlive;
+  auto page = mMakeFeed()->get(kNodeTable, aKey);
+  std::string outcome = page ? "none" : page.error().describe();
+  if (page && !page->rows.empty()) {
+    const std::string& value = page->rows.front().value;
+    int64_t recorded = 0;
+    auto end = std::from_chars(value.data(), value.data() + value.size(), recorded).ptr;
+    if (end == value.data() + value.size() && !value.empty()) {
+      evidence.age = page->serviceTime - base::Milliseconds(recorded);
+      outcome = "found";
+    } else {
+      outcome = "unreadable";
+    }
+  }
+  mLog.write(telemetry::Weight::Critical,
+             "declaration_time",
+             { { "record", aKey },
+               { "outcome", outcome },
+               { "age_ms", evidence.age ? std::to_string(evidence.age->count()) : "-" } },
+             aNow);
+  return evidence;
+}
+
+void OperatorListener::onAlive(base::TimePoint aNow)
+{
+  mLastAlive = aNow;
+  writeRecords(aNow);
+}
+
+void OperatorListener::writeRecords(base::TimePoint aNow)
+{
+  if (mUnwritten.empty()) {
+    return;
+  }
+  auto feed = mMakeFeed();
+  while (!mUnwritten.empty()) {
+    const auto& [key, time] = *mUnwritten.begin();
+    auto written = feed->create(kNodeTable, key, std::to_string(time.count()));
+    if (!written && written.error().kind != base::ErrorKind::Conflict) {
+      // Tried again after the next answer of the store.
+      mLog.write(telemetry::Weight::Critical,
+                 "declaration_record_failed",
+                 { { "record", key }, { "error", written.error().describe() } },
+                 aNow);
+      return;
+    }
+    mUnwritten.erase(mUnwritten.begin());
+  }
 }
 
 void OperatorListener::onReachable(bool aReachable,
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -26,8 +26,8 @@
 constexpr base::Milliseconds kNewsPause = 150ms;
 constexpr base::Milliseconds kNodeTablePause = 2000ms;
 constexpr base::Milliseconds kRegisterRetry = 500ms;
-/** After a start it is not known when a version was declared; by then the process must know. */
-constexpr base::Milliseconds kEnforceAfterStart = 2000ms;
+/** For a version that nobody recorded: it may have been declared long before. */
+constexpr base::Milliseconds kEnforceUnrecorded = 2000ms;
 
 relay::RelayOptions relayOptions(const settings::Settings& aSettings)
 {
@@ -72,7 +72,8 @@
         *mRelay,
         mLog,
         { aSettings.duration("weights.version_time") - aSettings.duration("weights.version_margin"),
-          kEnforceAfterStart })
+          kEnforceUnrecorded },
+        [this] { return std::make_unique<platform::StoreCalls>(mStore, 0ms); })
     , mEndpoints(*mRelay, mLog, aSettings.section("zones"), aSettings.duration("store.lapse_grace"))
     , mEntries(*mRelay, mLog, mNode)
   {
--- /dev/null
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -0,0 +1,188 @@
+#define BOOST_TEST_MODULE router_operator_listener
+#include <boost/test/unit_test.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "NodeRows.h"
+#include "OperatorListener.h"
+
+using namespace boragepitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kDeclaration = "version/m";
+
+/** Keeps what was declared; the rest of a relay is not used here. */
+class RecordingRelay final : public relay::Relay
+{
+public:
+  base::Status start() override { return {}; }
+  void run() override {}
+  void startLeaving() override {}
+  void setDeployment(std::shared_ptr<const serving::Deployment>) override {}
+  void applyEndpoints(std::vector<serving::EndpointRecord>) override {}
+  void lapseEndpoint(std::string) override {}
+  void removeEndpoint(std::string) override {}
+  void setEvacuated(std::set<std::string>) override {}
+  void declareVersion(std::string, uint64_t aVersion, base::TimePoint aEnforceFrom) override
+  {
+    declared[aVersion] = aEnforceFrom;
+  }
+  void setPeers(std::vector<net::Address>) override {}
+  void setListKnown() override {}
+
+  std::map<uint64_t, base::TimePoint> declared;
+};
+
+/** The system's own table, which outlives the processes. */
+struct OwnTable
+{
+  std::map<std::string, std::string, std::less<>> rows;
+  base::Milliseconds time{ 5000 };
+  bool isDown = false;
+};
+
+class OwnTableFeed final : public stores::RowFeed
+{
+public:
+  explicit OwnTableFeed(OwnTable& aTable)
+    : mTable(aTable)
+  {
+  }
+  base::Result<stores::RowPage> read(std::string_view, std::string_view) override { return down(); }
+  base::Result<stores::RowPage> changes(std::string_view, uint64_t, base::Milliseconds) override
+  {
+    return down();
+  }
+  base::Result<stores::RowPage> get(std::string_view aTable, std::string_view aKey) override
+  {
+    BOOST_TEST(aTable == tools::kNodeTable);
+    if (mTable.isDown) {
+      return down();
+    }
+    stores::RowPage page;
+    page.serviceTime = mTable.time;
+    auto found = mTable.rows.find(aKey);
+    if (found != mTable.rows.end()) {
+      page.rows.push_back({ found->first, found->second });
+    }
+    return page;
+  }
+  base::Status put(std::string_view, std::string_view, std::string_view) override
+  {
+    return tl::make_unexpected(down().error());
+  }
+  base::Status create(std::string_view, std::string_view aKey, std::string_view aValue) override
+  {
+    if (mTable.isDown) {
+      return tl::make_unexpected(down().error());
+    }
+    if (!mTable.rows.emplace(aKey, aValue).second) {
+      return base::fail(base::ErrorKind::Conflict, "", "exists", "");
+    }
+    return {};
+  }
+  void cancel() override {}
+
+private:
+  static base::Result<stores::RowPage> down()
+  {
+    return base::fail(base::ErrorKind::Unavailable, "", "down", "");
+  }
+  OwnTable& mTable;
+};
+
+/** One process that follows the operators' table. */
+struct Process
+{
+  explicit Process(OwnTable& aTable)
+    : log(::open("/dev/null", O_WRONLY | O_CLOEXEC), "entry-1")
+    , listener(relay, log, { .afterDeclaration = 7000ms, .whenUnknown = 2000ms }, [&aTable] {
+      return std::make_unique<OwnTableFeed>(aTable);
+    })
+  {
+  }
+
+  RecordingRelay relay;
+  telemetry::EventLog log;
+  tools::OperatorListener listener;
+};
+
+stores::RowChange declaration(int aVersion)
+{
+  return { kDeclaration, R"({"model_id":"m","version":)" + std::to_string(aVersion) + "}" };
+}
+
+} // namespace
+
+// Guards against an entry that restarts during a rollout and enforces the version before any
+// engine has loaded it (inc-e9ac).
+BOOST_AUTO_TEST_CASE(enforcesAVersionAfterARestartWhenTheOthersDo)
+{
+  OwnTable table;
+  Process first(table);
+  base::TimePoint now{ 1h };
+  first.listener.onServiceTime(table.time);
+  first.listener.onSnapshot({}, now);
+  first.listener.onAlive(now);
+  first.listener.onChanges({ declaration(2) }, now);
+  first.listener.onAlive(now);
+  BOOST_TEST((first.relay.declared.at(2) == now + 7s));
+
+  Process restarted(table);
+  table.time += 1500ms;
+  now += 1500ms;
+  restarted.listener.onServiceTime(table.time);
+  restarted.listener.onSnapshot({ declaration(2) }, now);
+  BOOST_TEST((restarted.relay.declared.at(2) == first.relay.declared.at(2)));
+}
+
+// Guards against a record that is lost with the store that could not take it.
+BOOST_AUTO_TEST_CASE(writesTheRecordOnceTheStoreAnswersAgain)
+{
+  OwnTable table;
+  Process process(table);
+  base::TimePoint now{ 1h };
+  table.isDown = true;
+  process.listener.onServiceTime(4000ms);
+  process.listener.onChanges({ declaration(2) }, now);
+  process.listener.onAlive(now);
+  BOOST_TEST(table.rows.empty());
+  table.isDown = false;
+  process.listener.onServiceTime(9000ms);
+  process.listener.onAlive(now + 5s);
+  BOOST_TEST(table.rows.at("declared/m/2") == "4000");
+}
+
+// Guards against a later process that overwrites the first one's record.
+BOOST_AUTO_TEST_CASE(keepsTheEarliestRecord)
+{
+  OwnTable table;
+  Process first(table);
+  Process second(table);
+  base::TimePoint now{ 1h };
+  for (auto* process : { &first, &second }) {
+    process->listener.onServiceTime(table.time);
+    process->listener.onChanges({ declaration(2) }, now);
+    process->listener.onAlive(now);
+    table.time += 300ms;
+  }
+  BOOST_TEST(table.rows.at("declared/m/2") == "5000");
+}
+
+// Guards against trusting a record that cannot be read, and against waiting for one without end.
+BOOST_AUTO_TEST_CASE(enforcesSoonWhereNothingIsKnown)
+{
+  OwnTable table;
+  table.rows["declared/m/2"] = "50x0";
+  base::TimePoint now{ 1h };
+  Process torn(table);
+  torn.listener.onSnapshot({ declaration(2) }, now);
+  BOOST_TEST((torn.relay.declared.at(2) == now + 2s));
+  table.isDown = true;
+  Process alone(table);
+  alone.listener.onSnapshot({ declaration(2) }, now);
+  BOOST_TEST((alone.relay.declared.at(2) == now + 2s));
+}
