bpctl explain: from a request's id to the cause of its end

Collects the lines of a request from the logs of all processes, shows the changes of its process in the ten seconds before its end, and names the cause. Test: bpctl.ExplainTest.

--- a/tools/bpctl/main.cpp
+++ b/tools/bpctl/main.cpp
@@ -29,6 +29,7 @@
   bpctl [options] dump ADDRESS
   bpctl [options] (cordon|uncordon) (zone|vm) NAME
   bpctl [options] manifest FILE
+  bpctl [options] explain ID LOG...
   bpctl (-h | --help)
   bpctl --version
 
@@ -44,6 +45,8 @@
   dump       print the state of one process; ADDRESS is its control address
   cordon     take an availability zone or VM out of service; uncordon returns it
   manifest   build the manifest of a weight file, publish it, and print the ModelVersion to declare
+  explain    collect the lines of the request ID (X-Attempt-Id on the users' platform) from the log
+             files of all processes and name the cause of its end
 
 Options:
   -f FILE --file=FILE     File with one resource, a list, or {"items":[...]}.
@@ -220,6 +223,9 @@
   if (is("manifest")) {
     return runManifest(aArguments, aStreams);
   }
+  if (is("explain")) {
+    return explain(textOf(aArguments, "ID"), aArguments.at("LOG").asStringList(), aStreams);
+  }
   auto client = makeClient(aArguments);
   if (!client) {
     report(client.error(), aStreams);
--- a/tools/bpctl/src/Commands.h
+++ b/tools/bpctl/src/Commands.h
@@ -73,6 +73,10 @@
                       Streams aStreams);
 /** Builds a manifest from a weight file, publishes it, and prints the ModelVersion to declare. */
 ExitCode makeManifest(const ManifestOptions& aOptions, Streams aStreams);
+/** Prints the lines of one request from the logs, the changes around its end, and its cause. */
+ExitCode explain(const std::string& aRequestId,
+                 const std::vector<std::string>& aLogs,
+                 Streams aStreams);
 
 /** A bar of 30 characters for a share of a whole. */
 std::string progressBar(uint64_t aDone, uint64_t aTotal);
--- /dev/null
+++ b/tools/bpctl/src/Explain.cpp
@@ -0,0 +1,309 @@
+#include "Explain.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <set>
+
+namespace boragepitch::bpctl {
+
+namespace {
+
+/** Changes that are shown with a request: those of its process this long before its end. */
+constexpr int64_t kContextMs = 10'000;
+/** Requests that an endpoint loses within this time were lost by one event. */
+constexpr int64_t kSameEventMs = 1000;
+/** Fewer requests than these, lost at one moment, are lost answers rather than a crash. */
+constexpr size_t kCrashRequests = 3;
+/** Load reports come several times a second; an older one says nothing of the present. */
+constexpr int64_t kReportLifeMs = 1500;
+/** How much later than predicted a first event is called late. */
+constexpr int64_t kMuchLaterMs = 200;
+
+bool isChange(const LogLine& aLine)
+{
+  static const std::set<std::string_view> kChanges{
+    "started",         "signal",           "leaving",     "stopped",
+    "store_lost",      "store_regained",   "deployment",  "deployment_invalid",
+    "evacuated",       "weights_declared", "endpoint",    "endpoint_gone",
+    "endpoint_lapsed", "entries",          "log_dropped", "engine_lost",
+    "weights_loaded",  "engine_restarted", "order",       "staging_failed",
+  };
+  return kChanges.contains(aLine.event);
+}
+
+std::string quoted(std::string_view aText)
+{
+  return "\"" + std::string(aText) + "\"";
+}
+
+/** The newest change of this kind that the process knew when the request ended; null for none. */
+const LogLine* lastBefore(const std::vector<LogLine>& aLines,
+                          const LogLine& aEnd,
+                          std::string_view aEvent)
+{
+  const LogLine* last = nullptr;
+  for (const LogLine& line : aLines) {
+    if (line.node == aEnd.node && line.event == aEvent && line.steadyMs <= aEnd.steadyMs) {
+      last = &line;
+    }
+  }
+  return last;
+}
+
+/** True when the process had lost the operators' table and not regained it. */
+bool isCutOff(const std::vector<LogLine>& aLines, const LogLine& aEnd)
+{
+  bool lost = false;
+  for (const LogLine& line : aLines) {
+    if (line.node == aEnd.node && line.steadyMs <= aEnd.steadyMs &&
+        line.field("table") == "operators") {
+      lost = line.event == "store_lost" || (lost && line.event != "store_regained");
+    }
+  }
+  return lost;
+}
+
+std::string explainRefusal(const std::vector<LogLine>& aLines, const LogLine& aEnd)
+{
+  std::string_view reason = aEnd.field("reason");
+  if (reason == "full") {
+    std::string cause = "refused under load: none of " + std::string(aEnd.field("candidates")) +
+                        " allowed endpoints was predicted to start it in time; the soonest after " +
+                        std::string(aEnd.field("best_ms")) + " ms";
+    if (const LogLine* declared = lastBefore(aLines, aEnd, "weights_declared");
+        declared != nullptr && aEnd.steadyMs - declared->steadyMs < kContextMs) {
+      cause +=
+        ", while version " + std::string(declared->field("version")) + " was being rolled out";
+    }
+    return cause;
+  }
+  if (reason == "cold") {
+    return "refused: the endpoints with room were in cold start and had their share of the second";
+  }
+  if (reason == "no_endpoint") {
+    std::string cause = "refused: no endpoint of the service was listed, allowed and held the "
+                        "required weights";
+    if (const LogLine* declared = lastBefore(aLines, aEnd, "weights_declared")) {
+      cause += "; version " + std::string(declared->field("version")) +
+               " is required since it was declared";
+    }
+    return cause;
+  }
+  if (reason == "no_configuration") {
+    return "refused: the process had just started and had no configuration yet";
+  }
+  return "refused before it ran, after a send that failed: " + quoted(reason);
+}
+
+std::string explainRejection(const std::vector<LogLine>& aLines, const LogLine& aEnd)
+{
+  int64_t applied = aEnd.number("config", 0);
+  int64_t newest = applied;
+  for (const LogLine& line : aLines) {
+    bool before = aEnd.stamp && line.stamp
+                    ? *line.stamp <= *aEnd.stamp
+                    : line.node == aEnd.node && line.steadyMs <= aEnd.steadyMs;
+    if (line.event == "deployment" && before) {
+      newest = std::max(newest, line.number("version", 0));
+    }
+  }
+  std::string what = aEnd.field("reason") == "unknown_key" ? "its key" : "its route";
+  if (newest > applied) {
+    return "rejected for " + what + " by configuration " + std::to_string(applied) + " while " +
+           std::to_string(newest) + " was in force elsewhere" +
+           (isCutOff(aLines, aEnd) ? ": this process had lost the store" : "");
+  }
+  return "rejected: configuration " + std::to_string(applied) +
+         ", the newest at that time, lacks " + what;
+}
+
+/** Requests that the endpoint lost at about the same moment, this one included. */
+size_t lostTogether(const std::vector<LogLine>& aLines, const LogLine& aSend)
+{
+  std::set<std::string_view> ids;
+  for (const LogLine& line : aLines) {
+    bool near =
+      aSend.stamp && line.stamp
+        ? std::abs(*line.stamp - *aSend.stamp) * 1000 <= kSameEventMs
+        : line.node == aSend.node && std::abs(line.steadyMs - aSend.steadyMs) <= kSameEventMs;
+    if (near && line.event == "send_failed" && line.field("endpoint") == aSend.field("endpoint") &&
+        line.field("may_have_run") == "yes") {
+      ids.insert(line.field("id"));
+    }
+  }
+  return ids.size();
+}
+
+std::string explainSend(const std::vector<LogLine>& aLines, const LogLine& aSend)
+{
+  std::string endpoint(aSend.field("endpoint"));
+  std::string_view reason = aSend.field("reason");
+  if (reason == "cut_short" || reason == "event_cut") {
+    size_t lost = lostTogether(aLines, aSend);
+    if (lost >= kCrashRequests) {
+      return "endpoint " + endpoint + " broke off " + std::to_string(lost) +
+             " requests within a second: it crashed or its connections were reset";
+    }
+    return "endpoint " + endpoint +
+           " broke off the answer, alone among its requests: a lost answer";
+  }
+  if (reason.starts_with("answered_")) {
+    return "endpoint " + endpoint + " ran it and answered " + std::string(reason.substr(9));
+  }
+  if (reason.starts_with("rejected_") || reason == "misdirected") {
+    return "endpoint " + endpoint + " turned it away (" + std::string(reason) + ")";
+  }
+  if (reason.starts_with("connect")) {
+    return "endpoint " + endpoint + " could not be reached; nothing was sent";
+  }
+  return "send to endpoint " + endpoint + " failed: " + std::string(reason);
+}
+
+std::string explainLate(const LogLine& aEnd)
+{
+  int64_t first = aEnd.number("first_ms", -1);
+  int64_t predicted = aEnd.number("predicted_ms", 0);
+  int64_t age = aEnd.number("report_age_ms", -1);
+  std::string cause = "served, first event after " + std::to_string(first) + " ms, predicted " +
+                      std::to_string(predicted) + " ms";
+  if (first - predicted < kMuchLaterMs) {
+    return cause;
+  }
+  if (aEnd.number("sends", 1) > 1) {
+    return cause + ": sent to " + std::string(aEnd.field("sends")) + " endpoints";
+  }
+  if (age < 0 || age > kReportLifeMs) {
+    return cause + ": no recent load report of the endpoint had arrived, as over a link that is "
+                   "cut or narrow";
+  }
+  return cause + ": the endpoint was slower than its report of " + std::to_string(age) +
+         " ms before";
+}
+
+std::string causeOf(const std::vector<LogLine>& aLines,
+                    const std::vector<LogLine>& aRequest,
+                    const LogLine& aEnd)
+{
+  std::string_view outcome = aEnd.field("outcome");
+  const LogLine* send = nullptr;
+  for (const LogLine& line : aRequest) {
+    send = line.event == "send_failed" ? &line : send;
+  }
+  if (outcome == "rejected") {
+    return explainRejection(aLines, aEnd);
+  }
+  if (outcome == "refused") {
+    std::string cause = explainRefusal(aLines, aEnd);
+    return send == nullptr ? cause : cause + "; before that, " + explainSend(aLines, *send);
+  }
+  if (outcome == "served") {
+    return explainLate(aEnd);
+  }
+  if (outcome == "abandoned") {
+    return "the caller left after " + std::string(aEnd.field("ms")) + " ms; " +
+           (aEnd.field("first_ms") == "-"
+              ? "no event had come, predicted after " + std::string(aEnd.field("predicted_ms")) +
+                  " ms"
+              : "longest pause " + std::string(aEnd.field("gap_ms")) + " ms");
+  }
+  if (aEnd.field("reason") == "quarantined") {
+    return "not sent: a request like it had crashed three endpoints";
+  }
+  if (aEnd.field("reason") == "deadline") {
+    return "the deadline passed at endpoint " + std::string(aEnd.field("endpoint")) +
+           ", which had not answered";
+  }
+  std::string cause = std::string(outcome) + ": ";
+  return cause + (send == nullptr ? quoted(aEnd.field("reason")) : explainSend(aLines, *send));
+}
+
+} // namespace
+
+std::string_view LogLine::field(std::string_view aName) const
+{
+  auto found = fields.find(aName);
+  return found == fields.end() ? std::string_view() : std::string_view(found->second);
+}
+
+int64_t LogLine::number(std::string_view aName, int64_t aDefault) const
+{
+  std::string_view text = field(aName);
+  int64_t value = aDefault;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc() && end == text.data() + text.size() ? value : aDefault;
+}
+
+std::optional<LogLine> parseLogLine(std::string_view aText)
+{
+  size_t start = aText.find("t=");
+  while (start != std::string_view::npos && start > 0 && aText[start - 1] != ' ') {
+    start = aText.find("t=", start + 1);
+  }
+  if (start == std::string_view::npos) {
+    return std::nullopt;
+  }
+  LogLine line;
+  line.text = aText.substr(start);
+  std::string prefix(aText.substr(0, start));
+  char* end = nullptr;
+  double stamp = std::strtod(prefix.c_str(), &end);
+  if (end != prefix.c_str()) {
+    line.stamp = stamp;
+  }
+  std::string_view rest = line.text;
+  while (!rest.empty()) {
+    size_t equals = rest.find('=');
+    if (equals == std::string_view::npos) {
+      break;
+    }
+    std::string name(rest.substr(0, equals));
+    rest.remove_prefix(equals + 1);
+    bool isQuoted = rest.starts_with('"');
+    size_t close = isQuoted ? rest.find('"', 1) : rest.find(' ');
+    close = std::min(close, rest.size());
+    std::string_view value = isQuoted ? rest.substr(1, close - 1) : rest.substr(0, close);
+    line.fields.emplace(std::move(name), value);
+    rest.remove_prefix(std::min(rest.size(), close + (isQuoted ? 2 : 1)));
+  }
+  line.node = line.field("node");
+  line.event = line.field("event");
+  line.steadyMs = line.number("t", 0);
+  if (line.event.empty()) {
+    return std::nullopt;
+  }
+  return line;
+}
+
+std::optional<Explanation> explainRequest(const std::vector<LogLine>& aLines, std::string_view aId)
+{
+  Explanation explanation;
+  for (const LogLine& line : aLines) {
+    if (line.field("id") == aId) {
+      explanation.request.push_back(line);
+    }
+  }
+  if (explanation.request.empty()) {
+    return std::nullopt;
+  }
+  std::stable_sort(explanation.request.begin(),
+                   explanation.request.end(),
+                   [](const LogLine& aLeft, const LogLine& aRight) {
+                     return aLeft.stamp && aRight.stamp
+                              ? *aLeft.stamp < *aRight.stamp
+                              : aLeft.node == aRight.node && aLeft.steadyMs < aRight.steadyMs;
+                   });
+  const LogLine& end = explanation.request.back();
+  for (const LogLine& line : aLines) {
+    if (line.node == end.node && isChange(line) && line.steadyMs <= end.steadyMs &&
+        end.steadyMs - line.steadyMs <= kContextMs) {
+      explanation.context.push_back(line);
+    }
+  }
+  explanation.cause = end.event == "request"
+                        ? causeOf(aLines, explanation.request, end)
+                        : "its end was not logged: the process was lost, or lines were dropped";
+  return explanation;
+}
+
+} // namespace boragepitch::bpctl
