Move the last streams of an engine that loads other weights

Cause: on each version bump an engine took nothing for about 2 s, until its longest stream had ended; all engines do so within 3 s. Change: a loader drains for 0.7 s or until 3 streams are left, then orders the load at once; the entries continue these streams elsewhere, before all other work (priority 0), rather at an engine with the new weights. Done only where every route of the service may be resumed and it has 4 engines or more. Turns are announced 0.8 s ahead and spared by placement, reports come every 40 ms during a switch, and what an entry sent since the last report counts once more, by half, for each other entry. A failed send's line names the obstacle to another one, a refusal its candidates and the soonest prediction. Tests: rollout.SwitchTest, serving.EndpointSetTest, serving.DeploymentTest, relay.RelayTest.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -44,6 +44,7 @@
 constexpr base::Milliseconds kRetryAfterFullSpread = 120ms;
 /** While nothing is known or listed, changes take a second or more. */
 constexpr base::Milliseconds kRetryAfterMissing = 1000ms;
+constexpr int kHighestPriority = 0;
 constexpr int kLowestPriority = 9;
 constexpr std::string_view kEventStream = "text/event-stream";
 
@@ -183,10 +184,11 @@
   request.promptTokens = mFacts.promptTokens;
   request.firstEventBudget = mFirstDue - aNow;
   // What was sent before is served late rather than refused.
-  request.isLate = mSends > 0;
+  request.isLate = mSends > 0 && !mBegan;
+  request.isUrgent = mBegan;
   if (mService->engine) {
     request.minWeightVersion = mCore.requiredVersion(mFacts.model, aNow);
-    request.streamWeightVersion = mBegan ? mStreamWeights : 0;
+    request.newestWeightVersion = mCore.newestVersion(mFacts.model);
   }
   return request;
 }
@@ -195,6 +197,8 @@
 {
   auto request = placementRequest(aNow);
   auto placement = mCore.endpoints.choose(request, aNow, mCore.rng);
+  mCandidates = placement.candidates;
+  mBestMs = placement.predictedMs;
   if (!placement.endpoint) {
     giveUp(aNow, serving::toString(placement.refusal));
     return;
@@ -238,6 +242,10 @@
     facts.priority = *mWorkspace->priority;
   }
   facts.priority = std::clamp(facts.priority, 0, kLowestPriority);
+  if (mBegan) {
+    // Its caller is reading: a pause shows at once.
+    facts.priority = kHighestPriority;
+  }
   facts.lastEvent = mLastEvent;
   if (mService->engine) {
     if (mCore.requiredVersion(mFacts.model, aNow) != 0) {
@@ -318,7 +326,6 @@
   if (!mBegan) {
     mBegan = true;
     mFirstEventAt = aNow;
-    mStreamWeights = mEndpoint->weightVersion();
     mCore.metrics.firstByte.record(aNow - mRequest.received);
     mSession.beginStream(mHead->status, answerHeaders(*mHead));
   } else {
@@ -436,7 +443,8 @@
   if (aResult.mayHaveRun) {
     ++mRuns;
   }
-  bool again = mayTryAgain(aResult, aNow);
+  std::string_view obstacle = obstacleToRetry(aResult, aNow);
+  bool again = obstacle.empty();
   mCore.log.write(telemetry::Weight::Refused,
                   "send_failed",
                   { { "id", mFacts.attemptId },
@@ -446,7 +454,8 @@
                     { "events", std::to_string(mEvents) },
                     { "sends", std::to_string(mSends) },
                     { "after_ms", milliseconds(aNow - mSentAt) },
-                    { "again", again ? "yes" : "no" } },
+                    { "again", again ? "yes" : "no" },
+                    { "obstacle", again ? "-" : std::string(obstacle) } },
                   aNow);
   if (!again) {
     giveUp(aNow, aResult.reason);
@@ -459,25 +468,25 @@
   send(aNow);
 }
 
-bool Call::mayTryAgain(const SendResult& aResult, base::TimePoint aNow)
+std::string_view Call::obstacleToRetry(const SendResult& aResult, base::TimePoint aNow)
 {
   if (mSends >= kMaxSends || mDeadline - aNow < kLeastTimeLeft) {
-    return false;
+    return "no_time";
   }
   if (mRuns > 0 && (!mRoute->mayRepeat() || mRuns >= mRoute->maxAttempts)) {
-    return false;
+    return "attempts";
   }
   if (mBegan && !mLastEvent) {
-    return false; // Without event ids there is no place to continue at.
+    return "no_event_ids"; // There is no place to continue at.
   }
   if (aResult.mayHaveRun && mCore.suspects.isQuarantined(mFingerprint, aNow)) {
-    return false;
+    return "quarantined";
   }
   auto request = placementRequest(aNow);
   if (!mCore.endpoints.choose(request, aNow, mCore.rng).endpoint) {
-    return false;
+    return "no_endpoint";
   }
-  return mCore.ledger.tryRetry(mService->name, aNow);
+  return mCore.ledger.tryRetry(mService->name, aNow) ? "" : "budget";
 }
 
 base::Duration Call::patience() const
@@ -624,6 +633,8 @@
                     { "reason", aReason.empty() ? "-" : std::string(aReason) },
                     { "config", std::to_string(mDeployment ? mDeployment->version() : 0) },
                     { "endpoint", mEndpoint ? mEndpoint->record.id : "-" },
+                    { "candidates", std::to_string(mCandidates) },
+                    { "best_ms", std::to_string(std::lround(mBestMs)) },
                     { "load", std::to_string(mLoadAtSend) },
                     { "predicted_ms", std::to_string(std::lround(mOccupancy.predictedMs)) },
                     { "late", mRuns > 0 ? "yes" : "no" },
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -52,7 +52,8 @@
   void send(base::TimePoint aNow);
   std::string forwardMessage(base::TimePoint aNow) const;
   void sendFailed(const SendResult& aResult, base::TimePoint aNow);
-  bool mayTryAgain(const SendResult& aResult, base::TimePoint aNow);
+  /** Why the request is not sent again; empty, and a repeat is spent, when it may be. */
+  std::string_view obstacleToRetry(const SendResult& aResult, base::TimePoint aNow);
   void endSend(serving::Outcome aOutcome, base::TimePoint aNow);
   void abortSend(const SendResult& aResult, base::TimePoint aNow);
   void takeEvent(const serving::StreamEvent& aEvent, base::TimePoint aNow);
@@ -95,6 +96,8 @@
   base::TimePoint mFirstDue; ///< Until then a first event is in time.
 
   int mLoadAtSend = 0; ///< Requests at the endpoint, as they were known at the send.
+  int mCandidates = 0; ///< Endpoints that were allowed when one was chosen.
+  double mBestMs = 0;  ///< Soonest first event that was predicted then.
   base::Duration mReportAge{ -1 };
 
   std::optional<AnswerHead> mHead; ///< Of the present send.
@@ -104,8 +107,7 @@
   std::optional<std::pair<AnswerHead, std::string>> mFailure;
 
   serving::EventSplitter mSplitter;
-  uint64_t mStreamWeights = 0; ///< Version on which the stream began.
-  bool mBegan = false;         ///< The head of the answer was sent to the caller.
+  bool mBegan = false; ///< The head of the answer was sent to the caller.
   std::optional<uint64_t> mLastEvent;
   uint64_t mEvents = 0;
   std::optional<base::TimePoint> mFirstEventAt;
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -59,6 +59,12 @@
   return required;
 }
 
+uint64_t Core::newestVersion(const std::string& aModel) const
+{
+  auto found = versions.find(aModel);
+  return found == versions.end() || found->second.empty() ? 0 : found->second.back().version;
+}
+
 void Core::shareCrash(const serving::CrashEvidence& aEvidence)
 {
   std::string text = serving::encode(aEvidence);
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -53,6 +53,8 @@
 
   /** The oldest version that a request for the model may start on now; 0 for any. */
   uint64_t requiredVersion(const std::string& aModel, base::TimePoint aNow) const;
+  /** The newest declared version of the model; 0 when none was declared. */
+  uint64_t newestVersion(const std::string& aModel) const;
   /** Tells the other entries, more than once, since a datagram may be lost. */
   void shareCrash(const serving::CrashEvidence& aEvidence);
   bool isReady() const { return !leaving && deployment != nullptr && listKnown; }
--- a/libs/relay/tests/RelayTest.cpp
+++ b/libs/relay/tests/RelayTest.cpp
@@ -36,6 +36,7 @@
   {
     std::erase_if(aHeaders, [](const HeaderLine& aLine) { return aLine.name == "Key"; });
     aHeaders.push_back({ "Expect-Endpoint", aFacts.endpointId });
+    aHeaders.push_back({ "Priority", std::to_string(aFacts.priority) });
     if (aFacts.lastEvent) {
       aHeaders.push_back({ "Last", std::to_string(*aFacts.lastEvent) });
     }
@@ -472,6 +473,8 @@
       return head + chunk(event(1)) + chunk(event(2) + "id: 3\nda") + "CLOSE";
     }
     BOOST_TEST(aRequest.find("Last: 2") != std::string::npos);
+    // Its caller is reading: it goes before what has not begun.
+    BOOST_TEST(aRequest.find("Priority: 0") != std::string::npos);
     return head + chunk(event(3)) + chunk(event(4)) + "0\r\n\r\n";
   };
   FakeEndpoint first(script);
--- a/libs/rollout/include/rollout/SwitchCore.h
+++ b/libs/rollout/include/rollout/SwitchCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -35,6 +36,11 @@
   void want(uint64_t aVersion, base::TimePoint aTurn);
   /** True when the staged weights are to be verified and loaded now. */
   bool isDue(const EngineWeights& aEngine, bool aStagedWhole, base::TimePoint aNow) const;
+  /** True when isDue() will be within aAhead, as far as the turn decides. */
+  bool isNear(const EngineWeights& aEngine,
+              bool aStagedWhole,
+              base::Duration aAhead,
+              base::TimePoint aNow) const;
   void ordered(const EngineWeights& aEngine, base::TimePoint aNow);
   uint64_t wanted() const { return mWanted; }
 
@@ -61,6 +67,25 @@
                          base::Duration aWindowStart,
                          base::Duration aWindow);
 
+/** What an endpoint does with the streams that run when it switches. */
+enum class RunningStreams
+{
+  Finish, ///< It takes nothing new until they have ended.
+  Move,   ///< They go on at other endpoints.
+};
+
+/**
+ * Answers a rollout under load: an endpoint that waits for its longest stream is lost for seconds,
+ * and all of them are within a short window; a stream that moves costs only its prompt once more.
+ * @param aMayMove every stream of the service may go on elsewhere.
+ * @param aEndpoints of the service; a few could not take the streams of one.
+ */
+RunningStreams streamsAtSwitch(bool aMayMove, size_t aEndpoints);
+
+/** Whether the streams that are left may be broken off, which is when few are or after a while:
+ * most end meanwhile, and each that moves is a pause to its caller. */
+bool mayStopStreams(int aRunning, base::Duration aDrainedFor);
+
 /**
  * Whether a transfer is expected to be whole in time. Answers versions that are declared shortly
  * after each other: each switch costs an engine the time to finish what runs, so that an older
--- a/libs/rollout/src/SwitchCore.cpp
+++ b/libs/rollout/src/SwitchCore.cpp
@@ -10,6 +10,12 @@
 /** A transfer without progress after this time has no source. */
 constexpr base::Milliseconds kNoProgress{ 1500 };
 constexpr double kLittleProgress = 0.02;
+/** Endpoints of a service among which the streams of one are little for each. */
+constexpr size_t kLeastToMove = 4;
+/** Streams whose prompts are read again within a fraction of a second. */
+constexpr int kFewStreams = 3;
+/** About the usual length of a stream under load. */
+constexpr base::Milliseconds kLongestDrain{ 700 };
 } // namespace
 
 SwitchCore::SwitchCore(SwitchOptions aOptions)
@@ -39,6 +45,14 @@
   return aEngine.version == 0 || aNow >= mTurn;
 }
 
+bool SwitchCore::isNear(const EngineWeights& aEngine,
+                        bool aStagedWhole,
+                        base::Duration aAhead,
+                        base::TimePoint aNow) const
+{
+  return isDue(aEngine, aStagedWhole, aNow + aAhead);
+}
+
 void SwitchCore::ordered(const EngineWeights& aEngine, base::TimePoint aNow)
 {
   mOrder = Order{ mWanted, aEngine.born, aNow };
@@ -54,6 +68,16 @@
          aWindow * static_cast<int64_t>(std::min(aRank, count)) / static_cast<int64_t>(count);
 }
 
+RunningStreams streamsAtSwitch(bool aMayMove, size_t aEndpoints)
+{
+  return aMayMove && aEndpoints >= kLeastToMove ? RunningStreams::Move : RunningStreams::Finish;
+}
+
+bool mayStopStreams(int aRunning, base::Duration aDrainedFor)
+{
+  return aRunning <= kFewStreams || aDrainedFor >= kLongestDrain;
+}
+
 bool isExpectedWithin(double aHeld, base::Duration aSince, base::Duration aLeft)
 {
   if (aHeld < kLittleProgress) {
--- a/libs/rollout/tests/SwitchTest.cpp
+++ b/libs/rollout/tests/SwitchTest.cpp
@@ -67,3 +67,29 @@
   core.want(2, kNow);
   BOOST_TEST(core.wanted() == 3U);
 }
+
+// Rollout under load: an engine that waits for its longest stream is lost for seconds, and all of
+// them within one window.
+BOOST_AUTO_TEST_CASE(movesTheLastStreamsOfManyEndpoints)
+{
+  BOOST_TEST((streamsAtSwitch(true, 14) == RunningStreams::Move));
+  BOOST_TEST((streamsAtSwitch(false, 14) == RunningStreams::Finish));
+  BOOST_TEST((streamsAtSwitch(true, 2) == RunningStreams::Finish));
+  BOOST_TEST(!mayStopStreams(12, 0ms));
+  BOOST_TEST(!mayStopStreams(12, 600ms));
+  BOOST_TEST(mayStopStreams(12, 700ms));
+  BOOST_TEST(mayStopStreams(2, 0ms));
+}
+
+// Guards against moves that exhaust the budget for repeats: streams that end by themselves within
+// the drain are the greater part.
+BOOST_AUTO_TEST_CASE(aTurnIsAnnouncedBeforeItComes)
+{
+  SwitchCore core;
+  core.want(2, kNow + 3s);
+  EngineWeights engine{ .born = 1, .version = 1 };
+  BOOST_TEST(!core.isNear(engine, true, 800ms, kNow + 2s));
+  BOOST_TEST(core.isNear(engine, true, 800ms, kNow + 2300ms));
+  BOOST_TEST(!core.isNear(engine, false, 800ms, kNow + 2300ms));
+  BOOST_TEST(!core.isNear({ .born = 1, .version = 2 }, true, 800ms, kNow + 2300ms));
+}
--- a/libs/serving/include/serving/Deployment.h
+++ b/libs/serving/include/serving/Deployment.h
@@ -142,6 +142,8 @@
   /** Null for an unknown key. */
   const Workspace* workspaceOf(std::string_view aKey) const;
   const CallerLimits& limits() const { return mLimits; }
+  /** Whether every request of the service is a stream that any of its endpoints may continue. */
+  bool mayMoveStreams(std::string_view aService) const;
   size_t routeCount() const { return mRoutes.size(); }
 
 private:
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -46,6 +46,7 @@
   double memoryUsed = 0;      ///< Share of the memory for requests that is in use, 0 to 1.
   uint64_t weightVersion = 0; ///< 0 while it holds no complete weights.
   bool isSwitching = false;   ///< An order is under way: it takes no new requests.
+  bool switchesSoon = false;  ///< Its turn to load other weights comes within a second.
 };
 
 /** How a request that was sent to an endpoint ended, as far as it tells about the endpoint. */
@@ -73,8 +74,14 @@
   int waiting = 0;            ///< Those of them that have no first event yet, late ones excluded.
   double waitingPromptMs = 0; ///< Time to read the prompts of these.
   int lateWaiting = 0;        ///< Late ones that have no first event yet.
+  int urgentWaiting = 0;      ///< Streams that go on here and have no event from it yet.
+  double urgentPromptMs = 0;  ///< Time to read the prompts of these.
+
+  int unreported = 0; ///< Waiting ones that were sent after the latest report.
+  double unreportedPromptMs = 0;
 
   std::optional<LoadReport> report;
+  uint64_t reports = 0; ///< Number of reports learned.
   base::TimePoint reportedAt;
   int begunAtReport = 0;   ///< Own requests with a first event.
   int waitingAtReport = 0; ///< Own requests without, late ones included.
@@ -127,9 +134,12 @@
   base::Duration firstEventBudget = base::Duration::max();
   /** The budget cannot be met any more: the request uses capacity that others leave. */
   bool isLate = false;
-  /** Version on which a stream began; endpoints with other weights are the last choice. 0 for any.
-   */
-  uint64_t streamWeightVersion = 0;
+  /** A stream that its caller is reading goes on at another endpoint: it goes before all others and
+   * is not refused for coming late. */
+  bool isUrgent = false;
+  /** The newest declared version. A stream that goes on prefers endpoints that hold it, since one
+   * that does not will be switched and would break the stream off again. */
+  uint64_t newestWeightVersion = 0;
 };
 
 enum class Refusal
@@ -147,8 +157,15 @@
   EndpointPtr endpoint; ///< Null when refused.
   Refusal refusal = Refusal::None;
   /** For the decision's log line. */
-  double predictedMs = 0; ///< Until the first event or answer.
-  int candidates = 0;
+  double predictedMs = 0; ///< Until the first event or answer; when refused, the soonest one.
+  int candidates = 0;     ///< Endpoints that were allowed.
+};
+
+/** When an endpoint would bring the first event or answer of a request. */
+struct Prediction
+{
+  double ms = 0;
+  bool isInTime = true;
 };
 
 /** What one request adds to an endpoint's load while it is there. */
@@ -157,7 +174,9 @@
   double promptMs = 0;
   double predictedMs = 0;
   bool isLate = false;
+  bool isUrgent = false;
   bool hasBegun = false;
+  uint64_t reports = 0; ///< Reports that were learned when it was sent.
 };
 
 /**
@@ -200,13 +219,13 @@
 
 private:
   static void begin(Endpoint& aEndpoint, Occupancy& aOccupancy);
-  /** Until the first event or answer; empty when there is no place for the request. */
-  std::optional<double> predictMs(const Endpoint& aEndpoint,
-                                  const PlacementRequest& aRequest,
-                                  base::TimePoint aNow) const;
-  std::optional<double> predictEngineMs(const Endpoint& aEndpoint,
-                                        const PlacementRequest& aRequest,
-                                        base::TimePoint aNow) const;
+  /** Empty when there is no place for the request. */
+  std::optional<Prediction> predict(const Endpoint& aEndpoint,
+                                    const PlacementRequest& aRequest,
+                                    base::TimePoint aNow) const;
+  std::optional<Prediction> predictEngine(const Endpoint& aEndpoint,
+                                          const PlacementRequest& aRequest,
+                                          base::TimePoint aNow) const;
   bool isAllowed(const Endpoint& aEndpoint,
                  const PlacementRequest& aRequest,
                  base::TimePoint aNow) const;
--- a/libs/serving/src/Deployment.cpp
+++ b/libs/serving/src/Deployment.cpp
@@ -106,6 +106,28 @@
   return found == mServices.end() ? nullptr : &found->second;
 }
 
+bool Deployment::mayMoveStreams(std::string_view aService) const
+{
+  auto servesIt = [&](const Route& aRoute) {
+    return std::any_of(aRoute.services.begin(), aRoute.services.end(), [&](const auto& aPart) {
+      return aPart.service == aService;
+    });
+  };
+  bool any = false;
+  for (const auto& route : mRoutes) {
+    if (servesIt(*route)) {
+      any = true;
+      if (route->kind != CallKind::Streaming || !route->isResumable || route->maxAttempts < 2 ||
+          !route->regions.empty()) {
+        return false;
+      }
+    }
+  }
+  return any && std::all_of(mWorkspaces.begin(), mWorkspaces.end(), [](const auto& aWorkspace) {
+           return aWorkspace->regions.empty();
+         });
+}
+
 const Workspace* Deployment::workspaceOf(std::string_view aKey) const
 {
   auto found = mByKey.find(aKey);
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "serving/EngineModel.h"
@@ -25,8 +26,11 @@
 constexpr base::Milliseconds kMisdirectedPause = 1000ms;
 /** What a failure costs on average: another send. */
 constexpr double kFailureCostMs = 400;
-/** More than any load: a stream continues on other weights only where no endpoint has its own. */
-constexpr double kOtherWeightsCostMs = 10000;
+/** What it costs a stream to go on at an endpoint that is to be switched: about one more move, as
+ * often as the switch comes before its end. */
+constexpr double kOldWeightsCostMs = 150;
+/** What it costs to start a stream just before its endpoint switches: most would have to move. */
+constexpr double kSwitchesSoonCostMs = 60;
 /** Memory use above which long contexts make an engine preempt requests. */
 constexpr double kMemoryFull = 0.92;
 /** Differences below this are not worth a preference; spreads equal endpoints at random. */
@@ -36,11 +40,19 @@
 constexpr double kOthersAhead = 0.5;
 /** Other processes send at the same moment: the prompts that wait are this many times one's own. */
 constexpr double kConcurrentPrompts = 1.5;
+/** Part of what one sent since the last report that each other process has sent too. */
+constexpr double kConcurrentShare = 0.5;
 /** Requests at an engine beyond its slots, late ones included; its own queue holds twice that. */
 constexpr int kMostBeyondSlots = 12;
 /** Usual time of a call to a plain service, until its endpoints' slots are taken. */
 constexpr double kPlainCallMs = 15;
 
+/** Own requests at the endpoint that have no event from it yet. */
+int waitingOf(const Endpoint& aEndpoint)
+{
+  return aEndpoint.waiting + aEndpoint.lateWaiting + aEndpoint.urgentWaiting;
+}
+
 } // namespace
 
 std::string_view toString(Outcome aOutcome)
@@ -135,8 +147,11 @@
     if (endpoint->record.address.toString() == aReport.address &&
         endpoint->record.born == aReport.born) {
       endpoint->report = aReport;
+      ++endpoint->reports;
+      endpoint->unreported = 0;
+      endpoint->unreportedPromptMs = 0;
       endpoint->reportedAt = aNow;
-      endpoint->waitingAtReport = endpoint->waiting + endpoint->lateWaiting;
+      endpoint->waitingAtReport = waitingOf(*endpoint);
       endpoint->begunAtReport = endpoint->inFlight - endpoint->waitingAtReport;
     }
   }
@@ -153,30 +168,30 @@
   return aEndpoint.inFlight + others;
 }
 
-std::optional<double> EndpointSet::predictMs(const Endpoint& aEndpoint,
-                                             const PlacementRequest& aRequest,
-                                             base::TimePoint aNow) const
+std::optional<Prediction> EndpointSet::predict(const Endpoint& aEndpoint,
+                                               const PlacementRequest& aRequest,
+                                               base::TimePoint aNow) const
 {
   if (aRequest.service->engine) {
-    return predictEngineMs(aEndpoint, aRequest, aNow);
+    return predictEngine(aEndpoint, aRequest, aNow);
   }
   int load = EndpointSet::load(aEndpoint, aNow);
   if (load >= aEndpoint.record.slots * mOptions.plainOverbooking) {
     return std::nullopt;
   }
-  return kPlainCallMs * (1 + static_cast<double>(load) / aEndpoint.record.slots);
+  return Prediction{ kPlainCallMs * (1 + static_cast<double>(load) / aEndpoint.record.slots) };
 }
 
-std::optional<double> EndpointSet::predictEngineMs(const Endpoint& aEndpoint,
-                                                   const PlacementRequest& aRequest,
-                                                   base::TimePoint aNow) const
+std::optional<Prediction> EndpointSet::predictEngine(const Endpoint& aEndpoint,
+                                                     const PlacementRequest& aRequest,
+                                                     base::TimePoint aNow) const
 {
   const EngineProfile& profile = *aRequest.service->engine;
-  int ownWaiting = aEndpoint.waiting + aEndpoint.lateWaiting;
+  int ownWaiting = waitingOf(aEndpoint);
   EngineLoad load;
   load.running = aEndpoint.inFlight - ownWaiting;
-  load.waiting = aEndpoint.waiting;
-  load.waitingPromptMs = kConcurrentPrompts * aEndpoint.waitingPromptMs;
+  load.waiting = aEndpoint.urgentWaiting;
+  load.waitingPromptMs = kConcurrentPrompts * aEndpoint.urgentPromptMs;
   double pace = 1;
   int othersWaiting = 0;
   if (aEndpoint.report && aNow - aEndpoint.reportedAt < kReportLife) {
@@ -186,7 +201,13 @@
     pace = std::max(1.0, report.pace);
   }
   load.running = std::min(load.running, profile.slots);
-  load.waiting += kOthersAhead * othersWaiting;
+  if (!aRequest.isUrgent) {
+    double concurrent = kConcurrentShare * (mSenders - 1);
+    load.waiting +=
+      aEndpoint.waiting + kOthersAhead * othersWaiting + concurrent * aEndpoint.unreported;
+    load.waitingPromptMs +=
+      kConcurrentPrompts * aEndpoint.waitingPromptMs + concurrent * aEndpoint.unreportedPromptMs;
+  }
   int beyond = load.running + ownWaiting + othersWaiting - profile.slots;
   if (beyond >= kMostBeyondSlots) {
     return std::nullopt;
@@ -200,10 +221,7 @@
   double budget = std::chrono::duration<double, std::milli>(aRequest.firstEventBudget).count();
   double allowed = std::max(mOptions.budgetFactor * budget,
                             std::min(budget, static_cast<double>(mOptions.leastBudget.count())));
-  if (!aRequest.isLate && predicted > allowed) {
-    return std::nullopt;
-  }
-  return predicted;
+  return Prediction{ predicted, aRequest.isLate || aRequest.isUrgent || predicted <= allowed };
 }
 
 bool EndpointSet::isAllowed(const Endpoint& aEndpoint,
@@ -259,9 +277,11 @@
   if (aEndpoint.record.region != mOptions.region) {
     cost += static_cast<double>(mOptions.remotePenalty.count());
   }
-  if (aRequest.streamWeightVersion != 0 &&
-      aEndpoint.weightVersion() != aRequest.streamWeightVersion) {
-    cost += kOtherWeightsCostMs;
+  if (aEndpoint.report && aEndpoint.report->switchesSoon) {
+    cost += kSwitchesSoonCostMs;
+  }
+  if (aRequest.isUrgent && aEndpoint.weightVersion() < aRequest.newestWeightVersion) {
+    cost += kOldWeightsCostMs;
   }
   return cost;
 }
@@ -273,6 +293,7 @@
   Placement best;
   best.refusal = Refusal::NoEndpoint;
   double bestCost = 0;
+  double soonest = std::numeric_limits<double>::infinity();
   std::uniform_real_distribution<double> spread(0, kTieSpreadMs);
   bool lapsedOnly = std::none_of(mById.begin(), mById.end(), [&](const auto& aEntry) {
     return !aEntry.second->isLapsed && isAllowed(*aEntry.second, aRequest, aNow);
@@ -285,8 +306,9 @@
     bool onProbation = endpoint->silences > 0 && endpoint->inFlight > 0;
     bool memoryFull = endpoint->report && endpoint->report->memoryUsed > kMemoryFull;
     bool avoided = aNow < endpoint->avoidUntil || onProbation || memoryFull;
-    auto predicted = avoided ? std::nullopt : predictMs(*endpoint, aRequest, aNow);
-    if (!predicted) {
+    auto predicted = avoided ? std::nullopt : predict(*endpoint, aRequest, aNow);
+    soonest = predicted ? std::min(soonest, predicted->ms) : soonest;
+    if (!predicted || !predicted->isInTime) {
       best.refusal = best.endpoint ? best.refusal : Refusal::Full;
       continue;
     }
@@ -294,14 +316,17 @@
       best.refusal = best.endpoint ? best.refusal : Refusal::Cold;
       continue;
     }
-    double cost = costMs(*endpoint, aRequest, *predicted) + spread(aRng);
+    double cost = costMs(*endpoint, aRequest, predicted->ms) + spread(aRng);
     if (!best.endpoint || cost < bestCost) {
       best.endpoint = endpoint;
       best.refusal = Refusal::None;
-      best.predictedMs = *predicted;
+      best.predictedMs = predicted->ms;
       bestCost = cost;
     }
   }
+  if (!best.endpoint && std::isfinite(soonest)) {
+    best.predictedMs = soonest;
+  }
   return best;
 }
 
@@ -313,15 +338,22 @@
   Occupancy occupancy;
   occupancy.predictedMs = aPlacement.predictedMs;
   occupancy.isLate = aRequest.isLate;
+  occupancy.isUrgent = aRequest.isUrgent;
   if (aRequest.service->engine) {
     occupancy.promptMs = EngineModel(*aRequest.service->engine).promptMs(aRequest.promptTokens);
   }
   ++endpoint.inFlight;
-  if (occupancy.isLate) {
+  if (occupancy.isUrgent) {
+    ++endpoint.urgentWaiting;
+    endpoint.urgentPromptMs += occupancy.promptMs;
+  } else if (occupancy.isLate) {
     ++endpoint.lateWaiting;
   } else {
     ++endpoint.waiting;
     endpoint.waitingPromptMs += occupancy.promptMs;
+    occupancy.reports = endpoint.reports;
+    ++endpoint.unreported;
+    endpoint.unreportedPromptMs += occupancy.promptMs;
   }
   std::erase_if(endpoint.recentSends, [&](base::TimePoint aAt) { return aNow - aAt >= 1s; });
   endpoint.recentSends.push_back(aNow);
@@ -333,11 +365,18 @@
   if (std::exchange(aOccupancy.hasBegun, true)) {
     return;
   }
-  if (aOccupancy.isLate) {
+  if (aOccupancy.isUrgent) {
+    --aEndpoint.urgentWaiting;
+    aEndpoint.urgentPromptMs -= aOccupancy.promptMs;
+  } else if (aOccupancy.isLate) {
     --aEndpoint.lateWaiting;
   } else {
     --aEndpoint.waiting;
     aEndpoint.waitingPromptMs -= aOccupancy.promptMs;
+    if (aOccupancy.reports == aEndpoint.reports) {
+      --aEndpoint.unreported;
+      aEndpoint.unreportedPromptMs -= aOccupancy.promptMs;
+    }
   }
 }
 
@@ -379,7 +418,7 @@
 void EndpointSet::firstEvent(Endpoint& aEndpoint, Occupancy& aOccupancy, base::Duration aAfter)
 {
   begin(aEndpoint, aOccupancy);
-  if (!aOccupancy.isLate) {
+  if (!aOccupancy.isLate && !aOccupancy.isUrgent) {
     double ms = std::chrono::duration<double, std::milli>(aAfter).count();
     double error = ms - aOccupancy.predictedMs;
     aEndpoint.predictionErrorMs += kAverageWeight * (error - aEndpoint.predictionErrorMs);
--- a/libs/serving/src/PeerMessage.cpp
+++ b/libs/serving/src/PeerMessage.cpp
@@ -23,6 +23,7 @@
   json["memory"] = aReport.memoryUsed;
   json["weights"] = Json::UInt64{ aReport.weightVersion };
   json["switching"] = aReport.isSwitching;
+  json["soon"] = aReport.switchesSoon;
   return json;
 }
 
@@ -66,6 +67,7 @@
   report.memoryUsed = numberOr(aJson, "memory", 0);
   report.weightVersion = static_cast<uint64_t>(*weights);
   report.isSwitching = base::boolOr(aJson, "switching", false);
+  report.switchesSoon = base::boolOr(aJson, "soon", false);
   return PeerMessage(report);
 }
 
--- a/libs/serving/tests/DeploymentTest.cpp
+++ b/libs/serving/tests/DeploymentTest.cpp
@@ -61,3 +61,38 @@
   stream.kind = CallKind::Mutating;
   BOOST_TEST(!stream.mayRepeat());
 }
+
+// Guards against breaking off what no other endpoint may continue.
+BOOST_AUTO_TEST_CASE(streamsMoveOnlyWhereEveryRouteAllowsIt)
+{
+  Route stream = route("s", "h", "/");
+  stream.kind = CallKind::Streaming;
+  stream.maxAttempts = 2;
+  stream.isResumable = true;
+  stream.services = { { "drafter" } };
+  auto mayMove = [](std::vector<Route> aRoutes, Regions aWorkspaceRegions = {}) {
+    Deployment::Builder builder;
+    for (Route& route : aRoutes) {
+      builder.addRoute(route);
+    }
+    builder.addWorkspace({ .name = "w", .regions = std::move(aWorkspaceRegions) }, {});
+    return builder.build()->mayMoveStreams("drafter");
+  };
+  BOOST_TEST(mayMove({ stream }));
+  BOOST_TEST(!mayMove({}));
+  BOOST_TEST(!mayMove({ stream }, { "north" }));
+  Route other = stream;
+  other.isResumable = false;
+  BOOST_TEST(!mayMove({ stream, other }));
+  other = stream;
+  other.maxAttempts = 1;
+  BOOST_TEST(!mayMove({ stream, other }));
+  other = stream;
+  other.kind = CallKind::Idempotent;
+  BOOST_TEST(!mayMove({ stream, other }));
+  other.services = { { "another" } };
+  BOOST_TEST(mayMove({ stream, other }));
+  other = stream;
+  other.regions = { "north" };
+  BOOST_TEST(!mayMove({ stream, other }));
+}
--- a/libs/serving/tests/EndpointSetTest.cpp
+++ b/libs/serving/tests/EndpointSetTest.cpp
@@ -204,6 +204,78 @@
   BOOST_TEST(places.count("b") == 4U);
 }
 
+// Several entries without shared memory: what one sends since the last report, the others are taken
+// to have sent too; the next report tells the truth.
+BOOST_FIXTURE_TEST_CASE(othersAreTakenToSendAsMuch, Fixture)
+{
+  list("n", "north", drafter);
+  auto admittedBy = [&](int aSenders) {
+    set.setSenders(aSenders);
+    set.learn(report("n", 0, 0), now);
+    int admitted = 0;
+    while (admitted < 100 && !place(request(drafter)).empty()) {
+      ++admitted;
+    }
+    for (auto& [endpoint, occupancy] : held) {
+      set.finished(*endpoint, occupancy, Outcome::Abandoned, now);
+    }
+    held.clear();
+    return admitted;
+  };
+  int alone = admittedBy(1);
+  int among = admittedBy(6);
+  BOOST_TEST(among < alone);
+  BOOST_TEST(among >= 1);
+  BOOST_TEST(admittedBy(1) == alone);
+}
+
+// Guards against counts that drift when a report comes between the start and the first event.
+BOOST_FIXTURE_TEST_CASE(reportsClearWhatTheyShow, Fixture)
+{
+  list("n", "north", drafter);
+  place(request(drafter));
+  BOOST_TEST(set.all().at("n")->unreported == 1);
+  set.learn(report("n", 0, 1), now);
+  BOOST_TEST(set.all().at("n")->unreported == 0);
+  place(request(drafter));
+  beginAll();
+  BOOST_TEST(set.all().at("n")->unreported == 0);
+  BOOST_TEST(std::abs(set.all().at("n")->unreportedPromptMs) < 1e-6);
+}
+
+// Rollout: a stream that was broken off goes on at once, also at an endpoint that is full for new
+// requests, and rather where it is not broken off again.
+BOOST_FIXTURE_TEST_CASE(streamThatGoesOnIsNotRefused, Fixture)
+{
+  list("old", "north", drafter, 1);
+  while (!place(request(drafter)).empty()) {
+  }
+  auto moved = request(drafter);
+  moved.isUrgent = true;
+  moved.firstEventBudget = -200ms;
+  moved.newestWeightVersion = 2;
+  BOOST_TEST(place(moved) == "old");
+  BOOST_TEST(set.all().at("old")->urgentWaiting == 1);
+  beginAll();
+  BOOST_TEST(set.all().at("old")->urgentWaiting == 0);
+  list("new", "south", drafter, 2);
+  BOOST_TEST(place(moved) == "new");
+}
+
+// Rollout: an endpoint whose turn comes soon gets a new request only when the others are busier.
+BOOST_FIXTURE_TEST_CASE(endpointThatSwitchesSoonIsSpared, Fixture)
+{
+  list("soon", "north", drafter);
+  list("later", "north", drafter);
+  auto soon = report("soon", 0, 0);
+  soon.switchesSoon = true;
+  set.learn(soon, now);
+  set.learn(report("later", 2, 0), now);
+  BOOST_TEST(place(request(drafter)) == "later");
+  set.learn(report("later", 16, 3), now);
+  BOOST_TEST(place(request(drafter)) == "soon");
+}
+
 // An endpoint that turned cold crashes above its rate, summed over all entries.
 BOOST_FIXTURE_TEST_CASE(coldEndpointIsSharedByAllEntries, Fixture)
 {
--- a/libs/serving/tests/TextTest.cpp
+++ b/libs/serving/tests/TextTest.cpp
@@ -71,6 +71,7 @@
   report.running = aRunning;
   report.weightVersion = aBorn / 2;
   report.isSwitching = aSwitching;
+  report.switchesSoon = !aSwitching;
   auto decoded = decode(encode(report));
   RC_ASSERT(decoded.has_value());
   const auto& back = std::get<LoadReport>(*decoded);
@@ -78,6 +79,7 @@
   RC_ASSERT(back.running == report.running);
   RC_ASSERT(back.weightVersion == report.weightVersion);
   RC_ASSERT(back.isSwitching == aSwitching);
+  RC_ASSERT(back.switchesSoon == !aSwitching);
 }
 
 // Guards against a datagram of another sender that changes what the process believes.
--- a/tools/loader/LoadReporter.cpp
+++ b/tools/loader/LoadReporter.cpp
@@ -15,6 +15,8 @@
 
 /** An unchanged report is repeated after this, since a datagram may be lost and reports expire. */
 constexpr base::Milliseconds kRepeat = 600ms;
+/** Between two reads during a switch: an engine that is ready again is wanted at once. */
+constexpr base::Milliseconds kSwitchInterval = 40ms;
 
 } // namespace
 
@@ -66,7 +68,8 @@
     read(now);
     mLog.flush(now);
     lock.lock();
-    mWake.wait_for(lock, mInterval, [this] { return mStopping; });
+    auto interval = mWeights.isSwitching() ? std::min(mInterval, kSwitchInterval) : mInterval;
+    mWake.wait_for(lock, interval, [this] { return mStopping; });
   }
 }
 
@@ -106,6 +109,7 @@
     }
     serving::LoadReport report = *mLatest;
     report.isSwitching = report.isSwitching || mWeights.isSwitching();
+    report.switchesSoon = mWeights.switchesSoon();
     text = serving::encode(report);
     if (text == mSent && aNow - mSentAt < kRepeat) {
       return;
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -18,12 +18,16 @@
 constexpr base::Milliseconds kManifestTurn = 120ms;
 /** Entries hear of a switch before the engine stops taking requests. */
 constexpr base::Milliseconds kAnnounceTime = 20ms;
+/** Between two looks at how many streams are left. */
+constexpr base::Milliseconds kDrainStep = 50ms;
+/** Entries prefer other endpoints for so long before a turn: about the length of a stream. */
+constexpr base::Milliseconds kSoon = 800ms;
 /** The first version of a model, which engines hold when nothing was ever declared. */
 constexpr uint64_t kFirstVersion = 1;
-/** Parts of the version time: turns begin when most engines have staged the weights, and end early
- * enough to finish what runs. */
-constexpr double kTurnsBegin = 0.35;
-constexpr double kTurnsLast = 0.48;
+/** Parts of the version time: turns begin when the first engines have staged the weights, and the
+ * last one is loaded when entries begin to require them. */
+constexpr double kTurnsBegin = 0.42;
+constexpr double kTurnsLast = 0.32;
 /** Chunks in flight and those that peers ask for just after they came; all are in the host too. */
 constexpr size_t kCacheBytes = 1 << 20;
 /** A version further back is not to be had from the origin. */
@@ -267,6 +271,9 @@
     }
     manifests.push_back(manifest);
     bool whole = std::find(held.begin(), held.end(), manifest->id().toString()) != held.end();
+    if (whole && !std::exchange(mKnown[target.version].isWhole, true)) {
+      log("weights_staged", { { "version", std::to_string(target.version) } });
+    }
     if (whole && !newest) {
       newest = manifest;
       newestVersion = target.version;
@@ -293,7 +300,9 @@
   bool newerComes = newest != manifests.front() && engine.version > 0 &&
                     comesInTime(manifests.front()->id(),
                                 declaredAt + base::Duration(mOptions.versionTime + kSkipGrace));
-  if (!newerComes && mSwitch.isDue(engine, newestVersion == mSwitch.wanted(), aNow)) {
+  bool staged = newestVersion == mSwitch.wanted();
+  mSwitchesSoon = !newerComes && mSwitch.isNear(engine, staged, kSoon, aNow);
+  if (!newerComes && mSwitch.isDue(engine, staged, aNow)) {
     order(*newest, newestVersion, aNow);
   }
 }
@@ -458,6 +467,12 @@
   mDistributor->want(std::move(wanted));
 }
 
+bool WeightLoader::mayMoveStreams() const
+{
+  std::lock_guard lock(mMutex);
+  return mDeployment && mDeployment->mayMoveStreams(mOptions.service);
+}
+
 void WeightLoader::order(const weights::Manifest& aManifest,
                          uint64_t aVersion,
                          base::TimePoint aNow)
@@ -472,18 +487,32 @@
   if (mAnnounce) {
     mAnnounce();
   }
+  auto streams = rollout::streamsAtSwitch(mayMoveStreams(), mFleet.rank().second);
+  bool move = streams == rollout::RunningStreams::Move;
   std::this_thread::sleep_for(kAnnounceTime);
   auto report = mEngine.report();
+  auto since = std::chrono::steady_clock::now();
+  while (move && report &&
+         !rollout::mayStopStreams(report->load.running, std::chrono::steady_clock::now() - since)) {
+    std::this_thread::sleep_for(kDrainStep);
+    report = mEngine.report();
+  }
   if (!report) {
     mSwitching = false;
     log("engine_silent", { { "error", report.error().describe() } });
     return;
   }
-  auto answer = mEngine.start(aManifest.model(), aVersion, report->orders);
+  auto answer =
+    mEngine.start(aManifest.model(),
+                  aVersion,
+                  report->orders,
+                  move ? platform::RunningRequests::Stop : platform::RunningRequests::Finish);
   bool begun = answer && *answer != platform::OrderAnswer::Refused;
   log("order",
       { { "version", std::to_string(aVersion) },
         { "from", std::to_string(report->load.weightVersion) },
+        { "streams", move ? "move" : "finish" },
+        { "running", std::to_string(report->load.running) },
         { "answer",
           !answer                                         ? answer.error().describe()
           : *answer == platform::OrderAnswer::Begun       ? "begun"
--- a/tools/loader/WeightLoader.h
+++ b/tools/loader/WeightLoader.h
@@ -69,6 +69,7 @@
   void onReport(const platform::EngineReport& aReport, base::TimePoint aNow);
   /** True from just before an order until the engine reports it. */
   bool isSwitching() const { return mSwitching; }
+  bool switchesSoon() const { return mSwitchesSoon; }
   /** Called just before an order, so that entries stop sending. */
   void beforeOrder(std::function<void()> aAnnounce) { mAnnounce = std::move(aAnnounce); }
   /** Called on the loader's thread with a manifest that other loaders do not know yet. */
@@ -92,9 +93,11 @@
     std::optional<weights::ManifestId> onceRead;
     base::TimePoint retryAt; ///< Earliest next call of the origin.
     bool isNew = true;       ///< Not looked for yet.
+    bool isWhole = false;    ///< All chunks are here.
   };
 
   void run();
+  bool mayMoveStreams() const;
   void step(base::TimePoint aNow);
   /** The model and the versions to hold, newest first; empty while the configuration is not known.
    */
@@ -127,6 +130,7 @@
   std::function<void()> mAnnounce;
   Publish mPublish;
   std::atomic<bool> mSwitching{ false };
+  std::atomic<bool> mSwitchesSoon{ false };
 
   mutable std::mutex mMutex;
   std::condition_variable mWake;
