Give loaders a table of their own instead of the operators' one

With 1,130 routes each change went to 35 loaders over the links between regions; entries got it more than 8 s after its acknowledgement and answered 404 for new routes. Change: entries publish what loaders need in the table boragepitch-weights: the setup of each service with engines, and declared versions with the time at which they were first seen. Manifests move there from the table of nodes. A loader's turns count from the declaration, also after a restart. Tests: router.WeightPublisherTest, router.OperatorListenerTest.

--- a/tools/loader/LoaderFleet.cpp
+++ b/tools/loader/LoaderFleet.cpp
@@ -8,11 +8,6 @@
 
 namespace boragepitch::tools {
 
-std::string manifestKey(const std::string& aModel, uint64_t aVersion)
-{
-  return kManifestPrefix + aModel + "/" + std::to_string(aVersion);
-}
-
 std::string writeLoaderRow(const LoaderRow& aRow)
 {
   Json::Value json;
@@ -101,17 +96,6 @@
     }
     return;
   }
-  if (aRow.key.starts_with(kManifestPrefix)) {
-    auto manifest = weights::Manifest::parse(aRow.value);
-    bool named =
-      manifest && aRow.key == kManifestPrefix + manifest->model() + "/" + manifest->version();
-    if (aRow.isDeleted || !named) {
-      mManifests.erase(aRow.key);
-    } else {
-      mManifests[aRow.key] = std::make_shared<const weights::Manifest>(std::move(*manifest));
-    }
-    return;
-  }
   if (!aRow.key.starts_with(kAgentPrefix)) {
     return;
   }
@@ -128,7 +112,6 @@
 {
   std::lock_guard lock(mMutex);
   mLoaders.clear();
-  mManifests.clear();
   mEntries.clear();
   for (const auto& row : aRows) {
     take(row);
@@ -163,14 +146,6 @@
   return addresses;
 }
 
-std::shared_ptr<const weights::Manifest> LoaderFleet::manifest(const std::string& aModel,
-                                                               uint64_t aVersion) const
-{
-  std::lock_guard lock(mMutex);
-  auto found = mManifests.find(manifestKey(aModel, aVersion));
-  return found == mManifests.end() ? nullptr : found->second;
-}
-
 std::pair<size_t, size_t> LoaderFleet::rank() const
 {
   std::lock_guard lock(mMutex);
--- a/tools/loader/LoaderFleet.h
+++ b/tools/loader/LoaderFleet.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -10,13 +9,9 @@
 #include "control/FleetView.h"
 #include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
-#include "weights/Manifest.h"
 
 namespace boragepitch::tools {
 
-/** Key of the row of a manifest in the table of nodes. */
-std::string manifestKey(const std::string& aModel, uint64_t aVersion);
-
 /** A loader's row in the table of nodes. */
 struct LoaderRow
 {
@@ -49,14 +44,8 @@
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
 
-  /** While a manifest is awaited, news of the table is wanted at once. */
-  void setAwaiting(bool aAwaiting) { mAwaiting = aAwaiting; }
-  bool isUrgent() const override { return mAwaiting; }
   /** Where the entries take load reports. */
   std::vector<net::Address> entries() const;
-  /** A manifest that a loader has published; null when none was. */
-  std::shared_ptr<const weights::Manifest> manifest(const std::string& aModel,
-                                                    uint64_t aVersion) const;
   /** Rank of this loader among those of its service, in an order that mixes the zones, and their
    * number. */
   std::pair<size_t, size_t> rank() const;
@@ -69,11 +58,9 @@
   const std::string mSelf;
   const LoaderRow mSelfRow;
   telemetry::EventLog& mLog;
-  std::atomic<bool> mAwaiting{ true };
   mutable std::mutex mMutex;
   std::map<std::string, LoaderRow> mLoaders;
   std::map<std::string, net::Address> mEntries;
-  std::map<std::string, std::shared_ptr<const weights::Manifest>> mManifests; ///< By row key.
   std::shared_ptr<const control::NodeTable> mNodes;
   std::shared_ptr<const resources::Snapshot> mConfig;
 };
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "platform/OperatorRows.h"
-
 namespace boragepitch::tools {
 
 namespace {
@@ -149,53 +147,83 @@
   mWake.notify_all();
 }
 
+void WeightLoader::onServiceTime(base::Milliseconds aServiceTime)
+{
+  std::lock_guard lock(mMutex);
+  mServiceTime = aServiceTime;
+}
+
 void WeightLoader::take(const stores::RowChange& aRow, base::TimePoint aNow)
 {
-  auto kind = platform::readOperatorKey(aRow.key).kind;
   if (aRow.isDeleted) {
+    return; // What was known stays in force.
+  }
+  if (aRow.key == setupKey(mOptions.service)) {
+    takeSetup(aRow);
+  } else if (isManifestKey(aRow.key)) {
+    takeManifest(aRow);
+  } else if (auto declared = readDeclaredRow(aRow.key, aRow.value)) {
+    takeDeclared(*declared, aNow);
+  }
+}
+
+void WeightLoader::takeSetup(const stores::RowChange& aRow)
+{
+  auto setup = readWeightSetup(aRow.value);
+  if (!setup) {
+    log("setup_invalid", { { "error", setup.error().describe() } });
     return;
   }
-  if (kind == platform::OperatorRowKind::Deployment) {
-    auto deployment = platform::readDeployment(aRow.value);
-    if (!deployment) {
-      log("deployment_invalid", { { "error", deployment.error().describe() } });
-      return;
-    }
-    std::lock_guard lock(mMutex);
-    mDeployment = std::move(*deployment);
-  } else if (kind == platform::OperatorRowKind::WeightVersion) {
-    auto declared = platform::readWeightVersion(aRow.value);
-    if (!declared) {
-      log("version_invalid", { { "error", declared.error().describe() } });
-      return;
-    }
-    std::lock_guard lock(mMutex);
-    uint64_t& known = mDeclared[declared->model];
-    if (declared->version > known) {
-      known = declared->version;
-      mDeclaredAt[declared->model].emplace_back(known, aNow);
-      log("weights_declared",
-          { { "model", declared->model }, { "version", std::to_string(known) } });
-    }
+  log("setup",
+      { { "model", setup->model },
+        { "origin", setup->origin.toString() },
+        { "may_move_streams", setup->mayMoveStreams ? "yes" : "no" } });
+  std::lock_guard lock(mMutex);
+  mSetup = std::move(*setup);
+}
+
+void WeightLoader::takeManifest(const stores::RowChange& aRow)
+{
+  auto manifest = weights::Manifest::parse(aRow.value);
+  if (!manifest || aRow.key != manifestKey(manifest->model(), manifest->version())) {
+    log("manifest_invalid", { { "row", aRow.key } });
+    return;
+  }
+  std::lock_guard lock(mMutex);
+  mPublished[aRow.key] = std::make_shared<const weights::Manifest>(std::move(*manifest));
+}
+
+void WeightLoader::takeDeclared(const DeclaredRow& aRow, base::TimePoint aNow)
+{
+  std::lock_guard lock(mMutex);
+  uint64_t& known = mDeclared[aRow.model];
+  if (aRow.version <= known) {
+    return;
   }
+  known = aRow.version;
+  auto age = std::max(mServiceTime - aRow.at, base::Milliseconds(0));
+  mDeclaredAt[aRow.model].emplace_back(known, aNow - age);
+  log("weights_declared",
+      { { "model", aRow.model },
+        { "version", std::to_string(known) },
+        { "age_ms", std::to_string(age.count()) } });
 }
 
 void WeightLoader::onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow)
 {
   mLog.write(telemetry::Weight::Critical,
              aReachable ? "store_regained" : "store_lost",
-             { { "table", "operators" }, { "reason", aReason.empty() ? "-" : aReason } },
+             { { "table", "weights" }, { "reason", aReason.empty() ? "-" : aReason } },
              aNow);
 }
 
 std::vector<WeightLoader::Target> WeightLoader::targets() const
 {
   std::vector<Target> targets;
-  const serving::Service* service = mDeployment ? mDeployment->service(mOptions.service) : nullptr;
-  if (service == nullptr || !service->engine || service->engine->models.empty()) {
+  if (!mSetup) {
     return targets;
   }
-  const std::string& model = service->engine->models.front();
+  const std::string& model = mSetup->model;
   auto declared = mDeclaredAt.find(model);
   if (declared == mDeclaredAt.end() || declared->second.empty()) {
     targets.push_back({ model, kFirstVersion });
@@ -279,7 +307,6 @@
       newestVersion = target.version;
     }
   }
-  mFleet.setAwaiting(manifests.size() < wanted.size());
   wantManifests(manifests);
   rollout::EngineWeights engine{ report->load.born,
                                  report->load.weightVersion,
@@ -312,20 +339,16 @@
   if (mDistributor) {
     return true;
   }
-  std::optional<serving::WeightSource> source;
+  std::optional<WeightSetup> setup;
   {
     std::lock_guard lock(mMutex);
-    for (const auto& [name, service] : mDeployment->services()) {
-      if (service.origin) {
-        source = service.origin;
-      }
-    }
+    setup = mSetup;
   }
-  if (!source) {
+  if (!setup) {
     return false;
   }
-  auto region = mOptions.zones.find(source->zone);
-  mOrigin = std::make_unique<platform::OriginCalls>(source->address);
+  auto region = mOptions.zones.find(setup->originZone);
+  mOrigin = std::make_unique<platform::OriginCalls>(setup->origin);
   weights::DistributorOptions options;
   options.links.uplink = mOptions.linkBytesPerSecond;
   options.links.downlink = mOptions.linkBytesPerSecond;
@@ -384,7 +407,7 @@
   if (known.manifest) {
     return known.manifest;
   }
-  if (auto shared = mFleet.manifest(aTarget.model, aTarget.version)) {
+  if (auto shared = published(aTarget)) {
     adopt(known, std::move(shared));
     return known.manifest;
   }
@@ -411,11 +434,19 @@
   }
   adopt(known, std::make_shared<const weights::Manifest>(std::move(*manifest)));
   if (mPublish) {
-    mPublish(manifestKey(aTarget.model, aTarget.version), known.manifest->canonical());
+    mPublish(manifestKey(aTarget.model, std::to_string(aTarget.version)),
+             known.manifest->canonical());
   }
   return known.manifest;
 }
 
+std::shared_ptr<const weights::Manifest> WeightLoader::published(const Target& aTarget) const
+{
+  std::lock_guard lock(mMutex);
+  auto found = mPublished.find(manifestKey(aTarget.model, std::to_string(aTarget.version)));
+  return found == mPublished.end() ? nullptr : found->second;
+}
+
 void WeightLoader::adopt(KnownManifest& aKnown, std::shared_ptr<const weights::Manifest> aManifest)
 {
   aKnown.manifest = std::move(aManifest);
@@ -470,7 +501,7 @@
 bool WeightLoader::mayMoveStreams() const
 {
   std::lock_guard lock(mMutex);
-  return mDeployment && mDeployment->mayMoveStreams(mOptions.service);
+  return mSetup && mSetup->mayMoveStreams;
 }
 
 void WeightLoader::order(const weights::Manifest& aManifest,
--- a/tools/loader/WeightLoader.h
+++ b/tools/loader/WeightLoader.h
@@ -12,11 +12,11 @@
 #include <vector>
 
 #include "LoaderFleet.h"
+#include "WeightRows.h"
 #include "base/Rng.h"
 #include "net/HttpServer.h"
 #include "platform/EngineCalls.h"
 #include "rollout/SwitchCore.h"
-#include "serving/Deployment.h"
 #include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
 #include "weights/Distributor.h"
@@ -79,6 +79,7 @@
   void onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
+  void onServiceTime(base::Milliseconds aServiceTime) override;
 
 private:
   struct Target
@@ -99,8 +100,7 @@
   void run();
   bool mayMoveStreams() const;
   void step(base::TimePoint aNow);
-  /** The model and the versions to hold, newest first; empty while the configuration is not known.
-   */
+  /** The model and the versions to hold, newest first; empty while the setup is not known. */
   std::vector<Target> targets() const;
   /** When the oldest version that the engine does not have was declared. */
   base::TimePoint overdueSince(const std::string& aModel,
@@ -117,6 +117,10 @@
   void forgetOthers(const std::vector<Target>& aTargets);
   void order(const weights::Manifest& aManifest, uint64_t aVersion, base::TimePoint aNow);
   void take(const stores::RowChange& aRow, base::TimePoint aNow);
+  void takeSetup(const stores::RowChange& aRow);
+  void takeManifest(const stores::RowChange& aRow);
+  void takeDeclared(const DeclaredRow& aRow, base::TimePoint aNow);
+  std::shared_ptr<const weights::Manifest> published(const Target& aTarget) const;
   void log(std::string_view aEvent, std::initializer_list<telemetry::Field> aFields) const;
 
   const LoaderOptions mOptions;
@@ -135,7 +139,10 @@
   mutable std::mutex mMutex;
   std::condition_variable mWake;
   bool mStopping = false;
-  std::shared_ptr<const serving::Deployment> mDeployment;
+  std::optional<WeightSetup> mSetup;
+  /** Manifests that loaders have published, by row key. */
+  std::map<std::string, std::shared_ptr<const weights::Manifest>> mPublished;
+  base::Milliseconds mServiceTime{ 0 };      ///< Clock of the store at the latest news.
   std::map<std::string, uint64_t> mDeclared; ///< Version by model.
   /** When each version of a model was declared, oldest first. */
   std::map<std::string, std::vector<std::pair<uint64_t, base::TimePoint>>> mDeclaredAt;
--- a/tools/loader/main.cpp
+++ b/tools/loader/main.cpp
@@ -11,7 +11,6 @@
 #include "WeightLoader.h"
 #include "base/Digest.h"
 #include "platform/HeaderNames.h"
-#include "platform/OperatorRows.h"
 #include "platform/StoreCalls.h"
 
 namespace {
@@ -20,9 +19,9 @@
 using namespace std::chrono_literals;
 
 /** The list of nodes changes rarely, and a late change only shifts the choice of peers. */
-constexpr base::Milliseconds kNodeTableWait = 8000ms;
-/** Configurations are of little interest to a loader, versions are loaded within seconds. */
-constexpr base::Milliseconds kNewsPause = 300ms;
+constexpr base::Milliseconds kNodeTableWait = 20000ms;
+/** Gathers the rows that entries write together. */
+constexpr base::Milliseconds kWeightTablePause = 100ms;
 constexpr base::Milliseconds kNodeTablePause = 2500ms;
 constexpr base::Milliseconds kRegisterRetry = 500ms;
 constexpr double kBitsPerByte = 8;
@@ -76,7 +75,7 @@
     mWeights.beforeOrder([this] { mReporter.announce(); });
     mWeights.publishManifests([this](const std::string& aKey, const std::string& aText) {
       platform::StoreCalls store(mStore, 0ms);
-      if (auto written = store.put(tools::kNodeTable, aKey, aText); !written) {
+      if (auto written = store.put(tools::kWeightTable, aKey, aText); !written) {
         // Every loader that needs it asks the origin in its turn.
         mLog.write(telemetry::Weight::Critical,
                    "manifest_not_published",
@@ -84,7 +83,7 @@
                    std::chrono::steady_clock::now());
       }
     });
-    watch(platform::kOperatorTable, mWeights, mSettings.duration("store.wait"), kNewsPause);
+    watch(tools::kWeightTable, mWeights, mSettings.duration("store.wait"), kWeightTablePause);
     watch(tools::kNodeTable, mFleet, kNodeTableWait, kNodeTablePause);
     mWeights.start();
     mReporter.start();
--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -1,8 +1,5 @@
 #include "OperatorListener.h"
 
-#include <charconv>
-
-#include "NodeRows.h"
 #include "platform/OperatorRows.h"
 
 namespace boragepitch::tools {
@@ -16,7 +13,7 @@
   : mRelay(aRelay)
   , mLog(aLog)
   , mTiming(aTiming)
-  , mMakeFeed(std::move(aMakeFeed))
+  , mPublisher(std::move(aMakeFeed), aLog)
 {
 }
 
@@ -72,6 +69,7 @@
                aNow);
     return;
   }
+  mPublisher.setDeployment(**deployment);
   mRelay.setDeployment(std::move(*deployment));
 }
 
@@ -90,73 +88,29 @@
                aNow);
     return;
   }
-  std::string key = kDeclaredPrefix + declared->model + "/" + std::to_string(declared->version);
-  if (!mKnownVersions.insert(key).second) {
+  auto name = std::pair(declared->model, declared->version);
+  if (!mKnownVersions.insert(name).second) {
     return;
   }
   serving::DeclarationEvidence evidence;
   if (aOrigin == Origin::News) {
     evidence.age = base::Milliseconds(0);
-    mUnwritten[key] = mServiceTime;
   } else {
-    evidence = readEvidence(key, aNow);
+    evidence.age = mPublisher.ageOf(declared->model, declared->version, aNow);
+    evidence.notBefore = mLastAlive;
   }
-  mRelay.declareVersion(
-    declared->model, declared->version, serving::enforceFrom(evidence, mTiming, aNow));
-}
-
-serving::DeclarationEvidence OperatorListener::readEvidence(const std::string& aKey,
-                                                            base::TimePoint aNow)
-{
-  serving::DeclarationEvidence evidence;
-  evidence.notBefore = mLastAlive;
-  auto page = mMakeFeed()->get(kNodeTable, aKey);
-  std::string outcome = page ? "none" : page.error().describe();
-  if (page && !page->rows.empty()) {
-    const std::string& value = page->rows.front().value;
-    int64_t recorded = 0;
-    auto end = std::from_chars(value.data(), value.data() + value.size(), recorded).ptr;
-    if (end == value.data() + value.size() && !value.empty()) {
-      evidence.age = page->serviceTime - base::Milliseconds(recorded);
-      outcome = "found";
-    } else {
-      outcome = "unreadable";
-    }
-  }
-  mLog.write(telemetry::Weight::Critical,
-             "declaration_time",
-             { { "record", aKey },
-               { "outcome", outcome },
-               { "age_ms", evidence.age ? std::to_string(evidence.age->count()) : "-" } },
-             aNow);
-  return evidence;
+  auto from = serving::enforceFrom(evidence, mTiming, aNow);
+  // Loaders learn of the version by its record, which must agree with what is enforced here.
+  auto left = std::chrono::duration_cast<base::Milliseconds>(from - aNow);
+  mPublisher.declare(
+    declared->model, declared->version, mServiceTime - (mTiming.afterDeclaration - left));
+  mRelay.declareVersion(declared->model, declared->version, from);
 }
 
 void OperatorListener::onAlive(base::TimePoint aNow)
 {
   mLastAlive = aNow;
-  writeRecords(aNow);
-}
-
-void OperatorListener::writeRecords(base::TimePoint aNow)
-{
-  if (mUnwritten.empty()) {
-    return;
-  }
-  auto feed = mMakeFeed();
-  while (!mUnwritten.empty()) {
-    const auto& [key, time] = *mUnwritten.begin();
-    auto written = feed->create(kNodeTable, key, std::to_string(time.count()));
-    if (!written && written.error().kind != base::ErrorKind::Conflict) {
-      // Tried again after the next answer of the store.
-      mLog.write(telemetry::Weight::Critical,
-                 "declaration_record_failed",
-                 { { "record", key }, { "error", written.error().describe() } },
-                 aNow);
-      return;
-    }
-    mUnwritten.erase(mUnwritten.begin());
-  }
+  mPublisher.writeQueued(aNow);
 }
 
 void OperatorListener::onReachable(bool aReachable,
--- a/tools/router/OperatorListener.h
+++ b/tools/router/OperatorListener.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "WeightPublisher.h"
 #include "relay/Relay.h"
 #include "serving/VersionTiming.h"
 #include "stores/TableWatcher.h"
@@ -13,13 +14,13 @@
 namespace boragepitch::tools {
 
 /**
- * Hands what the operators declare to the relay. Records in the system's own table when a version
- * was declared, so that a process that starts later enforces it at the same time as the others.
+ * Hands what the operators declare to the relay, and what of it concerns weights to the loaders. A
+ * process that starts later than a declaration enforces it when the others do.
  */
 class OperatorListener final : public stores::TableListener
 {
 public:
-  /** @param aMakeFeed of the store with the system's own table. */
+  /** @param aMakeFeed of the store with the system's own tables. */
   OperatorListener(relay::Relay& aRelay,
                    telemetry::EventLog& aLog,
                    serving::VersionTiming aTiming,
@@ -42,19 +43,15 @@
   void take(const stores::RowChange& aRow, Origin aOrigin, base::TimePoint aNow);
   void takeDeployment(const stores::RowChange& aRow, base::TimePoint aNow);
   void takeVersion(const stores::RowChange& aRow, Origin aOrigin, base::TimePoint aNow);
-  serving::DeclarationEvidence readEvidence(const std::string& aKey, base::TimePoint aNow);
-  void writeRecords(base::TimePoint aNow);
 
   relay::Relay& mRelay;
   telemetry::EventLog& mLog;
   const serving::VersionTiming mTiming;
-  const stores::TableWatcher::MakeFeed mMakeFeed;
+  WeightPublisher mPublisher;
   std::set<std::string> mEvacuated;
   base::Milliseconds mServiceTime{ 0 };
   std::optional<base::TimePoint> mLastAlive;
-  std::set<std::string> mKnownVersions; ///< Keys of their records.
-  /** Records yet to be written, with the time of the store's clock. */
-  std::map<std::string, base::Milliseconds> mUnwritten;
+  std::set<std::pair<std::string, uint64_t>> mKnownVersions; ///< Model and version.
 };
 
 } // namespace boragepitch::tools
--- a/tools/router/RouterSettings.cpp
+++ b/tools/router/RouterSettings.cpp
@@ -41,19 +41,19 @@
               0,
               60000,
               1000)
-    .number(
-      "admission.budget_factor",
-      "Requests whose first event is predicted later than this part of the latency target are "
-      "refused; what is above leaves room for the error of the prediction.",
-      "",
-      0.1,
-      100,
-      0.65)
+    .number("admission.budget_factor",
+            "Requests that would wait longer than this part of the latency target, their own "
+            "prompt set aside, are "
+            "refused; what is above leaves room for the error of the prediction.",
+            "",
+            0.1,
+            100,
+            0.55)
     .duration("admission.least_budget",
               "Requests predicted within this time and their target are not refused.",
               0,
               60000,
-              230)
+              200)
     .duration("leave.limit", "Longest wait for requests in flight at shutdown.", 100, 600000, 7000);
   return builder.build();
 }
--- /dev/null
+++ b/tools/router/WeightPublisher.cpp
@@ -0,0 +1,95 @@
+#include "WeightPublisher.h"
+
+namespace boragepitch::tools {
+
+WeightPublisher::WeightPublisher(stores::TableWatcher::MakeFeed aMakeFeed,
+                                 telemetry::EventLog& aLog)
+  : mMakeFeed(std::move(aMakeFeed))
+  , mLog(aLog)
+{
+}
+
+void WeightPublisher::declare(const std::string& aModel, uint64_t aVersion, base::Milliseconds aAt)
+{
+  mRecords.emplace(declaredKey(aModel, aVersion), writeDeclaredTime(aAt));
+}
+
+void WeightPublisher::setDeployment(const serving::Deployment& aDeployment)
+{
+  const serving::WeightSource* origin = nullptr;
+  for (const auto& [name, service] : aDeployment.services()) {
+    origin = service.origin ? &*service.origin : origin;
+  }
+  if (origin == nullptr) {
+    return;
+  }
+  for (const auto& [name, service] : aDeployment.services()) {
+    if (service.engine && !service.engine->models.empty()) {
+      mSetups[setupKey(name)] = writeWeightSetup({ service.engine->models.front(),
+                                                   origin->address,
+                                                   origin->zone,
+                                                   aDeployment.mayMoveStreams(name) });
+    }
+  }
+}
+
+void WeightPublisher::writeQueued(base::TimePoint aNow)
+{
+  if (mRecords.empty() && mSetups == mWritten) {
+    return;
+  }
+  auto feed = mMakeFeed();
+  auto failed = [&](const std::string& aKey, const base::Error& aError) {
+    // Tried again after the next answer of the store.
+    mLog.write(telemetry::Weight::Critical,
+               "weight_row_not_written",
+               { { "row", aKey }, { "error", aError.describe() } },
+               aNow);
+  };
+  while (!mRecords.empty()) {
+    const auto& [key, value] = *mRecords.begin();
+    auto written = feed->create(kWeightTable, key, value);
+    if (!written && written.error().kind != base::ErrorKind::Conflict) {
+      failed(key, written.error());
+      return;
+    }
+    mRecords.erase(mRecords.begin());
+  }
+  for (const auto& [key, value] : mSetups) {
+    auto found = mWritten.find(key);
+    if (found != mWritten.end() && found->second == value) {
+      continue;
+    }
+    if (auto written = feed->put(kWeightTable, key, value); !written) {
+      failed(key, written.error());
+      return;
+    }
+    mWritten[key] = value;
+  }
+}
+
+std::optional<base::Milliseconds> WeightPublisher::ageOf(const std::string& aModel,
+                                                         uint64_t aVersion,
+                                                         base::TimePoint aNow)
+{
+  std::string key = declaredKey(aModel, aVersion);
+  auto page = mMakeFeed()->get(kWeightTable, key);
+  std::optional<base::Milliseconds> age;
+  std::string outcome = page ? "none" : page.error().describe();
+  if (page && !page->rows.empty()) {
+    auto row = readDeclaredRow(key, page->rows.front().value);
+    outcome = row ? "found" : "unreadable";
+    if (row) {
+      age = page->serviceTime - row->at;
+    }
+  }
+  mLog.write(telemetry::Weight::Critical,
+             "declaration_time",
+             { { "row", key },
+               { "outcome", outcome },
+               { "age_ms", age ? std::to_string(age->count()) : "-" } },
+             aNow);
+  return age;
+}
+
+} // namespace boragepitch::tools
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -4,11 +4,11 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include "NodeRows.h"
 #include "OperatorListener.h"
+#include "OwnTable.h"
 
 using namespace boragepitch;
-using namespace std::chrono_literals;
+using namespace boragepitch::test;
 
 namespace {
 
@@ -36,64 +36,6 @@
   std::map<uint64_t, base::TimePoint> declared;
 };
 
-/** The system's own table, which outlives the processes. */
-struct OwnTable
-{
-  std::map<std::string, std::string, std::less<>> rows;
-  base::Milliseconds time{ 5000 };
-  bool isDown = false;
-};
-
-class OwnTableFeed final : public stores::RowFeed
-{
-public:
-  explicit OwnTableFeed(OwnTable& aTable)
-    : mTable(aTable)
-  {
-  }
-  base::Result<stores::RowPage> read(std::string_view, std::string_view) override { return down(); }
-  base::Result<stores::RowPage> changes(std::string_view, uint64_t, base::Milliseconds) override
-  {
-    return down();
-  }
-  base::Result<stores::RowPage> get(std::string_view aTable, std::string_view aKey) override
-  {
-    BOOST_TEST(aTable == tools::kNodeTable);
-    if (mTable.isDown) {
-      return down();
-    }
-    stores::RowPage page;
-    page.serviceTime = mTable.time;
-    auto found = mTable.rows.find(aKey);
-    if (found != mTable.rows.end()) {
-      page.rows.push_back({ found->first, found->second });
-    }
-    return page;
-  }
-  base::Status put(std::string_view, std::string_view, std::string_view) override
-  {
-    return tl::make_unexpected(down().error());
-  }
-  base::Status create(std::string_view, std::string_view aKey, std::string_view aValue) override
-  {
-    if (mTable.isDown) {
-      return tl::make_unexpected(down().error());
-    }
-    if (!mTable.rows.emplace(aKey, aValue).second) {
-      return base::fail(base::ErrorKind::Conflict, "", "exists", "");
-    }
-    return {};
-  }
-  void cancel() override {}
-
-private:
-  static base::Result<stores::RowPage> down()
-  {
-    return base::fail(base::ErrorKind::Unavailable, "", "down", "");
-  }
-  OwnTable& mTable;
-};
-
 /** One process that follows the operators' table. */
 struct Process
 {
--- /dev/null
+++ b/tools/router/tests/OwnTable.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <string>
+
+#include "WeightRows.h"
+#include "stores/RowFeed.h"
+
+namespace boragepitch::test {
+
+using namespace std::chrono_literals;
+
+/** The system's own table, which outlives the processes. */
+struct OwnTable
+{
+  std::map<std::string, std::string, std::less<>> rows;
+  base::Milliseconds time{ 5000 };
+  bool isDown = false;
+  int puts = 0;
+};
+
+class OwnTableFeed final : public stores::RowFeed
+{
+public:
+  explicit OwnTableFeed(OwnTable& aTable)
+    : mTable(aTable)
+  {
+  }
+  base::Result<stores::RowPage> read(std::string_view, std::string_view) override { return down(); }
+  base::Result<stores::RowPage> changes(std::string_view, uint64_t, base::Milliseconds) override
+  {
+    return down();
+  }
+  base::Result<stores::RowPage> get(std::string_view aTable, std::string_view aKey) override
+  {
+    BOOST_TEST(aTable == tools::kWeightTable);
+    if (mTable.isDown) {
+      return down();
+    }
+    stores::RowPage page;
+    page.serviceTime = mTable.time;
+    auto found = mTable.rows.find(aKey);
+    if (found != mTable.rows.end()) {
+      page.rows.push_back({ found->first, found->second });
+    }
+    return page;
+  }
+  base::Status put(std::string_view, std::string_view aKey, std::string_view aValue) override
+  {
+    if (mTable.isDown) {
+      return tl::make_unexpected(down().error());
+    }
+    ++mTable.puts;
+    mTable.rows[std::string(aKey)] = aValue;
+    return {};
+  }
+  base::Status create(std::string_view, std::string_view aKey, std::string_view aValue) override
+  {
+    if (mTable.isDown) {
+      return tl::make_unexpected(down().error());
+    }
+    if (!mTable.rows.emplace(aKey, aValue).second) {
+      return base::fail(base::ErrorKind::Conflict, "", "exists", "");
+    }
+    return {};
+  }
+  void cancel() override {}
+
+private:
+  static base::Result<stores::RowPage> down()
+  {
+    return base::fail(base::ErrorKind::Unavailable, "", "down", "");
+  }
+  OwnTable& mTable;
+};
+
+} // namespace boragepitch::test
--- /dev/null
+++ b/tools/router/tests/WeightPublisherTest.cpp
@@ -0,0 +1,102 @@
+#define BOOST_TEST_MODULE router_weight_publisher
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "OwnTable.h"
+#include "WeightPublisher.h"
+
+using namespace boragepitch;
+using namespace boragepitch::test;
+using namespace boragepitch::tools;
+
+namespace {
+
+std::shared_ptr<const serving::Deployment> deployment(bool aResumable, const char* aOrigin)
+{
+  serving::Route route;
+  route.name = "r";
+  route.host = "h";
+  route.pathPrefix = "/";
+  route.kind = serving::CallKind::Streaming;
+  route.isResumable = aResumable;
+  route.maxAttempts = 2;
+  route.services = { { "drafter" } };
+  serving::Service engines;
+  engines.name = "drafter";
+  engines.engine.emplace().models = { "m" };
+  serving::Service origin;
+  origin.name = "weights";
+  origin.origin = serving::WeightSource{ *net::parseAddress(aOrigin), "north-a", 4 };
+  serving::Deployment::Builder builder;
+  builder.addRoute(route).addService(engines).addService(origin);
+  return builder.build();
+}
+
+struct Fixture
+{
+  OwnTable table;
+  telemetry::EventLog log{ ::open("/dev/null", O_WRONLY | O_CLOEXEC), "entry-1" };
+  WeightPublisher publisher{ [this] { return std::make_unique<OwnTableFeed>(table); }, log };
+  base::TimePoint now{ 1h };
+};
+
+} // namespace
+
+// Guards against loaders that would have to read the whole configuration to learn one address.
+BOOST_FIXTURE_TEST_CASE(publishesTheSetupOfServicesWithEngines, Fixture)
+{
+  publisher.setDeployment(*deployment(true, "10.0.0.1:80"));
+  publisher.writeQueued(now);
+  BOOST_REQUIRE(table.rows.size() == 1U);
+  auto setup = readWeightSetup(table.rows.at("setup/drafter"));
+  BOOST_REQUIRE(setup);
+  BOOST_TEST(setup->model == "m");
+  BOOST_TEST(setup->origin.toString() == "10.0.0.1:80");
+  BOOST_TEST(setup->originZone == "north-a");
+  BOOST_TEST(setup->mayMoveStreams);
+}
+
+// Guards against a write for each of a series of configurations.
+BOOST_FIXTURE_TEST_CASE(writesTheSetupOnlyWhenItChanges, Fixture)
+{
+  for (int i = 0; i < 5; ++i) {
+    publisher.setDeployment(*deployment(true, "10.0.0.1:80"));
+    publisher.writeQueued(now);
+  }
+  BOOST_TEST(table.puts == 1);
+  publisher.setDeployment(*deployment(false, "10.0.0.1:80"));
+  publisher.writeQueued(now);
+  BOOST_TEST(table.puts == 2);
+  BOOST_TEST(!readWeightSetup(table.rows.at("setup/drafter"))->mayMoveStreams);
+}
+
+BOOST_FIXTURE_TEST_CASE(writesTheSetupOnceTheStoreAnswersAgain, Fixture)
+{
+  table.isDown = true;
+  publisher.setDeployment(*deployment(true, "10.0.0.1:80"));
+  publisher.writeQueued(now);
+  table.isDown = false;
+  publisher.writeQueued(now);
+  BOOST_TEST(table.rows.contains("setup/drafter"));
+}
+
+// Guards against torn or foreign rows.
+RC_BOOST_PROP(readsOnlyWholeRows, (const std::string& aKey, const std::string& aValue))
+{
+  RC_ASSERT(!readDeclaredRow(aKey, aValue).has_value());
+  RC_ASSERT(!readDeclaredRow("declared/m/2", "x" + aValue).has_value());
+  RC_ASSERT(!readWeightSetup(aValue).has_value());
+}
+
+RC_BOOST_PROP(declarationsReturnWhole, (uint64_t aVersion, uint32_t aTime))
+{
+  auto row =
+    readDeclaredRow(declaredKey("a/b", aVersion), writeDeclaredTime(base::Milliseconds(aTime)));
+  RC_ASSERT(row.has_value());
+  RC_ASSERT(row->model == "a/b");
+  RC_ASSERT(row->version == aVersion);
+  RC_ASSERT(row->at.count() == aTime);
+}
