--- /dev/null
+++ b/bench/overload/Policies.cpp
@@ -0,0 +1,278 @@
+#include "Policy.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <set>
+
+namespace boragepitch::overload {
+
+namespace {
+
+/** The advice of the relay: a place frees every few milliseconds over all endpoints. */
+constexpr double kRetryAfterLeastMs = 120;
+constexpr double kRetryAfterSpreadMs = 120;
+/** Settings that the programs on the users' platform ship with. */
+constexpr double kBudgetFactor = 0.55;
+constexpr base::Milliseconds kLeastBudget{ 200 };
+constexpr const char* kService = "engines";
+constexpr double kColdPerSecond = 36;
+constexpr base::Milliseconds kColdTime{ 3000 };
+
+/** Common part of the two baselines. */
+class SimplePolicy : public Policy
+{
+public:
+  explicit SimplePolicy(const PolicyContext& aContext)
+    : mOut(aContext.engines, 0)
+    , mLoad(aContext.engines, 0)
+  {
+  }
+  void started(uint64_t, size_t aEngine, double) override { ++mLoad[aEngine]; }
+  void firstEvent(uint64_t, double) override {}
+  void finished(uint64_t, serving::Outcome, double) override {}
+  void report(size_t aEngine, int aRunning, int aQueued, double) override
+  {
+    mLoad[aEngine] = aRunning + aQueued;
+  }
+  void changed(const Change& aChange, double aNow) override
+  {
+    if (aChange.kind == Change::Kind::Drain) {
+      mOut[aChange.engine] = std::numeric_limits<double>::infinity();
+    } else if (aChange.kind == Change::Kind::Pause) {
+      mOut[aChange.engine] = aNow + aChange.forMs;
+    }
+  }
+
+protected:
+  bool isOut(size_t aEngine, double aNow) const { return aNow < mOut[aEngine]; }
+  std::vector<double> mOut; ///< Until when an engine takes nothing.
+  std::vector<int> mLoad;   ///< As last reported, and own sends since.
+};
+
+class RoundRobin final : public SimplePolicy
+{
+public:
+  using SimplePolicy::SimplePolicy;
+  Choice choose(const Request&, double, double aNow) override
+  {
+    for (size_t tries = 0; tries < mOut.size(); ++tries) {
+      mNext = (mNext + 1) % mOut.size();
+      if (!isOut(mNext, aNow)) {
+        return { mNext };
+      }
+    }
+    return { std::nullopt, kRetryAfterLeastMs };
+  }
+
+private:
+  size_t mNext = 0;
+};
+
+class LeastLoaded final : public SimplePolicy
+{
+public:
+  using SimplePolicy::SimplePolicy;
+  Choice choose(const Request&, double, double aNow) override
+  {
+    Choice best{ std::nullopt, kRetryAfterLeastMs };
+    for (size_t engine = 0; engine < mLoad.size(); ++engine) {
+      if (!isOut(engine, aNow) && (!best.engine || mLoad[engine] < mLoad[*best.engine])) {
+        best.engine = engine;
+      }
+    }
+    return best;
+  }
+};
+
+/** The module that the product runs, one instance for each entry. */
+class Module final : public Policy
+{
+public:
+  Module(const PolicyContext& aContext, double aBudgetFactor, base::Milliseconds aLeastBudget)
+    : mKinds(aContext.kinds)
+    , mRng(aContext.seed)
+    , mEndpoints(options(aBudgetFactor, aLeastBudget))
+  {
+    mService.name = kService;
+    mService.engine = aContext.profile;
+    mService.coldRequestsPerSecond = kColdPerSecond;
+    mService.coldTime = kColdTime;
+    mRoute.kind = serving::CallKind::Streaming;
+    mRoute.isResumable = true;
+    mEndpoints.setSenders(static_cast<int>(aContext.entries));
+    for (size_t engine = 0; engine < aContext.engines; ++engine) {
+      serving::EndpointRecord record;
+      record.id = std::to_string(engine);
+      record.service = kService;
+      record.address = { "10.0.0.1", static_cast<int>(engine) + 1 };
+      record.zone = "zone";
+      record.region = "region";
+      record.born = 1;
+      record.slots = aContext.profile.slots;
+      record.weightVersion = 1;
+      mRecords.push_back(record);
+      mEndpoints.apply(record, &mService, timeOf(0));
+    }
+  }
+
+  Choice choose(const Request& aRequest, double aDueMs, double aNow) override
+  {
+    auto request = placementRequest(aRequest, aDueMs, aNow);
+    mPlacement = mEndpoints.choose(request, timeOf(aNow), mRng);
+    if (!mPlacement.endpoint) {
+      std::uniform_real_distribution<double> spread(0, kRetryAfterSpreadMs);
+      return { std::nullopt, kRetryAfterLeastMs + spread(mRng) };
+    }
+    mRequest = request;
+    return { static_cast<size_t>(std::stoul(mPlacement.endpoint->record.id)) };
+  }
+
+  void started(uint64_t aId, size_t, double aNow) override
+  {
+    mHeld[aId] = { mPlacement.endpoint,
+                   mEndpoints.started(mPlacement, mRequest, timeOf(aNow)),
+                   aNow };
+  }
+
+  void firstEvent(uint64_t aId, double aNow) override
+  {
+    Held& held = mHeld.at(aId);
+    mEndpoints.firstEvent(*held.endpoint, held.occupancy, timeOf(aNow) - timeOf(held.sentAt));
+  }
+
+  void finished(uint64_t aId, serving::Outcome aOutcome, double aNow) override
+  {
+    Held& held = mHeld.at(aId);
+    mEndpoints.finished(*held.endpoint, held.occupancy, aOutcome, timeOf(aNow));
+    mHeld.erase(aId);
+  }
+
+  void report(size_t aEngine, int aRunning, int aQueued, double aNow) override
+  {
+    serving::LoadReport report;
+    report.address = mRecords[aEngine].address.toString();
+    report.born = mRecords[aEngine].born;
+    report.running = aRunning;
+    report.queued = aQueued;
+    report.weightVersion = 1;
+    report.isSwitching = aNow < mRecordsPausedUntil[aEngine];
+    mEndpoints.learn(report, timeOf(aNow));
+  }
+
+  void changed(const Change& aChange, double aNow) override
+  {
+    serving::EndpointRecord& record = mRecords[aChange.engine];
+    switch (aChange.kind) {
+      case Change::Kind::Drain:
+        record.isDraining = true;
+        break;
+      case Change::Kind::Return:
+        record.coldFor = kColdTime;
+        ++record.born;
+        break;
+      case Change::Kind::Pause:
+        mRecordsPausedUntil[aChange.engine] = aNow + aChange.forMs;
+        report(aChange.engine, 0, 0, aNow);
+        return;
+    }
+    mEndpoints.apply(record, &mService, timeOf(aNow));
+  }
+
+private:
+  struct Held
+  {
+    serving::EndpointPtr endpoint;
+    serving::Occupancy occupancy;
+    double sentAt = 0;
+  };
+
+  static serving::PlacementOptions options(double aBudgetFactor, base::Milliseconds aLeastBudget)
+  {
+    serving::PlacementOptions options;
+    options.zone = "zone";
+    options.region = "region";
+    options.budgetFactor = aBudgetFactor;
+    options.leastBudget = aLeastBudget;
+    return options;
+  }
+
+  serving::PlacementRequest placementRequest(const Request& aRequest, double aDueMs, double aNow)
+  {
+    serving::PlacementRequest request;
+    request.route = &mRoute;
+    request.service = &mService;
+    request.promptTokens = aRequest.promptTokens;
+    request.firstEventBudget = timeOf(aDueMs) - timeOf(aNow);
+    return request;
+  }
+
+  std::vector<RequestKind> mKinds;
+  base::Rng mRng;
+  serving::Service mService;
+  serving::Route mRoute;
+  serving::EndpointSet mEndpoints;
+  std::vector<serving::EndpointRecord> mRecords;
+  std::map<size_t, double> mRecordsPausedUntil;
+  serving::Placement mPlacement; ///< Of the latest choice.
+  serving::PlacementRequest mRequest;
+  std::map<uint64_t, Held> mHeld;
+};
+
+template<typename Made>
+class SimpleFactory final : public PolicyFactory
+{
+public:
+  explicit SimpleFactory(std::string aName)
+    : mName(std::move(aName))
+  {
+  }
+  std::string name() const override { return mName; }
+  std::unique_ptr<Policy> make(const PolicyContext& aContext) const override
+  {
+    return std::make_unique<Made>(aContext);
+  }
+
+private:
+  std::string mName;
+};
+
+class ModuleFactory final : public PolicyFactory
+{
+public:
+  ModuleFactory(std::string aName, double aBudgetFactor, base::Milliseconds aLeastBudget)
+    : mName(std::move(aName))
+    , mBudgetFactor(aBudgetFactor)
+    , mLeastBudget(aLeastBudget)
+  {
+  }
+  std::string name() const override { return mName; }
+  std::unique_ptr<Policy> make(const PolicyContext& aContext) const override
+  {
+    return std::make_unique<Module>(aContext, mBudgetFactor, mLeastBudget);
+  }
+
+private:
+  std::string mName;
+  double mBudgetFactor;
+  base::Milliseconds mLeastBudget;
+};
+
+} // namespace
+
+std::unique_ptr<PolicyFactory> currentPolicy()
+{
+  return std::make_unique<ModuleFactory>("module", kBudgetFactor, kLeastBudget);
+}
+
+std::vector<std::unique_ptr<PolicyFactory>> allPolicies()
+{
+  std::vector<std::unique_ptr<PolicyFactory>> policies;
+  policies.push_back(std::make_unique<SimpleFactory<RoundRobin>>("roundRobin"));
+  policies.push_back(std::make_unique<SimpleFactory<LeastLoaded>>("leastLoaded"));
+  policies.push_back(std::make_unique<ModuleFactory>("firstRelease", 1.0, base::Milliseconds(0)));
+  policies.push_back(currentPolicy());
+  return policies;
+}
+
+} // namespace boragepitch::overload
--- /dev/null
+++ b/bench/overload/Policy.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Workload.h"
+#include "base/Time.h"
+#include "serving/EndpointSet.h"
+
+namespace boragepitch::overload {
+
+/** Simulated milliseconds as a time for the cores. */
+inline base::TimePoint timeOf(double aMs)
+{
+  return base::TimePoint{} +
+         std::chrono::duration_cast<base::Duration>(std::chrono::duration<double, std::milli>(aMs));
+}
+
+struct Choice
+{
+  std::optional<size_t> engine; ///< Empty: refused.
+  double retryAfterMs = 0;      ///< When refused.
+};
+
+/** What one entry decides, from what it knows itself. */
+class Policy
+{
+public:
+  virtual ~Policy() = default;
+  /** @param aDueMs when the first event is due, simulated time. */
+  virtual Choice choose(const Request& aRequest, double aDueMs, double aNow) = 0;
+  virtual void started(uint64_t aId, size_t aEngine, double aNow) = 0;
+  virtual void firstEvent(uint64_t aId, double aNow) = 0;
+  virtual void finished(uint64_t aId, serving::Outcome aOutcome, double aNow) = 0;
+  virtual void report(size_t aEngine, int aRunning, int aQueued, double aNow) = 0;
+  /** The list says that the engine leaves, is in cold start, or takes nothing for a while. */
+  virtual void changed(const Change& aChange, double aNow) = 0;
+};
+
+struct PolicyContext
+{
+  serving::EngineProfile profile;
+  std::vector<RequestKind> kinds;
+  size_t engines = 0;
+  size_t entries = 0;
+  uint64_t seed = 1;
+};
+
+class PolicyFactory
+{
+public:
+  virtual ~PolicyFactory() = default;
+  virtual std::string name() const = 0;
+  virtual std::unique_ptr<Policy> make(const PolicyContext& aContext) const = 0;
+};
+
+/** Round robin and least loaded, which refuse nothing; the module with the settings of its first
+ * release; the module as it is. */
+std::vector<std::unique_ptr<PolicyFactory>> allPolicies();
+std::unique_ptr<PolicyFactory> currentPolicy();
+
+} // namespace boragepitch::overload
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -106,8 +106,8 @@
   std::string region;
   double coldOvershoot = 1.5;
   double coldTolerance = 5;
-  /** A request is refused when its first event would come later than this many budgets: capacity
-   * then goes to requests that can still be in time. */
+  /** A request is refused when it would wait longer than this part of its budget, the time for its
+   * own prompt set aside: capacity then goes to requests that can still be in time. */
   double budgetFactor = 1.0;
   /** ... but not when it is predicted within this time, if that is within the budget. Engines under
    * full load predict about 200 ms for any request: without this, requests with tight targets would
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -219,7 +219,9 @@
   double predicted = pace * model.firstEventMs(load, aRequest.promptTokens) +
                      std::max(0.0, aEndpoint.predictionErrorMs);
   double budget = std::chrono::duration<double, std::milli>(aRequest.firstEventBudget).count();
-  double allowed = std::max(mOptions.budgetFactor * budget,
+  // Only the wait is bounded: a large prompt is not refused for the time that it takes itself.
+  double own = model.promptMs(aRequest.promptTokens);
+  double allowed = std::max(mOptions.budgetFactor * (budget - own) + own,
                             std::min(budget, static_cast<double>(mOptions.leastBudget.count())));
   return Prediction{ predicted, aRequest.isLate || aRequest.isUrgent || predicted <= allowed };
 }
--- a/libs/serving/tests/DeploymentTest.cpp
+++ b/libs/serving/tests/DeploymentTest.cpp
@@ -70,12 +70,12 @@
   stream.maxAttempts = 2;
   stream.isResumable = true;
   stream.services = { { "drafter" } };
-  auto mayMove = [](std::vector<Route> aRoutes, Regions aWorkspaceRegions = {}) {
+  auto mayMove = [](const std::vector<Route>& aRoutes, const Regions& aWorkspaceRegions = {}) {
     Deployment::Builder builder;
-    for (Route& route : aRoutes) {
+    for (const Route& route : aRoutes) {
       builder.addRoute(route);
     }
-    builder.addWorkspace({ .name = "w", .regions = std::move(aWorkspaceRegions) }, {});
+    builder.addWorkspace({ .name = "w", .regions = aWorkspaceRegions }, {});
     return builder.build()->mayMoveStreams("drafter");
   };
   BOOST_TEST(mayMove({ stream }));
