Share what bp-router and bp-loader have in common; split the loader's news from its work

Read-through of the change. Both programs had their own registration, watching and main(): now tools/node (RunNode, StoreLinks). WeightLoader held the rows that it follows besides its work: now WeightNews, which also orders versions by number (10 stood before 9 in the order of the rows, and 9 was then passed over). EndpointSet: one Urgency in place of two flags, one Backlog in place of pairs of counters. The advice to refused callers and the defaults of admission stand once, in libs/serving, for the relay, the settings and the emulator. TableListener's isUrgent(), which nobody implements any more, is gone. Behaviour that the reading found wrong and this mends: a wake-up of the loader was lost while it worked, up to 250 ms; the second reading of a manifest waited for the next step, since the loader woke itself; an announced switch was not taken back when nothing was staged any more. Tests: loader.WeightNewsTest; names of fields in serving.EndpointSetTest, whose fixture now states the budget of 1.0 that was the default.

--- a/bench/overload/Policies.cpp
+++ b/bench/overload/Policies.cpp
@@ -3,18 +3,16 @@
 #include <algorithm>
 #include <limits>
 #include <map>
-#include <set>
+#include <utility>
+
+#include "serving/RetryAdvice.h"
 
 namespace boragepitch::overload {
 
 namespace {
 
-/** The advice of the relay: a place frees every few milliseconds over all endpoints. */
-constexpr double kRetryAfterLeastMs = 120;
-constexpr double kRetryAfterSpreadMs = 120;
-/** Settings that the programs on the users' platform ship with. */
-constexpr double kBudgetFactor = 0.55;
-constexpr base::Milliseconds kLeastBudget{ 200 };
+/** The baselines' callers come back after this. */
+constexpr double kRetryAfterMs = 120;
 constexpr const char* kService = "engines";
 constexpr double kColdPerSecond = 36;
 constexpr base::Milliseconds kColdTime{ 3000 };
@@ -62,7 +60,7 @@
         return { mNext };
       }
     }
-    return { std::nullopt, kRetryAfterLeastMs };
+    return { std::nullopt, kRetryAfterMs };
   }
 
 private:
@@ -75,7 +73,7 @@
   using SimplePolicy::SimplePolicy;
   Choice choose(const Request&, double, double aNow) override
   {
-    Choice best{ std::nullopt, kRetryAfterLeastMs };
+    Choice best{ std::nullopt, kRetryAfterMs };
     for (size_t engine = 0; engine < mLoad.size(); ++engine) {
       if (!isOut(engine, aNow) && (!best.engine || mLoad[engine] < mLoad[*best.engine])) {
         best.engine = engine;
@@ -89,10 +87,10 @@
 class Module final : public Policy
 {
 public:
-  Module(const PolicyContext& aContext, double aBudgetFactor, base::Milliseconds aLeastBudget)
+  Module(const PolicyContext& aContext, serving::PlacementOptions aOptions)
     : mKinds(aContext.kinds)
     , mRng(aContext.seed)
-    , mEndpoints(options(aBudgetFactor, aLeastBudget))
+    , mEndpoints(std::move(aOptions))
   {
     mService.name = kService;
     mService.engine = aContext.profile;
@@ -106,8 +104,6 @@
       record.id = std::to_string(engine);
       record.service = kService;
       record.address = { "10.0.0.1", static_cast<int>(engine) + 1 };
-      record.zone = "zone";
-      record.region = "region";
       record.born = 1;
       record.slots = aContext.profile.slots;
       record.weightVersion = 1;
@@ -121,8 +117,7 @@
     auto request = placementRequest(aRequest, aDueMs, aNow);
     mPlacement = mEndpoints.choose(request, timeOf(aNow), mRng);
     if (!mPlacement.endpoint) {
-      std::uniform_real_distribution<double> spread(0, kRetryAfterSpreadMs);
-      return { std::nullopt, kRetryAfterLeastMs + spread(mRng) };
+      return { std::nullopt, static_cast<double>(serving::retryAfterFull(mRng).count()) };
     }
     mRequest = request;
     return { static_cast<size_t>(std::stoul(mPlacement.endpoint->record.id)) };
@@ -156,7 +151,7 @@
     report.running = aRunning;
     report.queued = aQueued;
     report.weightVersion = 1;
-    report.isSwitching = aNow < mRecordsPausedUntil[aEngine];
+    report.isSwitching = aNow < mPausedUntil[aEngine];
     mEndpoints.learn(report, timeOf(aNow));
   }
 
@@ -172,7 +167,7 @@
         ++record.born;
         break;
       case Change::Kind::Pause:
-        mRecordsPausedUntil[aChange.engine] = aNow + aChange.forMs;
+        mPausedUntil[aChange.engine] = aNow + aChange.forMs;
         report(aChange.engine, 0, 0, aNow);
         return;
     }
@@ -187,16 +182,6 @@
     double sentAt = 0;
   };
 
-  static serving::PlacementOptions options(double aBudgetFactor, base::Milliseconds aLeastBudget)
-  {
-    serving::PlacementOptions options;
-    options.zone = "zone";
-    options.region = "region";
-    options.budgetFactor = aBudgetFactor;
-    options.leastBudget = aLeastBudget;
-    return options;
-  }
-
   serving::PlacementRequest placementRequest(const Request& aRequest, double aDueMs, double aNow)
   {
     serving::PlacementRequest request;
@@ -213,7 +198,7 @@
   serving::Route mRoute;
   serving::EndpointSet mEndpoints;
   std::vector<serving::EndpointRecord> mRecords;
-  std::map<size_t, double> mRecordsPausedUntil;
+  std::map<size_t, double> mPausedUntil;
   serving::Placement mPlacement; ///< Of the latest choice.
   serving::PlacementRequest mRequest;
   std::map<uint64_t, Held> mHeld;
@@ -240,29 +225,36 @@
 class ModuleFactory final : public PolicyFactory
 {
 public:
-  ModuleFactory(std::string aName, double aBudgetFactor, base::Milliseconds aLeastBudget)
+  ModuleFactory(std::string aName, serving::PlacementOptions aOptions)
     : mName(std::move(aName))
-    , mBudgetFactor(aBudgetFactor)
-    , mLeastBudget(aLeastBudget)
+    , mOptions(std::move(aOptions))
   {
   }
   std::string name() const override { return mName; }
   std::unique_ptr<Policy> make(const PolicyContext& aContext) const override
   {
-    return std::make_unique<Module>(aContext, mBudgetFactor, mLeastBudget);
+    return std::make_unique<Module>(aContext, mOptions);
   }
 
 private:
   std::string mName;
-  double mBudgetFactor;
-  base::Milliseconds mLeastBudget;
+  serving::PlacementOptions mOptions;
 };
 
+/** The module with the settings of its first release. */
+serving::PlacementOptions firstOptions()
+{
+  serving::PlacementOptions options;
+  options.budgetFactor = 1.0;
+  options.leastBudget = base::Milliseconds(0);
+  return options;
+}
+
 } // namespace
 
 std::unique_ptr<PolicyFactory> currentPolicy()
 {
-  return std::make_unique<ModuleFactory>("module", kBudgetFactor, kLeastBudget);
+  return std::make_unique<ModuleFactory>("module", serving::PlacementOptions());
 }
 
 std::vector<std::unique_ptr<PolicyFactory>> allPolicies()
@@ -270,7 +262,7 @@
   std::vector<std::unique_ptr<PolicyFactory>> policies;
   policies.push_back(std::make_unique<SimpleFactory<RoundRobin>>("roundRobin"));
   policies.push_back(std::make_unique<SimpleFactory<LeastLoaded>>("leastLoaded"));
-  policies.push_back(std::make_unique<ModuleFactory>("firstRelease", 1.0, base::Milliseconds(0)));
+  policies.push_back(std::make_unique<ModuleFactory>("firstRelease", firstOptions()));
   policies.push_back(currentPolicy());
   return policies;
 }
--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 
+#include "serving/RetryAdvice.h"
+
 namespace boragepitch::relay {
 
 namespace {
@@ -38,12 +40,6 @@
 constexpr size_t kMaxAnswerBytes = 16 << 20;
 /** Bytes that a slow caller may leave untaken before the endpoint is slowed down. */
 constexpr size_t kBacklogHigh = 256 << 10;
-/** Callers come back after this: a place frees every few milliseconds over all endpoints, and the
- * latency target must still be in reach. */
-constexpr base::Milliseconds kRetryAfterFull = 120ms;
-constexpr base::Milliseconds kRetryAfterFullSpread = 120ms;
-/** While nothing is known or listed, changes take a second or more. */
-constexpr base::Milliseconds kRetryAfterMissing = 1000ms;
 constexpr int kHighestPriority = 0;
 constexpr int kLowestPriority = 9;
 constexpr std::string_view kEventStream = "text/event-stream";
@@ -184,8 +180,9 @@
   request.promptTokens = mFacts.promptTokens;
   request.firstEventBudget = mFirstDue - aNow;
   // What was sent before is served late rather than refused.
-  request.isLate = mSends > 0 && !mBegan;
-  request.isUrgent = mBegan;
+  request.urgency = mBegan       ? serving::Urgency::Continued
+                    : mSends > 0 ? serving::Urgency::Late
+                                 : serving::Urgency::Ordinary;
   if (mService->engine) {
     request.minWeightVersion = mCore.requiredVersion(mFacts.model, aNow);
     request.newestWeightVersion = mCore.newestVersion(mFacts.model);
@@ -578,12 +575,7 @@
   mDone = true;
   mCore.metrics.refused.add();
   bool missing = mService == nullptr || aReason == toString(serving::Refusal::NoEndpoint);
-  base::Milliseconds after = kRetryAfterMissing;
-  if (!missing) {
-    after =
-      kRetryAfterFull +
-      base::Milliseconds(base::uniformBelow<int64_t>(mCore.rng, kRetryAfterFullSpread.count()));
-  }
+  auto after = missing ? serving::retryAfterMissing() : serving::retryAfterFull(mCore.rng);
   logEnd(telemetry::Weight::Refused, "refused", 503, aReason, aNow);
   mSession.respond(503, { { "Retry-After", seconds(after) } }, {});
 }
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -63,6 +63,35 @@
 
 std::string_view toString(Outcome aOutcome);
 
+/** How a request stands to the others that wait at an endpoint. */
+enum class Urgency
+{
+  Ordinary,
+  /** The target cannot be met any more: it uses capacity that others leave. */
+  Late,
+  /** A stream that its caller is reading goes on at another endpoint: it goes before all others and
+   * is not refused for coming late. */
+  Continued,
+};
+
+/** Requests that wait at an endpoint. */
+struct Backlog
+{
+  int requests = 0;
+  double promptMs = 0; ///< Time to read their prompts.
+
+  void add(double aPromptMs)
+  {
+    ++requests;
+    promptMs += aPromptMs;
+  }
+  void remove(double aPromptMs)
+  {
+    --requests;
+    promptMs -= aPromptMs;
+  }
+};
+
 /** One endpoint as this process sees it. Created and changed by EndpointSet only. */
 struct Endpoint
 {
@@ -71,20 +100,17 @@
   bool isLapsed = false; ///< Missing from the list, perhaps only because that was away.
   int inFlight = 0;      ///< Requests of this process.
 
-  int waiting = 0;            ///< Those of them that have no first event yet, late ones excluded.
-  double waitingPromptMs = 0; ///< Time to read the prompts of these.
-  int lateWaiting = 0;        ///< Late ones that have no first event yet.
-  int urgentWaiting = 0;      ///< Streams that go on here and have no event from it yet.
-  double urgentPromptMs = 0;  ///< Time to read the prompts of these.
-
-  int unreported = 0; ///< Waiting ones that were sent after the latest report.
-  double unreportedPromptMs = 0;
+  // Own requests that have no first event yet, by their urgency.
+  Backlog ordinary;
+  Backlog late;
+  Backlog continued;
+  Backlog unreported; ///< Those of the ordinary ones that were sent after the latest report.
 
   std::optional<LoadReport> report;
   uint64_t reports = 0; ///< Number of reports learned.
   base::TimePoint reportedAt;
   int begunAtReport = 0;   ///< Own requests with a first event.
-  int waitingAtReport = 0; ///< Own requests without, late ones included.
+  int waitingAtReport = 0; ///< Own requests without.
 
   base::TimePoint coldUntil;
   base::TimePoint avoidUntil;
@@ -108,11 +134,11 @@
   double coldTolerance = 5;
   /** A request is refused when it would wait longer than this part of its budget, the time for its
    * own prompt set aside: capacity then goes to requests that can still be in time. */
-  double budgetFactor = 1.0;
+  double budgetFactor = 0.55;
   /** ... but not when it is predicted within this time, if that is within the budget. Engines under
    * full load predict about 200 ms for any request: without this, requests with tight targets would
    * carry most refusals. */
-  base::Milliseconds leastBudget{ 0 };
+  base::Milliseconds leastBudget{ 200 };
   /** Late requests of this process that may wait at one engine. They start only where no other
    * request waits; more would not end before their callers leave. */
   int lateWaiting = 2;
@@ -132,11 +158,7 @@
   uint64_t promptTokens = 0;
   /** Time left in which the first event is worth most. */
   base::Duration firstEventBudget = base::Duration::max();
-  /** The budget cannot be met any more: the request uses capacity that others leave. */
-  bool isLate = false;
-  /** A stream that its caller is reading goes on at another endpoint: it goes before all others and
-   * is not refused for coming late. */
-  bool isUrgent = false;
+  Urgency urgency = Urgency::Ordinary;
   /** The newest declared version. A stream that goes on prefers endpoints that hold it, since one
    * that does not will be switched and would break the stream off again. */
   uint64_t newestWeightVersion = 0;
@@ -173,8 +195,7 @@
 {
   double promptMs = 0;
   double predictedMs = 0;
-  bool isLate = false;
-  bool isUrgent = false;
+  Urgency urgency = Urgency::Ordinary;
   bool hasBegun = false;
   uint64_t reports = 0; ///< Reports that were learned when it was sent.
 };
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -50,7 +50,20 @@
 /** Own requests at the endpoint that have no event from it yet. */
 int waitingOf(const Endpoint& aEndpoint)
 {
-  return aEndpoint.waiting + aEndpoint.lateWaiting + aEndpoint.urgentWaiting;
+  return aEndpoint.ordinary.requests + aEndpoint.late.requests + aEndpoint.continued.requests;
+}
+
+Backlog& backlogOf(Endpoint& aEndpoint, Urgency aUrgency)
+{
+  switch (aUrgency) {
+    case Urgency::Late:
+      return aEndpoint.late;
+    case Urgency::Continued:
+      return aEndpoint.continued;
+    case Urgency::Ordinary:
+      break;
+  }
+  return aEndpoint.ordinary;
 }
 
 } // namespace
@@ -148,8 +161,7 @@
         endpoint->record.born == aReport.born) {
       endpoint->report = aReport;
       ++endpoint->reports;
-      endpoint->unreported = 0;
-      endpoint->unreportedPromptMs = 0;
+      endpoint->unreported = {};
       endpoint->reportedAt = aNow;
       endpoint->waitingAtReport = waitingOf(*endpoint);
       endpoint->begunAtReport = endpoint->inFlight - endpoint->waitingAtReport;
@@ -190,8 +202,8 @@
   int ownWaiting = waitingOf(aEndpoint);
   EngineLoad load;
   load.running = aEndpoint.inFlight - ownWaiting;
-  load.waiting = aEndpoint.urgentWaiting;
-  load.waitingPromptMs = kConcurrentPrompts * aEndpoint.urgentPromptMs;
+  load.waiting = aEndpoint.continued.requests;
+  load.waitingPromptMs = kConcurrentPrompts * aEndpoint.continued.promptMs;
   double pace = 1;
   int othersWaiting = 0;
   if (aEndpoint.report && aNow - aEndpoint.reportedAt < kReportLife) {
@@ -201,18 +213,19 @@
     pace = std::max(1.0, report.pace);
   }
   load.running = std::min(load.running, profile.slots);
-  if (!aRequest.isUrgent) {
+  if (aRequest.urgency != Urgency::Continued) {
     double concurrent = kConcurrentShare * (mSenders - 1);
-    load.waiting +=
-      aEndpoint.waiting + kOthersAhead * othersWaiting + concurrent * aEndpoint.unreported;
+    load.waiting += aEndpoint.ordinary.requests + kOthersAhead * othersWaiting +
+                    concurrent * aEndpoint.unreported.requests;
     load.waitingPromptMs +=
-      kConcurrentPrompts * aEndpoint.waitingPromptMs + concurrent * aEndpoint.unreportedPromptMs;
+      kConcurrentPrompts * aEndpoint.ordinary.promptMs + concurrent * aEndpoint.unreported.promptMs;
   }
   int beyond = load.running + ownWaiting + othersWaiting - profile.slots;
   if (beyond >= kMostBeyondSlots) {
     return std::nullopt;
   }
-  if (aRequest.isLate && beyond >= 0 && aEndpoint.lateWaiting >= mOptions.lateWaiting) {
+  if (aRequest.urgency == Urgency::Late && beyond >= 0 &&
+      aEndpoint.late.requests >= mOptions.lateWaiting) {
     return std::nullopt;
   }
   EngineModel model(profile);
@@ -223,7 +236,8 @@
   double own = model.promptMs(aRequest.promptTokens);
   double allowed = std::max(mOptions.budgetFactor * (budget - own) + own,
                             std::min(budget, static_cast<double>(mOptions.leastBudget.count())));
-  return Prediction{ predicted, aRequest.isLate || aRequest.isUrgent || predicted <= allowed };
+  bool isInTime = aRequest.urgency != Urgency::Ordinary || predicted <= allowed;
+  return Prediction{ predicted, isInTime };
 }
 
 bool EndpointSet::isAllowed(const Endpoint& aEndpoint,
@@ -282,7 +296,8 @@
   if (aEndpoint.report && aEndpoint.report->switchesSoon) {
     cost += kSwitchesSoonCostMs;
   }
-  if (aRequest.isUrgent && aEndpoint.weightVersion() < aRequest.newestWeightVersion) {
+  if (aRequest.urgency == Urgency::Continued &&
+      aEndpoint.weightVersion() < aRequest.newestWeightVersion) {
     cost += kOldWeightsCostMs;
   }
   return cost;
@@ -339,23 +354,15 @@
   Endpoint& endpoint = *aPlacement.endpoint;
   Occupancy occupancy;
   occupancy.predictedMs = aPlacement.predictedMs;
-  occupancy.isLate = aRequest.isLate;
-  occupancy.isUrgent = aRequest.isUrgent;
+  occupancy.urgency = aRequest.urgency;
   if (aRequest.service->engine) {
     occupancy.promptMs = EngineModel(*aRequest.service->engine).promptMs(aRequest.promptTokens);
   }
   ++endpoint.inFlight;
-  if (occupancy.isUrgent) {
-    ++endpoint.urgentWaiting;
-    endpoint.urgentPromptMs += occupancy.promptMs;
-  } else if (occupancy.isLate) {
-    ++endpoint.lateWaiting;
-  } else {
-    ++endpoint.waiting;
-    endpoint.waitingPromptMs += occupancy.promptMs;
+  backlogOf(endpoint, occupancy.urgency).add(occupancy.promptMs);
+  if (occupancy.urgency == Urgency::Ordinary) {
     occupancy.reports = endpoint.reports;
-    ++endpoint.unreported;
-    endpoint.unreportedPromptMs += occupancy.promptMs;
+    endpoint.unreported.add(occupancy.promptMs);
   }
   std::erase_if(endpoint.recentSends, [&](base::TimePoint aAt) { return aNow - aAt >= 1s; });
   endpoint.recentSends.push_back(aNow);
@@ -367,18 +374,9 @@
   if (std::exchange(aOccupancy.hasBegun, true)) {
     return;
   }
-  if (aOccupancy.isUrgent) {
-    --aEndpoint.urgentWaiting;
-    aEndpoint.urgentPromptMs -= aOccupancy.promptMs;
-  } else if (aOccupancy.isLate) {
-    --aEndpoint.lateWaiting;
-  } else {
-    --aEndpoint.waiting;
-    aEndpoint.waitingPromptMs -= aOccupancy.promptMs;
-    if (aOccupancy.reports == aEndpoint.reports) {
-      --aEndpoint.unreported;
-      aEndpoint.unreportedPromptMs -= aOccupancy.promptMs;
-    }
+  backlogOf(aEndpoint, aOccupancy.urgency).remove(aOccupancy.promptMs);
+  if (aOccupancy.urgency == Urgency::Ordinary && aOccupancy.reports == aEndpoint.reports) {
+    aEndpoint.unreported.remove(aOccupancy.promptMs);
   }
 }
 
@@ -420,7 +418,7 @@
 void EndpointSet::firstEvent(Endpoint& aEndpoint, Occupancy& aOccupancy, base::Duration aAfter)
 {
   begin(aEndpoint, aOccupancy);
-  if (!aOccupancy.isLate && !aOccupancy.isUrgent) {
+  if (aOccupancy.urgency == Urgency::Ordinary) {
     double ms = std::chrono::duration<double, std::milli>(aAfter).count();
     double error = ms - aOccupancy.predictedMs;
     aEndpoint.predictionErrorMs += kAverageWeight * (error - aEndpoint.predictionErrorMs);
--- a/libs/serving/tests/EndpointSetTest.cpp
+++ b/libs/serving/tests/EndpointSetTest.cpp
@@ -94,7 +94,10 @@
     return made;
   }
 
-  PlacementOptions options{ .zone = "north-a", .region = "north" };
+  PlacementOptions options{ .zone = "north-a",
+                            .region = "north",
+                            .budgetFactor = 1.0,
+                            .leastBudget = 0ms };
   EndpointSet set{ options };
   Service drafter;
   Service millbook;
@@ -155,7 +158,7 @@
   auto late = request(drafter);
   late.firstEventBudget = -40ms;
   BOOST_TEST(place(late).empty());
-  late.isLate = true;
+  late.urgency = Urgency::Late;
   BOOST_TEST(place(late) == "n");
 }
 
@@ -234,13 +237,13 @@
 {
   list("n", "north", drafter);
   place(request(drafter));
-  BOOST_TEST(set.all().at("n")->unreported == 1);
+  BOOST_TEST(set.all().at("n")->unreported.requests == 1);
   set.learn(report("n", 0, 1), now);
-  BOOST_TEST(set.all().at("n")->unreported == 0);
+  BOOST_TEST(set.all().at("n")->unreported.requests == 0);
   place(request(drafter));
   beginAll();
-  BOOST_TEST(set.all().at("n")->unreported == 0);
-  BOOST_TEST(std::abs(set.all().at("n")->unreportedPromptMs) < 1e-6);
+  BOOST_TEST(set.all().at("n")->unreported.requests == 0);
+  BOOST_TEST(std::abs(set.all().at("n")->unreported.promptMs) < 1e-6);
 }
 
 // Rollout: a stream that was broken off goes on at once, also at an endpoint that is full for new
@@ -251,13 +254,13 @@
   while (!place(request(drafter)).empty()) {
   }
   auto moved = request(drafter);
-  moved.isUrgent = true;
+  moved.urgency = Urgency::Continued;
   moved.firstEventBudget = -200ms;
   moved.newestWeightVersion = 2;
   BOOST_TEST(place(moved) == "old");
-  BOOST_TEST(set.all().at("old")->urgentWaiting == 1);
+  BOOST_TEST(set.all().at("old")->continued.requests == 1);
   beginAll();
-  BOOST_TEST(set.all().at("old")->urgentWaiting == 0);
+  BOOST_TEST(set.all().at("old")->continued.requests == 0);
   list("new", "south", drafter, 2);
   BOOST_TEST(place(moved) == "new");
 }
@@ -367,9 +370,9 @@
   }
   const Endpoint& endpoint = *set.all().at("n");
   BOOST_TEST(endpoint.inFlight == 0);
-  BOOST_TEST(endpoint.waiting == 0);
-  BOOST_TEST(endpoint.lateWaiting == 0);
-  BOOST_TEST(std::abs(endpoint.waitingPromptMs) < 1e-6);
+  BOOST_TEST(endpoint.ordinary.requests == 0);
+  BOOST_TEST(endpoint.late.requests == 0);
+  BOOST_TEST(std::abs(endpoint.ordinary.promptMs) < 1e-6);
 }
 
 // The model behind the placement: more load never predicts an earlier first event.
--- a/libs/stores/include/stores/TableWatcher.h
+++ b/libs/stores/include/stores/TableWatcher.h
@@ -28,8 +28,6 @@
   virtual void onServiceTime(base::Milliseconds /*aServiceTime*/) {}
   /** After each call that succeeded, at least once per wait time. */
   virtual void onAlive(base::TimePoint /*aNow*/) {}
-  /** False while the listener can wait: changes are then gathered for the watcher's pause. */
-  virtual bool isUrgent() const { return false; }
   /** When onAlive() is wanted at the latest; empty for the watcher's own wait. */
   virtual std::optional<base::TimePoint> wakeAt() const { return std::nullopt; }
 };
--- a/libs/stores/src/TableWatcher.cpp
+++ b/libs/stores/src/TableWatcher.cpp
@@ -7,7 +7,7 @@
 namespace {
 /** Pages of one read; bounds a table that grows while it is read. */
 constexpr int kMaxPages = 1000;
-/** How soon a pause ends when the listener becomes urgent. */
+/** How soon a pause ends once the listener wants to be woken. */
 constexpr base::Milliseconds kGatherStep{ 100 };
 } // namespace
 
@@ -117,7 +117,7 @@
   for (auto now = std::chrono::steady_clock::now(); now < until && !mStopping;
        now = std::chrono::steady_clock::now()) {
     auto wakeAt = mListener.wakeAt();
-    if (mListener.isUrgent() || (wakeAt && *wakeAt <= now)) {
+    if (wakeAt && *wakeAt <= now) {
       return;
     }
     std::this_thread::sleep_for(std::min<base::Duration>(kGatherStep, until - now));
--- a/tools/bpctl/main.cpp
+++ b/tools/bpctl/main.cpp
@@ -45,8 +45,8 @@
   dump       print the state of one process; ADDRESS is its control address
   cordon     take an availability zone or VM out of service; uncordon returns it
   manifest   build the manifest of a weight file, publish it, and print the ModelVersion to declare
-  explain    collect the lines of the request ID (X-Attempt-Id on the users' platform) from the log
-             files of all processes and name the cause of its end
+  explain    collect the lines of the request with the attempt id ID from the log files of
+             all processes and name the cause of its end
 
 Options:
   -f FILE --file=FILE     File with one resource, a list, or {"items":[...]}.
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -20,16 +20,12 @@
 constexpr base::Milliseconds kDrainStep = 50ms;
 /** Entries prefer other endpoints for so long before a turn: about the length of a stream. */
 constexpr base::Milliseconds kSoon = 800ms;
-/** The first version of a model, which engines hold when nothing was ever declared. */
-constexpr uint64_t kFirstVersion = 1;
 /** Parts of the version time: turns begin when the first engines have staged the weights, and the
  * last one is loaded when entries begin to require them. */
 constexpr double kTurnsBegin = 0.42;
 constexpr double kTurnsLast = 0.32;
 /** Chunks in flight and those that peers ask for just after they came; all are in the host too. */
 constexpr size_t kCacheBytes = 1 << 20;
-/** A version further back is not to be had from the origin. */
-constexpr size_t kTargets = 2;
 constexpr int kHighestUrgency = 9;
 /** An engine may be without allowed weights for this long, where that saves it a second switch. */
 constexpr base::Milliseconds kSkipGrace = 2000ms;
@@ -76,11 +72,13 @@
 WeightLoader::WeightLoader(LoaderOptions aOptions,
                            platform::EngineCalls& aEngine,
                            LoaderFleet& aFleet,
+                           const WeightNews& aNews,
                            telemetry::Registry& aMetrics,
                            telemetry::EventLog& aLog)
   : mOptions(std::move(aOptions))
   , mEngine(aEngine)
   , mFleet(aFleet)
+  , mNews(aNews)
   , mMetrics(aMetrics)
   , mLog(aLog)
   , mRng(mOptions.seed)
@@ -124,134 +122,28 @@
 
 void WeightLoader::onReport(const platform::EngineReport& aReport, base::TimePoint /*aNow*/)
 {
-  std::lock_guard lock(mMutex);
-  bool changed = !mReport || mReport->load.born != aReport.load.born ||
-                 mReport->load.weightVersion != aReport.load.weightVersion ||
-                 mReport->load.isSwitching != aReport.load.isSwitching;
-  mReport = aReport;
+  bool changed = false;
+  {
+    std::lock_guard lock(mMutex);
+    changed = !mReport || mReport->load.born != aReport.load.born ||
+              mReport->load.weightVersion != aReport.load.weightVersion ||
+              mReport->load.isSwitching != aReport.load.isSwitching;
+    mReport = aReport;
+  }
   if (changed) {
-    mWake.notify_all();
+    wake();
   }
 }
 
-void WeightLoader::onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
-{
-  onChanges(aRows, aNow);
-}
-
-void WeightLoader::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
+void WeightLoader::wake()
 {
-  for (const auto& row : aRows) {
-    take(row, aNow);
+  {
+    std::lock_guard lock(mMutex);
+    mWoken = true;
   }
   mWake.notify_all();
 }
 
-void WeightLoader::onServiceTime(base::Milliseconds aServiceTime)
-{
-  std::lock_guard lock(mMutex);
-  mServiceTime = aServiceTime;
-}
-
-void WeightLoader::take(const stores::RowChange& aRow, base::TimePoint aNow)
-{
-  if (aRow.isDeleted) {
-    return; // What was known stays in force.
-  }
-  if (aRow.key == setupKey(mOptions.service)) {
-    takeSetup(aRow);
-  } else if (isManifestKey(aRow.key)) {
-    takeManifest(aRow);
-  } else if (auto declared = readDeclaredRow(aRow.key, aRow.value)) {
-    takeDeclared(*declared, aNow);
-  }
-}
-
-void WeightLoader::takeSetup(const stores::RowChange& aRow)
-{
-  auto setup = readWeightSetup(aRow.value);
-  if (!setup) {
-    log("setup_invalid", { { "error", setup.error().describe() } });
-    return;
-  }
-  log("setup",
-      { { "model", setup->model },
-        { "origin", setup->origin.toString() },
-        { "may_move_streams", setup->mayMoveStreams ? "yes" : "no" } });
-  std::lock_guard lock(mMutex);
-  mSetup = std::move(*setup);
-}
-
-void WeightLoader::takeManifest(const stores::RowChange& aRow)
-{
-  auto manifest = weights::Manifest::parse(aRow.value);
-  if (!manifest || aRow.key != manifestKey(manifest->model(), manifest->version())) {
-    log("manifest_invalid", { { "row", aRow.key } });
-    return;
-  }
-  std::lock_guard lock(mMutex);
-  mPublished[aRow.key] = std::make_shared<const weights::Manifest>(std::move(*manifest));
-}
-
-void WeightLoader::takeDeclared(const DeclaredRow& aRow, base::TimePoint aNow)
-{
-  std::lock_guard lock(mMutex);
-  uint64_t& known = mDeclared[aRow.model];
-  if (aRow.version <= known) {
-    return;
-  }
-  known = aRow.version;
-  auto age = std::max(mServiceTime - aRow.at, base::Milliseconds(0));
-  mDeclaredAt[aRow.model].emplace_back(known, aNow - age);
-  log("weights_declared",
-      { { "model", aRow.model },
-        { "version", std::to_string(known) },
-        { "age_ms", std::to_string(age.count()) } });
-}
-
-void WeightLoader::onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow)
-{
-  mLog.write(telemetry::Weight::Critical,
-             aReachable ? "store_regained" : "store_lost",
-             { { "table", "weights" }, { "reason", aReason.empty() ? "-" : aReason } },
-             aNow);
-}
-
-std::vector<WeightLoader::Target> WeightLoader::targets() const
-{
-  std::vector<Target> targets;
-  if (!mSetup) {
-    return targets;
-  }
-  const std::string& model = mSetup->model;
-  auto declared = mDeclaredAt.find(model);
-  if (declared == mDeclaredAt.end() || declared->second.empty()) {
-    targets.push_back({ model, kFirstVersion });
-    return targets;
-  }
-  for (auto entry = declared->second.rbegin();
-       entry != declared->second.rend() && targets.size() < kTargets;
-       ++entry) {
-    targets.push_back({ model, entry->first });
-  }
-  return targets;
-}
-
-base::TimePoint WeightLoader::overdueSince(const std::string& aModel,
-                                           uint64_t aEngineVersion,
-                                           base::TimePoint aNow) const
-{
-  auto declared = mDeclaredAt.find(aModel);
-  if (declared != mDeclaredAt.end()) {
-    for (const auto& [version, at] : declared->second) {
-      if (version > aEngineVersion) {
-        return at;
-      }
-    }
-  }
-  return aNow;
-}
-
 void WeightLoader::run()
 {
   std::unique_lock lock(mMutex);
@@ -259,26 +151,24 @@
     lock.unlock();
     step(std::chrono::steady_clock::now());
     lock.lock();
-    mWake.wait_for(lock, kStep);
+    mWake.wait_for(lock, kStep, [this] { return mWoken || mStopping; });
+    mWoken = false;
   }
 }
 
 void WeightLoader::step(base::TimePoint aNow)
 {
-  std::vector<Target> wanted;
+  mSwitchesSoon = false;
+  auto wanted = mNews.targets();
   std::optional<platform::EngineReport> report;
-  base::TimePoint declaredAt = aNow;
   {
     std::lock_guard lock(mMutex);
-    wanted = targets();
     report = mReport;
-    if (!wanted.empty() && report) {
-      declaredAt = overdueSince(wanted.front().model, report->load.weightVersion, aNow);
-    }
   }
   if (wanted.empty() || !report || !openDistributor()) {
     return;
   }
+  auto declaredAt = mNews.overdueSince(wanted.front().model, report->load.weightVersion, aNow);
   if (report->load.born != mBorn) {
     // A restart may have come with a loss of power, which empties the staging area.
     if (mBorn != 0) {
@@ -292,7 +182,7 @@
   auto held = mDistributor->held();
   std::shared_ptr<const weights::Manifest> newest;
   uint64_t newestVersion = 0;
-  for (const Target& target : wanted) {
+  for (const WeightTarget& target : wanted) {
     auto manifest = manifestOf(target, aNow);
     if (!manifest) {
       continue;
@@ -339,11 +229,7 @@
   if (mDistributor) {
     return true;
   }
-  std::optional<WeightSetup> setup;
-  {
-    std::lock_guard lock(mMutex);
-    setup = mSetup;
-  }
+  auto setup = mNews.setup();
   if (!setup) {
     return false;
   }
@@ -370,7 +256,7 @@
       .originRegion(region != mOptions.zones.end() ? region->second : mOptions.region)
       .options(options)
       .seed(mOptions.seed)
-      .onChange([this] { mWake.notify_all(); })
+      .onChange([this] { wake(); })
       .build();
   if (!distributor) {
     log("distributor_invalid", { { "error", distributor.error().describe() } });
@@ -389,25 +275,23 @@
   return true;
 }
 
-void WeightLoader::forgetOthers(const std::vector<Target>& aTargets)
+void WeightLoader::forgetOthers(const std::vector<WeightTarget>& aTargets)
 {
   std::erase_if(mKnown, [&](const auto& aEntry) {
-    return std::none_of(aTargets.begin(), aTargets.end(), [&](const Target& aTarget) {
+    return std::none_of(aTargets.begin(), aTargets.end(), [&](const WeightTarget& aTarget) {
       return aTarget.version == aEntry.first;
     });
   });
 }
 
-std::shared_ptr<const weights::Manifest> WeightLoader::manifestOf(const Target& aTarget,
+std::shared_ptr<const weights::Manifest> WeightLoader::manifestOf(const WeightTarget& aTarget,
                                                                   base::TimePoint aNow)
 {
-  // The origin may send wrong bytes: two equal answers are taken as right. A wrong manifest would
-  // otherwise condemn all right chunks.
   KnownManifest& known = mKnown[aTarget.version];
   if (known.manifest) {
     return known.manifest;
   }
-  if (auto shared = published(aTarget)) {
+  if (auto shared = mNews.manifest(aTarget)) {
     adopt(known, std::move(shared));
     return known.manifest;
   }
@@ -418,20 +302,21 @@
   if (aNow < known.retryAt) {
     return nullptr;
   }
+  // The origin may send wrong bytes: two equal answers are taken as right. A wrong manifest would
+  // otherwise condemn all right chunks.
   auto manifest = mOrigin->manifest(aTarget.model, aTarget.version);
-  if (!manifest) {
+  auto again = manifest ? mOrigin->manifest(aTarget.model, aTarget.version) : manifest;
+  if (!manifest || !again || manifest->id() != again->id()) {
     log("manifest_missing",
         { { "model", aTarget.model },
           { "version", std::to_string(aTarget.version) },
-          { "error", manifest.error().describe() } });
+          { "error",
+            !manifest ? manifest.error().describe()
+            : !again  ? again.error().describe()
+                      : "two answers of the origin differ" } });
     known.retryAt = aNow + base::Duration(kManifestRetry);
     return nullptr;
   }
-  if (known.onceRead != manifest->id()) {
-    known.onceRead = manifest->id();
-    mWake.notify_all();
-    return nullptr;
-  }
   adopt(known, std::make_shared<const weights::Manifest>(std::move(*manifest)));
   if (mPublish) {
     mPublish(manifestKey(aTarget.model, std::to_string(aTarget.version)),
@@ -440,13 +325,6 @@
   return known.manifest;
 }
 
-std::shared_ptr<const weights::Manifest> WeightLoader::published(const Target& aTarget) const
-{
-  std::lock_guard lock(mMutex);
-  auto found = mPublished.find(manifestKey(aTarget.model, std::to_string(aTarget.version)));
-  return found == mPublished.end() ? nullptr : found->second;
-}
-
 void WeightLoader::adopt(KnownManifest& aKnown, std::shared_ptr<const weights::Manifest> aManifest)
 {
   aKnown.manifest = std::move(aManifest);
@@ -498,10 +376,19 @@
   mDistributor->want(std::move(wanted));
 }
 
-bool WeightLoader::mayMoveStreams() const
+base::Result<platform::EngineReport> WeightLoader::drain(rollout::RunningStreams aStreams)
 {
-  std::lock_guard lock(mMutex);
-  return mSetup && mSetup->mayMoveStreams;
+  std::this_thread::sleep_for(kAnnounceTime);
+  auto since = std::chrono::steady_clock::now();
+  for (;;) {
+    auto report = mEngine.report();
+    auto drainedFor = std::chrono::steady_clock::now() - since;
+    if (!report || aStreams == rollout::RunningStreams::Finish ||
+        rollout::mayStopStreams(report->load.running, drainedFor)) {
+      return report;
+    }
+    std::this_thread::sleep_for(kDrainStep);
+  }
 }
 
 void WeightLoader::order(const weights::Manifest& aManifest,
@@ -518,21 +405,15 @@
   if (mAnnounce) {
     mAnnounce();
   }
-  auto streams = rollout::streamsAtSwitch(mayMoveStreams(), mFleet.rank().second);
-  bool move = streams == rollout::RunningStreams::Move;
-  std::this_thread::sleep_for(kAnnounceTime);
-  auto report = mEngine.report();
-  auto since = std::chrono::steady_clock::now();
-  while (move && report &&
-         !rollout::mayStopStreams(report->load.running, std::chrono::steady_clock::now() - since)) {
-    std::this_thread::sleep_for(kDrainStep);
-    report = mEngine.report();
-  }
+  auto setup = mNews.setup();
+  auto streams = rollout::streamsAtSwitch(setup && setup->mayMoveStreams, mFleet.rank().second);
+  auto report = drain(streams);
   if (!report) {
     mSwitching = false;
     log("engine_silent", { { "error", report.error().describe() } });
     return;
   }
+  bool move = streams == rollout::RunningStreams::Move;
   auto answer =
     mEngine.start(aManifest.model(),
                   aVersion,
--- a/tools/loader/WeightLoader.h
+++ b/tools/loader/WeightLoader.h
@@ -12,12 +12,11 @@
 #include <vector>
 
 #include "LoaderFleet.h"
-#include "WeightRows.h"
+#include "WeightNews.h"
 #include "base/Rng.h"
 #include "net/HttpServer.h"
 #include "platform/EngineCalls.h"
 #include "rollout/SwitchCore.h"
-#include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
 #include "weights/Distributor.h"
 
@@ -53,15 +52,18 @@
  * Brings the engine on this VM to the declared weights: reads the manifest, lets the Distributor
  * stage the chunks, verifies them and orders the engine to load them.
  */
-class WeightLoader final : public stores::TableListener
+class WeightLoader
 {
 public:
   WeightLoader(LoaderOptions aOptions,
                platform::EngineCalls& aEngine,
                LoaderFleet& aFleet,
+               const WeightNews& aNews,
                telemetry::Registry& aMetrics,
                telemetry::EventLog& aLog);
-  ~WeightLoader() override;
+  ~WeightLoader();
+  WeightLoader(const WeightLoader&) = delete;
+  WeightLoader& operator=(const WeightLoader&) = delete;
 
   void start();
   void stop();
@@ -76,56 +78,40 @@
   using Publish = std::function<void(const std::string& aKey, const std::string& aText)>;
   void publishManifests(Publish aPublish) { mPublish = std::move(aPublish); }
 
-  void onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
-  void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
-  void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
-  void onServiceTime(base::Milliseconds aServiceTime) override;
+  /** Looks at once for what is to be done; any thread. */
+  void wake();
 
 private:
-  struct Target
-  {
-    std::string model;
-    uint64_t version = 0;
-  };
-
   struct KnownManifest
   {
-    std::shared_ptr<const weights::Manifest> manifest; ///< Null until it was read twice alike.
-    std::optional<weights::ManifestId> onceRead;
-    base::TimePoint retryAt; ///< Earliest next call of the origin.
-    bool isNew = true;       ///< Not looked for yet.
-    bool isWhole = false;    ///< All chunks are here.
+    std::shared_ptr<const weights::Manifest> manifest; ///< Null until it is known.
+    base::TimePoint retryAt;                           ///< Earliest next call of the origin.
+    bool isNew = true;                                 ///< Not looked for yet.
+    bool isWhole = false;                              ///< All chunks are here.
   };
 
   void run();
-  bool mayMoveStreams() const;
   void step(base::TimePoint aNow);
-  /** The model and the versions to hold, newest first; empty while the setup is not known. */
-  std::vector<Target> targets() const;
-  /** When the oldest version that the engine does not have was declared. */
-  base::TimePoint overdueSince(const std::string& aModel,
-                               uint64_t aEngineVersion,
-                               base::TimePoint aNow) const;
   bool openDistributor();
-  /** The manifest of a target; null until two answers of the origin agree. */
-  std::shared_ptr<const weights::Manifest> manifestOf(const Target& aTarget, base::TimePoint aNow);
+  /** The manifest of a target; null until a loader has read it. */
+  std::shared_ptr<const weights::Manifest> manifestOf(const WeightTarget& aTarget,
+                                                      base::TimePoint aNow);
   void adopt(KnownManifest& aKnown, std::shared_ptr<const weights::Manifest> aManifest);
   /** Tells the Distributor what to fetch when that changed. */
   void wantManifests(const std::vector<std::shared_ptr<const weights::Manifest>>& aManifests);
   bool comesInTime(const weights::ManifestId& aId, base::TimePoint aDue) const;
   /** Drops manifests that are no target any more. */
-  void forgetOthers(const std::vector<Target>& aTargets);
+  void forgetOthers(const std::vector<WeightTarget>& aTargets);
   void order(const weights::Manifest& aManifest, uint64_t aVersion, base::TimePoint aNow);
-  void take(const stores::RowChange& aRow, base::TimePoint aNow);
-  void takeSetup(const stores::RowChange& aRow);
-  void takeManifest(const stores::RowChange& aRow);
-  void takeDeclared(const DeclaredRow& aRow, base::TimePoint aNow);
-  std::shared_ptr<const weights::Manifest> published(const Target& aTarget) const;
+  /** Waits until the engine's streams may be broken off; at once where they finish by themselves.
+   * @return the engine's latest report. */
+  base::Result<platform::EngineReport> drain(rollout::RunningStreams aStreams);
   void log(std::string_view aEvent, std::initializer_list<telemetry::Field> aFields) const;
 
   const LoaderOptions mOptions;
   platform::EngineCalls& mEngine;
   LoaderFleet& mFleet;
+  const WeightNews& mNews;
   telemetry::Registry& mMetrics;
   telemetry::EventLog& mLog;
   base::Rng mRng;
@@ -139,13 +125,7 @@
   mutable std::mutex mMutex;
   std::condition_variable mWake;
   bool mStopping = false;
-  std::optional<WeightSetup> mSetup;
-  /** Manifests that loaders have published, by row key. */
-  std::map<std::string, std::shared_ptr<const weights::Manifest>> mPublished;
-  base::Milliseconds mServiceTime{ 0 };      ///< Clock of the store at the latest news.
-  std::map<std::string, uint64_t> mDeclared; ///< Version by model.
-  /** When each version of a model was declared, oldest first. */
-  std::map<std::string, std::vector<std::pair<uint64_t, base::TimePoint>>> mDeclaredAt;
+  bool mWoken = false; ///< Something has changed since the latest step began.
   std::optional<platform::EngineReport> mReport;
 
   // Used by the loader's thread only.
--- /dev/null
+++ b/tools/node/RunNode.cpp
@@ -0,0 +1,48 @@
+#include "RunNode.h"
+
+#include <iostream>
+
+#include "Daemon.h"
+#include "platform/HeaderNames.h"
+
+namespace boragepitch::tools {
+
+int runNode(int aCount,
+            char** aArguments,
+            const std::string& aProgram,
+            const settings::Schema& aSchema,
+            const MakeNode& aMake)
+{
+  CommandLine commandLine =
+    parseCommandLine(aCount, aArguments, aProgram, platform::kSettingsVariable);
+  int exitCode = 0;
+  auto settings = loadSettings(commandLine, aSchema, exitCode);
+  if (!settings) {
+    return exitCode;
+  }
+  SignalLoop signals;
+  auto process = aMake(*settings);
+  if (auto started = process->start(); !started) {
+    std::cerr << started.error().describe() << "\n";
+    return static_cast<int>(ExitCode::CannotStart);
+  }
+  auto log = [&](std::string_view aEvent, std::initializer_list<telemetry::Field> aFields) {
+    process->log().write(
+      telemetry::Weight::Critical, aEvent, aFields, std::chrono::steady_clock::now());
+  };
+  log("started", {});
+  signals.waitForTermination(
+    [] {},
+    [&] {
+      // Every setting is an address, a place or a bound of the deployment: a restart applies it.
+      bool valid = aSchema.load(commandLine.settingsPath).has_value();
+      log("reload", { { "settings", valid ? "valid" : "invalid" }, { "applied", "none" } });
+    });
+  log("signal", { { "signal", "terminate" } });
+  process->leave();
+  log("stopped", {});
+  process->log().flush(std::chrono::steady_clock::now());
+  endProcess(ExitCode::Success);
+}
+
+} // namespace boragepitch::tools
--- /dev/null
+++ b/tools/node/StoreLinks.cpp
@@ -0,0 +1,77 @@
+#include "StoreLinks.h"
+
+#include "NodeRows.h"
+#include "base/Digest.h"
+#include "platform/StoreCalls.h"
+
+namespace boragepitch::tools {
+
+namespace {
+/** Between two tries to write the program's row. */
+constexpr base::Milliseconds kRegisterRetry{ 500 };
+/** For calls that do not wait for changes. */
+constexpr base::Milliseconds kNoWait{ 0 };
+} // namespace
+
+StoreLinks::StoreLinks(std::string aNode, net::Address aStore, telemetry::EventLog& aLog)
+  : mNode(std::move(aNode))
+  , mStore(std::move(aStore))
+  , mLog(aLog)
+{
+}
+
+StoreLinks::~StoreLinks()
+{
+  stop();
+}
+
+void StoreLinks::watch(const char* aTable,
+                       stores::TableListener& aListener,
+                       base::Milliseconds aWait,
+                       base::Milliseconds aPause)
+{
+  stores::WatchOptions options;
+  options.table = aTable;
+  options.wait = aWait;
+  options.pause = aPause;
+  options.seed = base::fastHash(base::asBytes(mNode + aTable));
+  auto makeFeed = [this, aWait] { return std::make_unique<platform::StoreCalls>(mStore, aWait); };
+  mWatchers.push_back(
+    std::make_unique<stores::TableWatcher>(makeFeed, aListener, std::move(options)));
+  mWatchers.back()->start();
+}
+
+void StoreLinks::registerNode(std::string aKey, std::string aValue)
+{
+  mRegistration = std::thread([this, key = std::move(aKey), value = std::move(aValue)] {
+    while (!mStopping) {
+      auto written = feed()->put(kNodeTable, key, value);
+      if (written) {
+        return;
+      }
+      mLog.write(telemetry::Weight::Critical,
+                 "registration_failed",
+                 { { "error", written.error().describe() } },
+                 std::chrono::steady_clock::now());
+      std::this_thread::sleep_for(kRegisterRetry);
+    }
+  });
+}
+
+std::unique_ptr<stores::RowFeed> StoreLinks::feed() const
+{
+  return std::make_unique<platform::StoreCalls>(mStore, kNoWait);
+}
+
+void StoreLinks::stop()
+{
+  mStopping = true;
+  for (auto& watcher : mWatchers) {
+    watcher->stop();
+  }
+  if (mRegistration.joinable()) {
+    mRegistration.join();
+  }
+}
+
+} // namespace boragepitch::tools
--- a/tools/router/RouterSettings.cpp
+++ b/tools/router/RouterSettings.cpp
@@ -1,5 +1,7 @@
 #include "RouterSettings.h"
 
+#include "serving/EndpointSet.h"
+
 namespace boragepitch::tools {
 
 settings::Schema routerSchema()
@@ -48,12 +50,12 @@
             "",
             0.1,
             100,
-            0.55)
+            serving::PlacementOptions().budgetFactor)
     .duration("admission.least_budget",
               "Requests predicted within this time and their target are not refused.",
               0,
               60000,
-              200)
+              serving::PlacementOptions().leastBudget.count())
     .duration("leave.limit", "Longest wait for requests in flight at shutdown.", 100, 600000, 7000);
   return builder.build();
 }
