One builder for the store clients over HTTP, one refresh loop for both gateways

Read-through: four builders and two threads with the same lines. HttpBuilder is a template of which each client defines build(); RefreshLoop owns the thread. Left as they are: the members and includes of bp-agent and bp-entry, the stand-ins' mains and the fixtures that share figures by chance.

--- a/libs/gateway/src/AgentGateway.cpp
+++ b/libs/gateway/src/AgentGateway.cpp
@@ -1,10 +1,9 @@
 #include "gateway/AgentGateway.h"
 
-#include <condition_variable>
 #include <stdexcept>
-#include <thread>
 
 #include "AgentCore.h"
+#include "RefreshLoop.h"
 #include "base/Json.h"
 
 namespace boragepitch::gateway {
@@ -16,20 +15,10 @@
 public:
   AgentGatewayImpl(AgentOptions aOptions, telemetry::Registry& aMetrics)
     : mCore(std::make_shared<AgentCore>(std::move(aOptions), aMetrics))
-    , mThread([this] { run(); })
+    , mLoop([this] { mCore->refresh(); }, mCore->options.limits.refreshEvery)
   {
   }
 
-  ~AgentGatewayImpl() override
-  {
-    {
-      std::lock_guard lock(mMutex);
-      mStopping = true;
-    }
-    mWake.notify_all();
-    mThread.join();
-  }
-
   void attach(net::HttpServer& aServer) override
   {
     auto core = mCore;
@@ -106,22 +95,8 @@
     return response;
   }
 
-  void run()
-  {
-    std::unique_lock lock(mMutex);
-    while (!mStopping) {
-      lock.unlock();
-      mCore->refresh();
-      lock.lock();
-      mWake.wait_for(lock, mCore->options.limits.refreshEvery, [this] { return mStopping; });
-    }
-  }
-
   std::shared_ptr<AgentCore> mCore;
-  std::mutex mMutex;
-  std::condition_variable mWake;
-  bool mStopping = false;
-  std::thread mThread;
+  RefreshLoop mLoop;
 };
 
 } // namespace
--- a/libs/gateway/src/EntryGateway.cpp
+++ b/libs/gateway/src/EntryGateway.cpp
@@ -1,9 +1,9 @@
 #include "gateway/EntryGateway.h"
 
 #include <stdexcept>
-#include <thread>
 
 #include "EntryCore.h"
+#include "RefreshLoop.h"
 
 namespace boragepitch::gateway {
 
@@ -16,20 +16,10 @@
                    telemetry::Registry& aMetrics,
                    std::unique_ptr<routing::EndpointChoice> aChoice)
     : mCore(std::make_shared<EntryCore>(std::move(aOptions), aMetrics, std::move(aChoice)))
-    , mThread([this] { run(); })
+    , mLoop([this] { mCore->refresh(); }, mCore->options.limits.refreshEvery)
   {
   }
 
-  ~EntryGatewayImpl() override
-  {
-    {
-      std::lock_guard lock(mMutex);
-      mStopping = true;
-    }
-    mWake.notify_all();
-    mThread.join();
-  }
-
   void attach(net::HttpServer& aServer) override
   {
     auto core = mCore;
@@ -60,22 +50,8 @@
   Json::Value dump() const override { return mCore->dump(); }
 
 private:
-  void run()
-  {
-    std::unique_lock lock(mMutex);
-    while (!mStopping) {
-      lock.unlock();
-      mCore->refresh();
-      lock.lock();
-      mWake.wait_for(lock, mCore->options.limits.refreshEvery, [this] { return mStopping; });
-    }
-  }
-
   std::shared_ptr<EntryCore> mCore;
-  std::mutex mMutex;
-  std::condition_variable mWake;
-  bool mStopping = false;
-  std::thread mThread;
+  RefreshLoop mLoop;
 };
 
 } // namespace
--- /dev/null
+++ b/libs/gateway/src/RefreshLoop.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+#include "base/Time.h"
+
+namespace boragepitch::gateway {
+
+/** Calls a function again and again on a thread of its own, until it is destroyed. */
+class RefreshLoop
+{
+public:
+  RefreshLoop(std::function<void()> aRefresh, base::Duration aPause)
+    : mRefresh(std::move(aRefresh))
+    , mPause(aPause)
+    , mThread([this] { run(); })
+  {
+  }
+  ~RefreshLoop()
+  {
+    {
+      std::lock_guard lock(mMutex);
+      mStopping = true;
+    }
+    mWake.notify_all();
+    mThread.join();
+  }
+  RefreshLoop(const RefreshLoop&) = delete;
+  RefreshLoop& operator=(const RefreshLoop&) = delete;
+
+private:
+  void run()
+  {
+    std::unique_lock lock(mMutex);
+    while (!mStopping) {
+      lock.unlock();
+      mRefresh();
+      lock.lock();
+      mWake.wait_for(lock, mPause, [this] { return mStopping; });
+    }
+  }
+
+  const std::function<void()> mRefresh;
+  const base::Duration mPause;
+  std::mutex mMutex;
+  std::condition_variable mWake;
+  bool mStopping = false;
+  std::thread mThread;
+};
+
+} // namespace boragepitch::gateway
--- a/libs/stores/include/stores/HttpStores.h
+++ b/libs/stores/include/stores/HttpStores.h
@@ -28,6 +28,32 @@
   uint64_t seed = 1;
 };
 
+/** Builds a client of a service over HTTP. Each client defines its own build(). */
+template<typename Client>
+class HttpBuilder
+{
+public:
+  HttpBuilder& address(net::Address aAddress)
+  {
+    mOptions.address = std::move(aAddress);
+    return *this;
+  }
+  HttpBuilder& retry(RetrySettings aRetry)
+  {
+    mOptions.retry = aRetry;
+    return *this;
+  }
+  HttpBuilder& seed(uint64_t aSeed)
+  {
+    mOptions.seed = aSeed;
+    return *this;
+  }
+  std::unique_ptr<Client> build();
+
+private:
+  EndpointOptions mOptions;
+};
+
 /**
  * Table service over HTTP. Reads are repeated within the deadline and the retry budget. A commit is
  * sent once, except when nothing was sent or written and the transaction carries checks; its lost
@@ -36,34 +62,14 @@
 class HttpTable : public TableClient
 {
 public:
-  class Builder
-  {
-  public:
-    Builder& address(net::Address aAddress);
-    Builder& retry(RetrySettings aRetry);
-    Builder& seed(uint64_t aSeed);
-    std::unique_ptr<HttpTable> build();
-
-  private:
-    EndpointOptions mOptions;
-  };
+  using Builder = HttpBuilder<HttpTable>;
 };
 
 /** Object store over HTTP. A put writes a whole object, so repeating it is safe. */
 class HttpObjects : public ObjectClient
 {
 public:
-  class Builder
-  {
-  public:
-    Builder& address(net::Address aAddress);
-    Builder& retry(RetrySettings aRetry);
-    Builder& seed(uint64_t aSeed);
-    std::unique_ptr<HttpObjects> build();
-
-  private:
-    EndpointOptions mOptions;
-  };
+  using Builder = HttpBuilder<HttpObjects>;
 };
 
 /**
@@ -73,34 +79,23 @@
 class HttpWeightOrigin : public WeightOrigin
 {
 public:
-  class Builder
-  {
-  public:
-    Builder& address(net::Address aAddress);
-    Builder& retry(RetrySettings aRetry);
-    Builder& seed(uint64_t aSeed);
-    std::unique_ptr<HttpWeightOrigin> build();
-
-  private:
-    EndpointOptions mOptions;
-  };
+  using Builder = HttpBuilder<HttpWeightOrigin>;
 };
 
 /** VM list over HTTP. */
 class HttpVmList : public VmList
 {
 public:
-  class Builder
-  {
-  public:
-    Builder& address(net::Address aAddress);
-    Builder& retry(RetrySettings aRetry);
-    Builder& seed(uint64_t aSeed);
-    std::unique_ptr<HttpVmList> build();
-
-  private:
-    EndpointOptions mOptions;
-  };
+  using Builder = HttpBuilder<HttpVmList>;
 };
 
+template<>
+std::unique_ptr<HttpTable> HttpBuilder<HttpTable>::build();
+template<>
+std::unique_ptr<HttpObjects> HttpBuilder<HttpObjects>::build();
+template<>
+std::unique_ptr<HttpWeightOrigin> HttpBuilder<HttpWeightOrigin>::build();
+template<>
+std::unique_ptr<HttpVmList> HttpBuilder<HttpVmList>::build();
+
 } // namespace boragepitch::stores
--- a/libs/stores/src/HttpObjects.cpp
+++ b/libs/stores/src/HttpObjects.cpp
@@ -75,25 +75,8 @@
 
 } // namespace
 
-HttpObjects::Builder& HttpObjects::Builder::address(net::Address aAddress)
-{
-  mOptions.address = std::move(aAddress);
-  return *this;
-}
-
-HttpObjects::Builder& HttpObjects::Builder::retry(RetrySettings aRetry)
-{
-  mOptions.retry = aRetry;
-  return *this;
-}
-
-HttpObjects::Builder& HttpObjects::Builder::seed(uint64_t aSeed)
-{
-  mOptions.seed = aSeed;
-  return *this;
-}
-
-std::unique_ptr<HttpObjects> HttpObjects::Builder::build()
+template<>
+std::unique_ptr<HttpObjects> HttpBuilder<HttpObjects>::build()
 {
   return std::make_unique<HttpObjectsImpl>(mOptions);
 }
--- a/libs/stores/src/HttpTable.cpp
+++ b/libs/stores/src/HttpTable.cpp
@@ -182,25 +182,8 @@
 
 } // namespace
 
-HttpTable::Builder& HttpTable::Builder::address(net::Address aAddress)
-{
-  mOptions.address = std::move(aAddress);
-  return *this;
-}
-
-HttpTable::Builder& HttpTable::Builder::retry(RetrySettings aRetry)
-{
-  mOptions.retry = aRetry;
-  return *this;
-}
-
-HttpTable::Builder& HttpTable::Builder::seed(uint64_t aSeed)
-{
-  mOptions.seed = aSeed;
-  return *this;
-}
-
-std::unique_ptr<HttpTable> HttpTable::Builder::build()
+template<>
+std::unique_ptr<HttpTable> HttpBuilder<HttpTable>::build()
 {
   return std::make_unique<HttpTableImpl>(mOptions);
 }
--- a/libs/stores/src/HttpVmList.cpp
+++ b/libs/stores/src/HttpVmList.cpp
@@ -65,25 +65,8 @@
 
 } // namespace
 
-HttpVmList::Builder& HttpVmList::Builder::address(net::Address aAddress)
-{
-  mOptions.address = std::move(aAddress);
-  return *this;
-}
-
-HttpVmList::Builder& HttpVmList::Builder::retry(RetrySettings aRetry)
-{
-  mOptions.retry = aRetry;
-  return *this;
-}
-
-HttpVmList::Builder& HttpVmList::Builder::seed(uint64_t aSeed)
-{
-  mOptions.seed = aSeed;
-  return *this;
-}
-
-std::unique_ptr<HttpVmList> HttpVmList::Builder::build()
+template<>
+std::unique_ptr<HttpVmList> HttpBuilder<HttpVmList>::build()
 {
   return std::make_unique<HttpVmListImpl>(mOptions);
 }
--- a/libs/stores/src/HttpWeightOrigin.cpp
+++ b/libs/stores/src/HttpWeightOrigin.cpp
@@ -177,25 +177,8 @@
 
 } // namespace
 
-HttpWeightOrigin::Builder& HttpWeightOrigin::Builder::address(net::Address aAddress)
-{
-  mOptions.address = std::move(aAddress);
-  return *this;
-}
-
-HttpWeightOrigin::Builder& HttpWeightOrigin::Builder::retry(RetrySettings aRetry)
-{
-  mOptions.retry = aRetry;
-  return *this;
-}
-
-HttpWeightOrigin::Builder& HttpWeightOrigin::Builder::seed(uint64_t aSeed)
-{
-  mOptions.seed = aSeed;
-  return *this;
-}
-
-std::unique_ptr<HttpWeightOrigin> HttpWeightOrigin::Builder::build()
+template<>
+std::unique_ptr<HttpWeightOrigin> HttpBuilder<HttpWeightOrigin>::build()
 {
   return std::make_unique<HttpWeightOriginImpl>(mOptions);
 }
