Log what tells a late list from a request under way at a leaving endpoint

What callers saw: nothing changes for them. Change: age of the list, last resort and time of writing in event=request; event=sent_after_leave and a counter when a request is written to an endpoint that is known to leave by then; event=endpoint_announced_leave when an answer announces the leave; retry_after_ms of a rejection in event=send_failed.

--- a/libs/relay/include/relay/Dialect.h
+++ b/libs/relay/include/relay/Dialect.h
@@ -52,6 +52,9 @@
   bool isSigned = false;  ///< Bears the endpoint's signature.
   bool notRun = false;    ///< The endpoint states that it did not run the request.
   bool isEncoded = false; ///< The body has a content encoding: not what the endpoint made.
+  bool isLeaving = false; ///< The endpoint announces that it takes no new requests and will end.
+  /** With a 503: the endpoint wants no request from this process for so long. */
+  std::optional<base::Milliseconds> retryAfter;
   std::optional<uint64_t> weightVersion;
   std::optional<base::Milliseconds> keepAlive; ///< Idle time after which the endpoint closes.
 };
--- a/libs/relay/include/relay/Relay.h
+++ b/libs/relay/include/relay/Relay.h
@@ -91,8 +91,8 @@
                               base::TimePoint aEnforceFrom) = 0;
   /** Any thread: the other entries, which share budgets with this one. */
   virtual void setPeers(std::vector<net::Address> aPeers) = 0;
-  /** Any thread: the list of endpoints was read at least once. */
-  virtual void setListKnown() = 0;
+  /** Any thread: what is known of the endpoints was the whole list at aAt. */
+  virtual void confirmList(base::TimePoint aAt) = 0;
 };
 
 } // namespace boragepitch::relay
--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -213,6 +213,9 @@
   mProgressAt = aNow;
   mLoadAtSend = serving::EndpointSet::load(*mEndpoint, aNow);
   mReportAge = mEndpoint->report ? aNow - mEndpoint->reportedAt : base::Duration(-1);
+  mListAge = mCore.listAge(aNow);
+  mWriteTime = base::Duration(-1);
+  mWasLapsed = mEndpoint->isLapsed;
   mOccupancy = mCore.endpoints.started(placement, request, aNow);
   ExchangeRequest exchange;
   exchange.endpoint = record.id;
@@ -266,11 +269,43 @@
   return text;
 }
 
-void Call::onSent() {}
+void Call::onSent()
+{
+  auto now = std::chrono::steady_clock::now();
+  mWriteTime = now - mSentAt;
+  if (!mEndpoint->leaveKnownAt) {
+    return;
+  }
+  mCore.metrics.sentAfterLeave.add();
+  mCore.log.write(telemetry::Weight::Refused,
+                  "sent_after_leave",
+                  { { "id", mFacts.attemptId },
+                    { "endpoint", mEndpoint->record.id },
+                    { "lapsed", mWasLapsed ? "yes" : "no" },
+                    { "known_ms", milliseconds(now - *mEndpoint->leaveKnownAt) },
+                    { "write_ms", milliseconds(mWriteTime) },
+                    { "list_age_ms", milliseconds(mListAge) } },
+                  now);
+}
+
+void Call::noteLeaving(const AnswerHead& aHead, base::TimePoint aNow)
+{
+  if (!aHead.facts.isLeaving) {
+    return;
+  }
+  mCore.log.write(telemetry::Weight::Critical,
+                  "endpoint_announced_leave",
+                  { { "endpoint", mEndpoint->record.id },
+                    { "id", mFacts.attemptId },
+                    { "listed_as", mEndpoint->record.isDraining ? "draining" : "ready" },
+                    { "list_age_ms", milliseconds(mCore.listAge(aNow)) } },
+                  aNow);
+}
 
 void Call::onHead(const AnswerHead& aHead)
 {
   mHead = aHead;
+  noteLeaving(aHead, std::chrono::steady_clock::now());
   if (aHead.status / 100 != 2) {
     return;
   }
@@ -442,18 +477,21 @@
   }
   std::string_view obstacle = obstacleToRetry(aResult, aNow);
   bool again = obstacle.empty();
-  mCore.log.write(telemetry::Weight::Refused,
-                  "send_failed",
-                  { { "id", mFacts.attemptId },
-                    { "endpoint", mEndpoint->record.id },
-                    { "reason", aResult.reason },
-                    { "may_have_run", aResult.mayHaveRun ? "yes" : "no" },
-                    { "events", std::to_string(mEvents) },
-                    { "sends", std::to_string(mSends) },
-                    { "after_ms", milliseconds(aNow - mSentAt) },
-                    { "again", again ? "yes" : "no" },
-                    { "obstacle", again ? "-" : std::string(obstacle) } },
-                  aNow);
+  mCore.log.write(
+    telemetry::Weight::Refused,
+    "send_failed",
+    { { "id", mFacts.attemptId },
+      { "endpoint", mEndpoint->record.id },
+      { "reason", aResult.reason },
+      { "may_have_run", aResult.mayHaveRun ? "yes" : "no" },
+      { "events", std::to_string(mEvents) },
+      { "sends", std::to_string(mSends) },
+      { "after_ms", milliseconds(aNow - mSentAt) },
+      { "retry_after_ms",
+        mHead && mHead->facts.retryAfter ? milliseconds(*mHead->facts.retryAfter) : "-" },
+      { "again", again ? "yes" : "no" },
+      { "obstacle", again ? "-" : std::string(obstacle) } },
+    aNow);
   if (!again) {
     giveUp(aNow, aResult.reason);
     return;
@@ -631,6 +669,9 @@
                     { "predicted_ms", std::to_string(std::lround(mOccupancy.predictedMs)) },
                     { "late", mRuns > 0 ? "yes" : "no" },
                     { "report_age_ms", milliseconds(mReportAge) },
+                    { "list_age_ms", milliseconds(mListAge) },
+                    { "lapsed", mWasLapsed ? "yes" : "no" },
+                    { "write_ms", milliseconds(mWriteTime) },
                     { "sends", std::to_string(mSends) },
                     { "events", std::to_string(mEvents) },
                     { "first_ms", firstMs },
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -65,6 +65,7 @@
   void reject(int aStatus, std::string_view aReason, base::TimePoint aNow);
   void refuse(std::string_view aReason, base::TimePoint aNow);
   void fail(int aStatus, std::string_view aReason, base::TimePoint aNow);
+  void noteLeaving(const AnswerHead& aHead, base::TimePoint aNow);
   void deliver(const AnswerHead& aHead, std::string_view aBody, base::TimePoint aNow);
   void logEnd(telemetry::Weight aWeight,
               std::string_view aOutcome,
@@ -95,9 +96,12 @@
   serving::Occupancy mOccupancy;
   base::TimePoint mFirstDue; ///< Until then a first event is in time.
 
-  int mLoadAtSend = 0; ///< Requests at the endpoint, as they were known at the send.
-  int mCandidates = 0; ///< Endpoints that were allowed when one was chosen.
-  double mBestMs = 0;  ///< Soonest first event that was predicted then.
+  int mLoadAtSend = 0;             ///< Requests at the endpoint, as they were known at the send.
+  int mCandidates = 0;             ///< Endpoints that were allowed when one was chosen.
+  base::Duration mListAge{ -1 };   ///< At the last choice.
+  base::Duration mWriteTime{ -1 }; ///< From the last choice to the last byte written.
+  bool mWasLapsed = false;         ///< The endpoint was chosen as the last resort.
+  double mBestMs = 0;              ///< Soonest first event that was predicted then.
   base::Duration mReportAge{ -1 };
 
   std::optional<AnswerHead> mHead; ///< Of the present send.
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -20,6 +20,9 @@
   , repeats(aRegistry.counter("bp_relay_repeats_total", "Sends to a further endpoint"))
   , resumes(aRegistry.counter("bp_relay_resumes_total", "Streams continued on another endpoint"))
   , connects(aRegistry.counter("bp_relay_connects_total", "New connections to endpoints"))
+  , sentAfterLeave(
+      aRegistry.counter("bp_relay_sent_after_leave_total",
+                        "Requests written to an endpoint that was known to leave by then"))
   , callers(aRegistry.gauge("bp_relay_callers", "Open connections of callers"))
   , inFlight(aRegistry.gauge("bp_relay_in_flight", "Requests being handled"))
   , deploymentVersion(aRegistry.gauge("bp_relay_deployment_version", "Configuration in force"))
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -27,6 +27,7 @@
   telemetry::Counter& repeats;
   telemetry::Counter& resumes;
   telemetry::Counter& connects;
+  telemetry::Counter& sentAfterLeave;
   telemetry::Gauge& callers;
   telemetry::Gauge& inFlight;
   telemetry::Gauge& deploymentVersion;
@@ -55,9 +56,14 @@
   uint64_t requiredVersion(const std::string& aModel, base::TimePoint aNow) const;
   /** The newest declared version of the model; 0 when none was declared. */
   uint64_t newestVersion(const std::string& aModel) const;
+  /** Time since the list of endpoints was last confirmed; negative before the first time. */
+  base::Duration listAge(base::TimePoint aNow) const
+  {
+    return listConfirmedAt ? aNow - *listConfirmedAt : base::Duration(-1);
+  }
   /** Tells the other entries, more than once, since a datagram may be lost. */
   void shareCrash(const serving::CrashEvidence& aEvidence);
-  bool isReady() const { return !leaving && deployment != nullptr && listKnown; }
+  bool isReady() const { return !leaving && deployment != nullptr && listConfirmedAt; }
 
   const RelayOptions options;
   const Dialect& dialect;
@@ -72,7 +78,7 @@
   serving::CrashSuspects suspects;
   /** By model, oldest first. A newer declaration does not extend the time of an older one. */
   std::map<std::string, std::vector<DeclaredVersion>, std::less<>> versions;
-  bool listKnown = false;
+  std::optional<base::TimePoint> listConfirmedAt; ///< Last answer of the list of endpoints.
   bool leaving = false;
   base::TimePoint leavingSince;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions; ///< All that are open.
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -180,7 +180,7 @@
   void lapseEndpoint(std::string aId) override
   {
     post([this, id = std::move(aId)] {
-      mCore.endpoints.lapse(id);
+      mCore.endpoints.lapse(id, std::chrono::steady_clock::now());
       logState("endpoint_lapsed", { { "id", id } });
     });
   }
@@ -188,7 +188,7 @@
   void removeEndpoint(std::string aId) override
   {
     post([this, id = std::move(aId)] {
-      mCore.endpoints.remove(id);
+      mCore.endpoints.remove(id, std::chrono::steady_clock::now());
       mCore.pool.dropEndpoint(id);
       mCore.metrics.endpoints.set(static_cast<int64_t>(mCore.endpoints.all().size()));
       logState("endpoint_gone", { { "id", id } });
@@ -241,9 +241,9 @@
     });
   }
 
-  void setListKnown() override
+  void confirmList(base::TimePoint aAt) override
   {
-    post([this] { mCore.listKnown = true; });
+    post([this, aAt] { mCore.listConfirmedAt = aAt; });
   }
 
 private:
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -98,7 +98,9 @@
   EndpointRecord record;
   bool isListed = true;
   bool isLapsed = false; ///< Missing from the list, perhaps only because that was away.
-  int inFlight = 0;      ///< Requests of this process.
+  /** When this process learned that it leaves, lapsed or left the list; empty while it serves. */
+  std::optional<base::TimePoint> leaveKnownAt;
+  int inFlight = 0; ///< Requests of this process.
 
   // Own requests that have no first event yet, by their urgency.
   Backlog ordinary;
@@ -214,9 +216,9 @@
   void apply(const EndpointRecord& aRecord, const Service* aService, base::TimePoint aNow);
   /** It is missing from a list that was away: used only where the service has no other endpoint,
    * until it is listed again or removed. */
-  void lapse(std::string_view aId);
+  void lapse(std::string_view aId, base::TimePoint aNow);
   /** It left the list: nothing new is sent to it. */
-  void remove(std::string_view aId);
+  void remove(std::string_view aId, base::TimePoint aNow);
   void setEvacuated(std::set<std::string> aZones) { mEvacuated = std::move(aZones); }
   const std::set<std::string>& evacuated() const { return mEvacuated; }
   /** Number of processes that send to the same endpoints; cold endpoints are shared evenly. */
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -130,6 +130,11 @@
   endpoint->record = aRecord;
   endpoint->isListed = true;
   endpoint->isLapsed = false;
+  if (!aRecord.isDraining) {
+    endpoint->leaveKnownAt.reset();
+  } else if (!endpoint->leaveKnownAt) {
+    endpoint->leaveKnownAt = aNow;
+  }
   base::TimePoint coldUntil = aNow + aRecord.coldFor;
   if (restarted && aService != nullptr) {
     coldUntil = std::max(coldUntil, aNow + base::Duration(aService->coldTime));
@@ -137,19 +142,21 @@
   endpoint->coldUntil = std::max(endpoint->coldUntil, coldUntil);
 }
 
-void EndpointSet::lapse(std::string_view aId)
+void EndpointSet::lapse(std::string_view aId, base::TimePoint aNow)
 {
   auto found = mById.find(aId);
   if (found != mById.end()) {
     found->second->isLapsed = true;
+    found->second->leaveKnownAt = found->second->leaveKnownAt.value_or(aNow);
   }
 }
 
-void EndpointSet::remove(std::string_view aId)
+void EndpointSet::remove(std::string_view aId, base::TimePoint aNow)
 {
   auto found = mById.find(aId);
   if (found != mById.end()) {
     found->second->isListed = false;
+    found->second->leaveKnownAt = found->second->leaveKnownAt.value_or(aNow);
     mById.erase(found);
   }
 }
--- a/libs/serving/tests/EndpointSetTest.cpp
+++ b/libs/serving/tests/EndpointSetTest.cpp
@@ -168,12 +168,12 @@
 {
   list("gone", "north", millbook);
   list("there", "south", millbook);
-  set.lapse("gone");
+  set.lapse("gone", now);
   for (int i = 0; i < 9; ++i) {
     BOOST_TEST(place(request(millbook)) == "there");
   }
   BOOST_TEST(place(request(millbook)).empty());
-  set.remove("there");
+  set.remove("there", now);
   BOOST_TEST(place(request(millbook)) == "gone");
   list("there", "south", millbook);
   list("gone", "north", millbook);
--- a/tools/router/EndpointListener.cpp
+++ b/tools/router/EndpointListener.cpp
@@ -25,7 +25,6 @@
     gone(id, aNow);
   }
   mRelay.applyEndpoints(std::move(records));
-  mRelay.setListKnown();
 }
 
 void EndpointListener::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
@@ -78,6 +77,7 @@
     mKnown.erase(id);
     mRelay.removeEndpoint(id);
   }
+  mRelay.confirmList(aNow);
 }
 
 void EndpointListener::onReachable(bool aReachable,
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -6,6 +6,7 @@
 
 #include "OperatorListener.h"
 #include "OwnTable.h"
+#include "RecordingRelay.h"
 
 using namespace boragepitch;
 using namespace boragepitch::test;
@@ -14,28 +15,6 @@
 
 constexpr const char* kDeclaration = "version/m";
 
-/** Keeps what was declared; the rest of a relay is not used here. */
-class RecordingRelay final : public relay::Relay
-{
-public:
-  base::Status start() override { return {}; }
-  void run() override {}
-  void startLeaving() override {}
-  void setDeployment(std::shared_ptr<const serving::Deployment>) override {}
-  void applyEndpoints(std::vector<serving::EndpointRecord>) override {}
-  void lapseEndpoint(std::string) override {}
-  void removeEndpoint(std::string) override {}
-  void setEvacuated(std::set<std::string>) override {}
-  void declareVersion(std::string, uint64_t aVersion, base::TimePoint aEnforceFrom) override
-  {
-    declared[aVersion] = aEnforceFrom;
-  }
-  void setPeers(std::vector<net::Address>) override {}
-  void setListKnown() override {}
-
-  std::map<uint64_t, base::TimePoint> declared;
-};
-
 /** One process that follows the operators' table. */
 struct Process
 {
