--- /dev/null
+++ b/libs/relay/tests/EndlessAnswerTest.cpp
@@ -0,0 +1,141 @@
+#define BOOST_TEST_MODULE relay_endless_answer
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+
+#include "RelayFixture.h"
+
+using namespace boragepitch;
+using namespace boragepitch::relay;
+using namespace boragepitch::relay::test;
+
+namespace {
+
+/** Growth that is far below what an endless answer sends within the test. */
+constexpr long kMostGrowthMiB = 64;
+/** Far below the route's timeout: what is no answer is given up when it shows. */
+constexpr base::Milliseconds kSoon = 1500ms;
+constexpr base::Milliseconds kTimeout = 4000ms;
+
+long residentMiB()
+{
+  std::ifstream status("/proc/self/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmRSS:")) {
+      return std::stol(line.substr(6)) / 1024;
+    }
+  }
+  return 0;
+}
+
+/** Sends a head and then the same bytes until the other side closes. */
+struct EndlessEndpoint
+{
+  EndlessEndpoint(std::string aHead, std::string aRepeated)
+    : endpoint([=](const std::string& aRequest) {
+      std::string text = aHead;
+      size_t at = text.find("ID");
+      if (at != std::string::npos) {
+        text.replace(at, 2, idOf(aRequest));
+      }
+      std::string block;
+      while (block.size() < (1U << 16)) {
+        block += aRepeated;
+      }
+      return text + std::string(kEndless) + block;
+    })
+  {
+  }
+  FakeEndpoint endpoint;
+};
+
+const std::string kSigned = "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: s\r\n";
+
+} // namespace
+
+struct EndlessFixture : Fixture
+{
+  /** The answer to one request to an endpoint that never stops sending. */
+  void check(serving::CallKind aKind, const std::string& aHead, const std::string& aRepeated)
+  {
+    EndlessEndpoint endless(aHead, aRepeated);
+    declare(aKind, 1, kTimeout);
+    list("e", endless.endpoint.address());
+    long before = residentMiB();
+    auto start = std::chrono::steady_clock::now();
+    std::string text = call(get("1"));
+    auto took = std::chrono::steady_clock::now() - start;
+    BOOST_TEST(!text.ends_with("\r\n0\r\n\r\n"));
+    BOOST_TEST(!text.starts_with("HTTP/1.1 503"));
+    BOOST_TEST((took < kSoon), "took " << base::toMilliseconds(took) << " ms");
+    BOOST_TEST(residentMiB() - before < kMostGrowthMiB);
+  }
+};
+
+// Each guards against memory and time that an answer without end takes.
+BOOST_FIXTURE_TEST_CASE(headWithoutEnd, EndlessFixture)
+{
+  check(serving::CallKind::Idempotent, "HTTP/1.1 200 OK\r\n", "A: b\r\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(headerLineWithoutEnd, EndlessFixture)
+{
+  check(serving::CallKind::Idempotent, "HTTP/1.1 200 OK\r\nA: ", "a");
+}
+
+BOOST_FIXTURE_TEST_CASE(statusLineWithoutEnd, EndlessFixture)
+{
+  check(serving::CallKind::Idempotent, "HTTP/1.1 200 ", "a");
+}
+
+BOOST_FIXTURE_TEST_CASE(interimAnswersWithoutEnd, EndlessFixture)
+{
+  check(serving::CallKind::Idempotent, "", "HTTP/1.1 102 X\r\n\r\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(answersToOtherRequestsWithoutEnd, EndlessFixture)
+{
+  check(serving::CallKind::Idempotent, "", answer("other", "late"));
+}
+
+BOOST_FIXTURE_TEST_CASE(answerToAnotherRequestWithoutEnd, EndlessFixture)
+{
+  check(serving::CallKind::Idempotent,
+        "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 99999999999\r\n\r\n",
+        "a");
+}
+
+BOOST_FIXTURE_TEST_CASE(bodyWithoutEnd, EndlessFixture)
+{
+  check(serving::CallKind::Idempotent, kSigned + "\r\n", "a");
+}
+
+BOOST_FIXTURE_TEST_CASE(failureWithoutEnd, EndlessFixture)
+{
+  check(serving::CallKind::Idempotent,
+        "HTTP/1.1 500 X\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n",
+        chunk("aaaaaaaaaaaaaaaa"));
+}
+
+BOOST_FIXTURE_TEST_CASE(chunkHeaderWithoutEnd, EndlessFixture)
+{
+  check(serving::CallKind::Idempotent, kSigned + "Transfer-Encoding: chunked\r\n\r\n1;x=", "a");
+}
+
+BOOST_FIXTURE_TEST_CASE(trailerWithoutEnd, EndlessFixture)
+{
+  check(
+    serving::CallKind::Idempotent, kSigned + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(eventWithoutEnd, EndlessFixture)
+{
+  check(serving::CallKind::Streaming,
+        streamHead("ID") + chunk(event(1)),
+        chunk("data: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\n"));
+}
+
+BOOST_FIXTURE_TEST_CASE(repeatedEventsWithoutEnd, EndlessFixture)
+{
+  check(serving::CallKind::Streaming, streamHead("ID") + chunk(event(1)), chunk(event(1)));
+}
--- /dev/null
+++ b/tools/router/tests/EndpointListenerTest.cpp
@@ -0,0 +1,120 @@
+#define BOOST_TEST_MODULE router_endpoint_listener
+#include <boost/test/unit_test.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "EndpointListener.h"
+#include "RecordingRelay.h"
+
+using namespace boragepitch;
+using namespace boragepitch::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::Milliseconds kGrace = 2200ms;
+
+/** A process that follows a list of twelve endpoints. */
+struct Fixture
+{
+  Fixture()
+    : log(::open("/dev/null", O_WRONLY | O_CLOEXEC), "entry-1")
+    , listener(relay, log, { { "north-a", "north" } }, kGrace)
+  {
+    for (int i = 0; i < kEndpoints; ++i) {
+      all.push_back(row(i));
+    }
+    listener.onReachable(true, "", now);
+    listener.onSnapshot(all, now);
+    listener.onAlive(now);
+  }
+
+  static std::string name(int aNumber) { return "e" + std::to_string(aNumber); }
+
+  static stores::RowChange row(int aNumber)
+  {
+    return { name(aNumber),
+             R"({"backend":"s","address":"10.0.0.9:)" + std::to_string(8000 + aNumber) +
+               R"(","zone":"north-a","slots":6,"state":"healthy","warmup_left_ms":0,"born":1})",
+             false };
+  }
+
+  static stores::RowChange removal(int aNumber) { return { name(aNumber), "", true }; }
+
+  void lose(base::Milliseconds aFor)
+  {
+    listener.onReachable(false, "timeout", now);
+    now += aFor;
+    listener.onReachable(true, "", now);
+  }
+
+  static constexpr int kEndpoints = 12;
+  RecordingRelay relay;
+  telemetry::EventLog log;
+  tools::EndpointListener listener;
+  std::vector<stores::RowChange> all;
+  base::TimePoint now{ 1h };
+};
+
+} // namespace
+
+// Guards against an endpoint that left while this process alone had lost the store and that is
+// kept, as if all of the list had lapsed with the store.
+BOOST_FIXTURE_TEST_CASE(removesAtOnceWhatLeftWhileThePathToTheStoreWasDown, Fixture)
+{
+  lose(1500ms);
+  listener.onChanges({ removal(0), removal(1) }, now);
+  BOOST_TEST(!relay.listed.contains(name(0)));
+  BOOST_TEST(!relay.listed.contains(name(1)));
+  BOOST_TEST(relay.lapsed.empty());
+}
+
+// Guards against the same fault where the history was discarded and the list is read whole.
+BOOST_FIXTURE_TEST_CASE(removesAtOnceWhatIsMissingInTheWholeList, Fixture)
+{
+  lose(1500ms);
+  all.erase(all.begin());
+  listener.onSnapshot(all, now);
+  BOOST_TEST(!relay.listed.contains(name(0)));
+}
+
+// Guards against a leave after the store's return that is taken for a lapse before it.
+BOOST_FIXTURE_TEST_CASE(removesAtOnceWhatLeavesAfterTheReturn, Fixture)
+{
+  lose(1500ms);
+  listener.onAlive(now);
+  listener.onChanges({ removal(3) }, now + 900ms);
+  BOOST_TEST(!relay.listed.contains(name(3)));
+}
+
+// Guards against an outage of the store, in which all entries lapsed, that empties the list: live
+// endpoints write themselves again, the others are gone after the grace.
+BOOST_FIXTURE_TEST_CASE(keepsAListThatLapsedAsAWhole, Fixture)
+{
+  lose(5000ms);
+  listener.onSnapshot({}, now);
+  listener.onAlive(now);
+  BOOST_TEST(relay.listed.size() == static_cast<size_t>(kEndpoints));
+  BOOST_TEST(relay.lapsed.size() == static_cast<size_t>(kEndpoints));
+  all.pop_back();
+  listener.onChanges(all, now + 1s);
+  BOOST_TEST(relay.lapsed == std::set<std::string>{ name(kEndpoints - 1) });
+  BOOST_TEST((listener.wakeAt() == now + kGrace));
+  listener.onAlive(now + kGrace);
+  BOOST_TEST(!relay.listed.contains(name(kEndpoints - 1)));
+}
+
+// Guards against a list that lapses over several pages of news and is dropped in the first one.
+BOOST_FIXTURE_TEST_CASE(keepsAListThatLapsesInParts, Fixture)
+{
+  lose(5000ms);
+  std::vector<stores::RowChange> first;
+  std::vector<stores::RowChange> second;
+  for (int i = 0; i < kEndpoints; ++i) {
+    (i < 8 ? first : second).push_back(removal(i));
+  }
+  listener.onChanges(first, now);
+  listener.onChanges(second, now + 100ms);
+  BOOST_TEST(relay.lapsed.size() == static_cast<size_t>(kEndpoints));
+}
