Send nothing more to an endpoint whose answers announce its leave

What callers saw: requests reached endpoints that had said they leave (DRAIN). Cause: an endpoint's state came from the list alone. An entry that hears the list late, or not at all, went on sending to an endpoint whose every answer said that it leaves; a list read late could also turn a draining endpoint back to ready, and a row that lapsed and returned started with nothing known. Change: the announcement in any answer, rejections and late answers to earlier requests included, takes the endpoint out at once; like the state in its row it holds until a restart (another born). What is known of an endpoint that left the list is kept for 60 s.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -290,9 +290,10 @@
 
 void Call::noteLeaving(const AnswerHead& aHead, base::TimePoint aNow)
 {
-  if (!aHead.facts.isLeaving) {
+  if (!aHead.facts.isLeaving || !serving::EndpointSet::announceLeave(*mEndpoint, aNow)) {
     return;
   }
+  mCore.pool.dropEndpoint(mEndpoint->record.id);
   mCore.log.write(telemetry::Weight::Critical,
                   "endpoint_announced_leave",
                   { { "endpoint", mEndpoint->record.id },
@@ -302,6 +303,11 @@
                   aNow);
 }
 
+void Call::onLateHead(const AnswerHead& aHead)
+{
+  noteLeaving(aHead, std::chrono::steady_clock::now());
+}
+
 void Call::onHead(const AnswerHead& aHead)
 {
   mHead = aHead;
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -41,6 +41,7 @@
 
   void onSent() override;
   void onHead(const AnswerHead& aHead) override;
+  void onLateHead(const AnswerHead& aHead) override;
   void onBody(std::string_view aBytes) override;
   void onEnd(ExchangeEnd aEnd) override;
 
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -173,7 +173,7 @@
                    { "cold_ms", std::to_string(record.coldFor.count()) },
                    { "weights", std::to_string(record.weightVersion.value_or(0)) } });
       }
-      mCore.metrics.endpoints.set(static_cast<int64_t>(mCore.endpoints.all().size()));
+      mCore.metrics.endpoints.set(static_cast<int64_t>(mCore.endpoints.listedCount()));
     });
   }
 
@@ -190,7 +190,7 @@
     post([this, id = std::move(aId)] {
       mCore.endpoints.remove(id, std::chrono::steady_clock::now());
       mCore.pool.dropEndpoint(id);
-      mCore.metrics.endpoints.set(static_cast<int64_t>(mCore.endpoints.all().size()));
+      mCore.metrics.endpoints.set(static_cast<int64_t>(mCore.endpoints.listedCount()));
       logState("endpoint_gone", { { "id", id } });
     });
   }
--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -292,7 +292,10 @@
       return false;
     }
     mSkipping = true;
-    return true;
+    if (auto handler = mHandler.lock()) {
+      handler->onLateHead(head);
+    }
+    return mState == State::Exchanging;
   }
   mKeepAlive = head.facts.keepAlive;
   if (auto handler = mHandler.lock()) {
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -75,6 +75,8 @@
   virtual ~ExchangeHandler() = default;
   virtual void onSent() = 0;
   virtual void onHead(const AnswerHead& aHead) = 0;
+  /** Head of a late answer to an earlier request; its body is skipped. */
+  virtual void onLateHead(const AnswerHead& aHead) = 0;
   virtual void onBody(std::string_view aBytes) = 0;
   virtual void onEnd(ExchangeEnd aEnd) = 0;
 };
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -97,10 +97,14 @@
 {
   EndpointRecord record;
   bool isListed = true;
+  /** It said that it leaves, in its row or an answer. Holds until it restarts: an older row of a
+   * list that is late does not take it back. */
+  bool hasAnnouncedLeave = false;
   bool isLapsed = false; ///< Missing from the list, perhaps only because that was away.
   /** When this process learned that it leaves, lapsed or left the list; empty while it serves. */
   std::optional<base::TimePoint> leaveKnownAt;
-  int inFlight = 0; ///< Requests of this process.
+  base::TimePoint unlistedAt; ///< When it left the list, unless it is listed.
+  int inFlight = 0;           ///< Requests of this process.
 
   // Own requests that have no first event yet, by their urgency.
   Backlog ordinary;
@@ -217,8 +221,12 @@
   /** It is missing from a list that was away: used only where the service has no other endpoint,
    * until it is listed again or removed. */
   void lapse(std::string_view aId, base::TimePoint aNow);
-  /** It left the list: nothing new is sent to it. */
+  /** It left the list: nothing new is sent to it. What is known of it is kept for a while, since it
+   * may be listed again in the same life. */
   void remove(std::string_view aId, base::TimePoint aNow);
+  /** It said that it leaves: nothing new is sent to it until it restarts. False when this was
+   * known. */
+  static bool announceLeave(Endpoint& aEndpoint, base::TimePoint aNow);
   void setEvacuated(std::set<std::string> aZones) { mEvacuated = std::move(aZones); }
   const std::set<std::string>& evacuated() const { return mEvacuated; }
   /** Number of processes that send to the same endpoints; cold endpoints are shared evenly. */
@@ -238,10 +246,13 @@
 
   /** Requests at the endpoint: own ones, and those of others as last reported. */
   static int load(const Endpoint& aEndpoint, base::TimePoint aNow);
+  /** Those that are listed or have left the list lately, by id. */
   const std::map<std::string, EndpointPtr, std::less<>>& all() const { return mById; }
+  size_t listedCount() const;
 
 private:
   static void begin(Endpoint& aEndpoint, Occupancy& aOccupancy);
+  void forgetUnlisted(base::TimePoint aNow);
   /** Empty when there is no place for the request. */
   std::optional<Prediction> predict(const Endpoint& aEndpoint,
                                     const PlacementRequest& aRequest,
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -13,6 +13,8 @@
 
 using namespace std::chrono_literals;
 
+/** How long an endpoint that left the list is remembered: longer than one takes to end. */
+constexpr base::Milliseconds kUnlistedMemory = 60000ms;
 /** A report older than this says nothing of the present load. */
 constexpr base::Milliseconds kReportLife = 1500ms;
 /** Weight of the latest request in the moving averages. */
@@ -130,10 +132,10 @@
   endpoint->record = aRecord;
   endpoint->isListed = true;
   endpoint->isLapsed = false;
-  if (!aRecord.isDraining) {
+  if (aRecord.isDraining) {
+    announceLeave(*endpoint, aNow);
+  } else if (!endpoint->hasAnnouncedLeave) {
     endpoint->leaveKnownAt.reset();
-  } else if (!endpoint->leaveKnownAt) {
-    endpoint->leaveKnownAt = aNow;
   }
   base::TimePoint coldUntil = aNow + aRecord.coldFor;
   if (restarted && aService != nullptr) {
@@ -156,9 +158,34 @@
   auto found = mById.find(aId);
   if (found != mById.end()) {
     found->second->isListed = false;
+    found->second->unlistedAt = aNow;
     found->second->leaveKnownAt = found->second->leaveKnownAt.value_or(aNow);
-    mById.erase(found);
   }
+  forgetUnlisted(aNow);
+}
+
+void EndpointSet::forgetUnlisted(base::TimePoint aNow)
+{
+  std::erase_if(mById, [&](const auto& aEntry) {
+    const Endpoint& endpoint = *aEntry.second;
+    return !endpoint.isListed && aNow - endpoint.unlistedAt >= kUnlistedMemory;
+  });
+}
+
+bool EndpointSet::announceLeave(Endpoint& aEndpoint, base::TimePoint aNow)
+{
+  if (aEndpoint.hasAnnouncedLeave) {
+    return false;
+  }
+  aEndpoint.hasAnnouncedLeave = true;
+  aEndpoint.leaveKnownAt = aEndpoint.leaveKnownAt.value_or(aNow);
+  return true;
+}
+
+size_t EndpointSet::listedCount() const
+{
+  return static_cast<size_t>(std::count_if(
+    mById.begin(), mById.end(), [](const auto& aEntry) { return aEntry.second->isListed; }));
 }
 
 void EndpointSet::learn(const LoadReport& aReport, base::TimePoint aNow)
@@ -252,8 +279,8 @@
                             base::TimePoint aNow) const
 {
   const EndpointRecord& record = aEndpoint.record;
-  if (record.service != aRequest.service->name || record.isDraining || !aEndpoint.isListed ||
-      mEvacuated.contains(record.zone)) {
+  if (record.service != aRequest.service->name || aEndpoint.hasAnnouncedLeave ||
+      !aEndpoint.isListed || mEvacuated.contains(record.zone)) {
     return false;
   }
   if (!allowsRegion(aRequest.route->regions, record.region) ||
--- a/libs/serving/tests/EndpointSetTest.cpp
+++ b/libs/serving/tests/EndpointSetTest.cpp
@@ -180,6 +180,34 @@
   BOOST_TEST(place(request(millbook)) == "gone");
 }
 
+// Guards against a list read late that shows an endpoint as ready after it has said that it leaves.
+BOOST_FIXTURE_TEST_CASE(olderRowDoesNotTakeAnAnnouncedLeaveBack, Fixture)
+{
+  list("n", "north", millbook, 1, 0ms, true);
+  list("n", "north", millbook);
+  BOOST_TEST(place(request(millbook)).empty());
+  set.remove("n", now);
+  list("n", "north", millbook);
+  BOOST_TEST(place(request(millbook)).empty());
+  EndpointRecord restarted = set.all().at("n")->record;
+  restarted.born = 6;
+  set.apply(restarted, &millbook, now);
+  BOOST_TEST(place(request(millbook)) == "n");
+}
+
+// Guards against a memory of endpoints that grows with each one that ever left.
+BOOST_FIXTURE_TEST_CASE(forgetsEndpointsThatLeftLongAgo, Fixture)
+{
+  for (int i = 0; i < 100; ++i) {
+    std::string id = "n" + std::to_string(i);
+    list(id, "north", millbook);
+    set.remove(id, now);
+    now += 2s;
+  }
+  BOOST_TEST(set.listedCount() == 0U);
+  BOOST_TEST(set.all().size() <= 31U);
+}
+
 // Several entries that fill the same endpoint: the report shows the others' requests.
 BOOST_FIXTURE_TEST_CASE(reportsShowTheLoadOfOthers, Fixture)
 {
