Leave an endpoint alone for the Retry-After of its 503

What callers saw: requests went on to an endpoint that had asked for none, were rejected again, and spent repeats. Cause: Retry-After in an endpoint's 503 was not read; after 120 ms it was a candidate like any other. A request that finds all its endpoints paused is refused at once, with the end of the first pause in Retry-After.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -190,10 +190,17 @@
   return request;
 }
 
+serving::Placement Call::choose(base::TimePoint aNow)
+{
+  auto placement = mCore.endpoints.choose(placementRequest(aNow), aNow, mCore.rng);
+  mPausedFor = placement.pausedFor;
+  return placement;
+}
+
 void Call::send(base::TimePoint aNow)
 {
   auto request = placementRequest(aNow);
-  auto placement = mCore.endpoints.choose(request, aNow, mCore.rng);
+  auto placement = choose(aNow);
   mCandidates = placement.candidates;
   mBestMs = placement.predictedMs;
   if (!placement.endpoint) {
@@ -288,8 +295,11 @@
                   now);
 }
 
-void Call::noteLeaving(const AnswerHead& aHead, base::TimePoint aNow)
+void Call::noteEndpoint(const AnswerHead& aHead, base::TimePoint aNow)
 {
+  if (aHead.facts.retryAfter) {
+    serving::EndpointSet::pause(*mEndpoint, *aHead.facts.retryAfter, aNow);
+  }
   if (!aHead.facts.isLeaving || !serving::EndpointSet::announceLeave(*mEndpoint, aNow)) {
     return;
   }
@@ -305,13 +315,13 @@
 
 void Call::onLateHead(const AnswerHead& aHead)
 {
-  noteLeaving(aHead, std::chrono::steady_clock::now());
+  noteEndpoint(aHead, std::chrono::steady_clock::now());
 }
 
 void Call::onHead(const AnswerHead& aHead)
 {
   mHead = aHead;
-  noteLeaving(aHead, std::chrono::steady_clock::now());
+  noteEndpoint(aHead, std::chrono::steady_clock::now());
   if (aHead.status / 100 != 2) {
     return;
   }
@@ -523,8 +533,7 @@
   if (aResult.mayHaveRun && mCore.suspects.isQuarantined(mFingerprint, aNow)) {
     return "quarantined";
   }
-  auto request = placementRequest(aNow);
-  if (!mCore.endpoints.choose(request, aNow, mCore.rng).endpoint) {
+  if (!choose(aNow).endpoint) {
     return "no_endpoint";
   }
   return mCore.ledger.tryRetry(mService->name, aNow) ? "" : "budget";
@@ -561,8 +570,7 @@
   bool impatient =
     mRoute->mayRepeat() && mRuns + 1 < mRoute->maxAttempts && aNow - mProgressAt > patience();
   // Without another endpoint the silent one is the best hope.
-  if (impatient && mCore.endpoints.choose(placementRequest(aNow), aNow, mCore.rng).endpoint &&
-      mCore.ledger.remaining(mService->name, aNow) >= 1) {
+  if (impatient && choose(aNow).endpoint && mCore.ledger.remaining(mService->name, aNow) >= 1) {
     abortSend({ Outcome::Silent, true, mSendHadEvent ? "stream_stalled" : "no_answer" }, aNow);
   }
 }
@@ -620,6 +628,7 @@
   mCore.metrics.refused.add();
   bool missing = mService == nullptr || aReason == toString(serving::Refusal::NoEndpoint);
   auto after = missing ? serving::retryAfterMissing() : serving::retryAfterFull(mCore.rng);
+  after += std::chrono::ceil<base::Milliseconds>(mPausedFor);
   logEnd(telemetry::Weight::Refused, "refused", 503, aReason, aNow);
   mSession.respond(503, { { "Retry-After", seconds(after) } }, {});
 }
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -66,7 +66,9 @@
   void reject(int aStatus, std::string_view aReason, base::TimePoint aNow);
   void refuse(std::string_view aReason, base::TimePoint aNow);
   void fail(int aStatus, std::string_view aReason, base::TimePoint aNow);
-  void noteLeaving(const AnswerHead& aHead, base::TimePoint aNow);
+  /** What an answer's head says of its endpoint, whichever request it answers. */
+  void noteEndpoint(const AnswerHead& aHead, base::TimePoint aNow);
+  serving::Placement choose(base::TimePoint aNow);
   void deliver(const AnswerHead& aHead, std::string_view aBody, base::TimePoint aNow);
   void logEnd(telemetry::Weight aWeight,
               std::string_view aOutcome,
@@ -97,6 +99,7 @@
   serving::Occupancy mOccupancy;
   base::TimePoint mFirstDue; ///< Until then a first event is in time.
 
+  base::Duration mPausedFor{ 0 };  ///< At the last choice, see Placement.
   int mLoadAtSend = 0;             ///< Requests at the endpoint, as they were known at the send.
   int mCandidates = 0;             ///< Endpoints that were allowed when one was chosen.
   base::Duration mListAge{ -1 };   ///< At the last choice.
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -120,6 +120,7 @@
 
   base::TimePoint coldUntil;
   base::TimePoint avoidUntil;
+  base::TimePoint pausedUntil;              ///< It has asked for no requests until then.
   uint32_t silences = 0;                    ///< Consecutive; a success resets it.
   double failureShare = 0;                  ///< Moving average over requests.
   double predictionErrorMs = 0;             ///< Moving average of how much later first events came.
@@ -187,6 +188,9 @@
   /** For the decision's log line. */
   double predictedMs = 0; ///< Until the first event or answer; when refused, the soonest one.
   int candidates = 0;     ///< Endpoints that were allowed.
+  /** When refused: after how long the first endpoint takes requests again, if all that were allowed
+   * have asked for none. */
+  base::Duration pausedFor{ 0 };
 };
 
 /** When an endpoint would bring the first event or answer of a request. */
@@ -227,6 +231,8 @@
   /** It said that it leaves: nothing new is sent to it until it restarts. False when this was
    * known. */
   static bool announceLeave(Endpoint& aEndpoint, base::TimePoint aNow);
+  /** It asked for no requests for so long. */
+  static void pause(Endpoint& aEndpoint, base::Duration aFor, base::TimePoint aNow);
   void setEvacuated(std::set<std::string> aZones) { mEvacuated = std::move(aZones); }
   const std::set<std::string>& evacuated() const { return mEvacuated; }
   /** Number of processes that send to the same endpoints; cold endpoints are shared evenly. */
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -168,7 +168,8 @@
 {
   std::erase_if(mById, [&](const auto& aEntry) {
     const Endpoint& endpoint = *aEntry.second;
-    return !endpoint.isListed && aNow - endpoint.unlistedAt >= kUnlistedMemory;
+    return !endpoint.isListed && aNow - endpoint.unlistedAt >= kUnlistedMemory &&
+           aNow >= endpoint.pausedUntil;
   });
 }
 
@@ -182,6 +183,11 @@
   return true;
 }
 
+void EndpointSet::pause(Endpoint& aEndpoint, base::Duration aFor, base::TimePoint aNow)
+{
+  aEndpoint.pausedUntil = std::max(aEndpoint.pausedUntil, aNow + aFor);
+}
+
 size_t EndpointSet::listedCount() const
 {
   return static_cast<size_t>(std::count_if(
@@ -345,6 +351,7 @@
   best.refusal = Refusal::NoEndpoint;
   double bestCost = 0;
   double soonest = std::numeric_limits<double>::infinity();
+  base::TimePoint firstPauseEnds = base::TimePoint::max();
   std::uniform_real_distribution<double> spread(0, kTieSpreadMs);
   bool lapsedOnly = std::none_of(mById.begin(), mById.end(), [&](const auto& aEntry) {
     return !aEntry.second->isLapsed && isAllowed(*aEntry.second, aRequest, aNow);
@@ -354,9 +361,11 @@
       continue;
     }
     ++best.candidates;
+    firstPauseEnds = std::min(firstPauseEnds, endpoint->pausedUntil);
     bool onProbation = endpoint->silences > 0 && endpoint->inFlight > 0;
     bool memoryFull = endpoint->report && endpoint->report->memoryUsed > kMemoryFull;
-    bool avoided = aNow < endpoint->avoidUntil || onProbation || memoryFull;
+    bool paused = aNow < endpoint->pausedUntil;
+    bool avoided = paused || aNow < endpoint->avoidUntil || onProbation || memoryFull;
     auto predicted = avoided ? std::nullopt : predict(*endpoint, aRequest, aNow);
     soonest = predicted ? std::min(soonest, predicted->ms) : soonest;
     if (!predicted || !predicted->isInTime) {
@@ -378,6 +387,9 @@
   if (!best.endpoint && std::isfinite(soonest)) {
     best.predictedMs = soonest;
   }
+  if (best.candidates > 0) {
+    best.pausedFor = std::max(base::Duration(0), firstPauseEnds - aNow);
+  }
   return best;
 }
 
