--- a/tools/router/tests/EndpointListenerTest.cpp
+++ b/tools/router/tests/EndpointListenerTest.cpp
@@ -118,3 +118,16 @@
   listener.onChanges(second, now + 100ms);
   BOOST_TEST(relay.lapsed.size() == static_cast<size_t>(kEndpoints));
 }
+
+// Guards against an endpoint that changed its row and left within one page of news and that is
+// removed first and then listed again for good (hoopline-grown, issue 17).
+BOOST_FIXTURE_TEST_CASE(appliesThePagesChangesInTheirOrder, Fixture)
+{
+  listener.onChanges({ row(0), removal(0) }, now);
+  BOOST_TEST(!relay.listed.contains(name(0)));
+  listener.onChanges({ removal(1), row(1) }, now);
+  BOOST_TEST(relay.listed.contains(name(1)));
+  listener.onChanges({ row(2), removal(2), row(2), removal(2), row(3) }, now);
+  BOOST_TEST(!relay.listed.contains(name(2)));
+  BOOST_TEST(relay.listed.contains(name(3)));
+}
