Apply a page of the endpoints' list in its order

Cause: a page of news may hold an endpoint's last change and its removal. EndpointListener carried removals out at once and gathered the changed rows, which it applied after the whole page: the endpoint was removed first and then listed again as ready, for good, since nothing of it ever came again. Change: the relay takes one ordered list of changes; endpoint_gone and rows keep their order. Test: router.EndpointListenerTest appliesThePagesChangesInTheirOrder failed before and passes.

--- a/libs/relay/include/relay/Relay.h
+++ b/libs/relay/include/relay/Relay.h
@@ -76,12 +76,8 @@
   virtual void startLeaving() = 0;
   /** Any thread. An older version than the present one is ignored. */
   virtual void setDeployment(std::shared_ptr<const serving::Deployment> aDeployment) = 0;
-  /** Any thread: adds or updates endpoints. */
-  virtual void applyEndpoints(std::vector<serving::EndpointRecord> aRecords) = 0;
-  /** Any thread: it is missing from a list that was away. */
-  virtual void lapseEndpoint(std::string aId) = 0;
-  /** Any thread. */
-  virtual void removeEndpoint(std::string aId) = 0;
+  /** Any thread: applies changes of the list of endpoints in the order given. */
+  virtual void changeEndpoints(std::vector<serving::EndpointChange> aChanges) = 0;
   /** Any thread: the zones whose endpoints get no new work. */
   virtual void setEvacuated(std::set<std::string> aZones) = 0;
   /** Any thread: from aEnforceFrom on, requests start on these weights of the model or newer
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -155,46 +155,17 @@
     });
   }
 
-  void applyEndpoints(std::vector<serving::EndpointRecord> aRecords) override
+  void changeEndpoints(std::vector<serving::EndpointChange> aChanges) override
   {
-    post([this, records = std::move(aRecords)] {
+    post([this, changes = std::move(aChanges)] {
       auto now = std::chrono::steady_clock::now();
-      for (const auto& record : records) {
-        const serving::Service* service =
-          mCore.deployment ? mCore.deployment->service(record.service) : nullptr;
-        mCore.endpoints.apply(record, service, now);
-        logState("endpoint",
-                 { { "id", record.id },
-                   { "service", record.service },
-                   { "address", record.address.toString() },
-                   { "zone", record.zone },
-                   { "born", std::to_string(record.born) },
-                   { "state", record.isDraining ? "draining" : "ready" },
-                   { "cold_ms", std::to_string(record.coldFor.count()) },
-                   { "weights", std::to_string(record.weightVersion.value_or(0)) } });
+      for (const auto& change : changes) {
+        std::visit([&](const auto& aChange) { apply(aChange, now); }, change);
       }
       mCore.metrics.endpoints.set(static_cast<int64_t>(mCore.endpoints.listedCount()));
     });
   }
 
-  void lapseEndpoint(std::string aId) override
-  {
-    post([this, id = std::move(aId)] {
-      mCore.endpoints.lapse(id, std::chrono::steady_clock::now());
-      logState("endpoint_lapsed", { { "id", id } });
-    });
-  }
-
-  void removeEndpoint(std::string aId) override
-  {
-    post([this, id = std::move(aId)] {
-      mCore.endpoints.remove(id, std::chrono::steady_clock::now());
-      mCore.pool.dropEndpoint(id);
-      mCore.metrics.endpoints.set(static_cast<int64_t>(mCore.endpoints.listedCount()));
-      logState("endpoint_gone", { { "id", id } });
-    });
-  }
-
   void setEvacuated(std::set<std::string> aZones) override
   {
     post([this, zones = std::move(aZones)] {
@@ -258,6 +229,34 @@
     mCore.log.write(telemetry::Weight::Critical, aEvent, aFields, std::chrono::steady_clock::now());
   }
 
+  void apply(const serving::EndpointRecord& aRecord, base::TimePoint aNow)
+  {
+    const serving::Service* service =
+      mCore.deployment ? mCore.deployment->service(aRecord.service) : nullptr;
+    mCore.endpoints.apply(aRecord, service, aNow);
+    logState("endpoint",
+             { { "id", aRecord.id },
+               { "service", aRecord.service },
+               { "address", aRecord.address.toString() },
+               { "zone", aRecord.zone },
+               { "born", std::to_string(aRecord.born) },
+               { "state", aRecord.isDraining ? "draining" : "ready" },
+               { "cold_ms", std::to_string(aRecord.coldFor.count()) },
+               { "weights", std::to_string(aRecord.weightVersion.value_or(0)) } });
+  }
+
+  void apply(const serving::EndpointGone& aGone, base::TimePoint aNow)
+  {
+    if (aGone.hasLapsed) {
+      mCore.endpoints.lapse(aGone.id, aNow);
+      logState("endpoint_lapsed", { { "id", aGone.id } });
+      return;
+    }
+    mCore.endpoints.remove(aGone.id, aNow);
+    mCore.pool.dropEndpoint(aGone.id);
+    logState("endpoint_gone", { { "id", aGone.id } });
+  }
+
   void acceptCaller()
   {
     mCallers.async_accept([this](ErrorCode aError, Tcp::socket aSocket) {
--- a/libs/relay/tests/EndpointPauseTest.cpp
+++ b/libs/relay/tests/EndpointPauseTest.cpp
@@ -45,7 +45,7 @@
   declare(serving::CallKind::Idempotent);
   list("e", endpoint.address());
   BOOST_TEST(call(get("1")).starts_with("HTTP/1.1 503"));
-  relay->removeEndpoint("e");
+  unlist("e");
   list("e", endpoint.address());
   BOOST_TEST(call(get("2")).starts_with("HTTP/1.1 503"));
   BOOST_TEST(endpoint.requests().size() == 1U);
--- a/libs/relay/tests/LeavingEndpointTest.cpp
+++ b/libs/relay/tests/LeavingEndpointTest.cpp
@@ -80,7 +80,7 @@
   BOOST_TEST(call(get("1")).ends_with("body"));
   list("e", endpoint.address());
   BOOST_TEST(call(get("2")).starts_with("HTTP/1.1 503"));
-  relay->removeEndpoint("e");
+  unlist("e");
   list("e", endpoint.address());
   BOOST_TEST(call(get("3")).starts_with("HTTP/1.1 503"));
   restarted = true;
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -315,10 +315,12 @@
     record.zone = "z";
     record.region = "r";
     record.slots = 4;
-    relay->applyEndpoints({ record });
+    relay->changeEndpoints({ record });
     relay->confirmList(std::chrono::steady_clock::now());
   }
 
+  void unlist(const std::string& aId) { relay->changeEndpoints({ serving::EndpointGone{ aId } }); }
+
   std::string call(const std::string& aRequest)
   {
     int socket = connectTo(callers);
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "base/Rng.h"
@@ -35,6 +36,17 @@
   std::optional<uint64_t> weightVersion;
 };
 
+/** An endpoint that is missing from the platform's list. */
+struct EndpointGone
+{
+  std::string id;
+  /** Perhaps missing only because the list was away. */
+  bool hasLapsed = false;
+};
+
+/** One change of the platform's list. Only the order of changes tells which one holds. */
+using EndpointChange = std::variant<EndpointRecord, EndpointGone>;
+
 /** What the process beside an endpoint has read from it. */
 struct LoadReport
 {
--- a/tools/router/EndpointListener.cpp
+++ b/tools/router/EndpointListener.cpp
@@ -16,33 +16,31 @@
 void EndpointListener::onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
   std::set<std::string> before = mKnown;
-  std::vector<serving::EndpointRecord> records;
+  Changes changes;
   for (const auto& row : aRows) {
-    take(row, records, aNow);
+    take(row, changes, aNow);
     before.erase(row.key);
   }
   for (const std::string& id : before) {
-    gone(id, aNow);
+    gone(id, changes, aNow);
   }
-  mRelay.applyEndpoints(std::move(records));
+  mRelay.changeEndpoints(std::move(changes));
 }
 
 void EndpointListener::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
-  std::vector<serving::EndpointRecord> records;
+  Changes changes;
   for (const auto& row : aRows) {
     if (row.isDeleted) {
-      gone(row.key, aNow);
+      gone(row.key, changes, aNow);
     } else {
-      take(row, records, aNow);
+      take(row, changes, aNow);
     }
   }
-  mRelay.applyEndpoints(std::move(records));
+  mRelay.changeEndpoints(std::move(changes));
 }
 
-void EndpointListener::take(const stores::RowChange& aRow,
-                            std::vector<serving::EndpointRecord>& aRecords,
-                            base::TimePoint aNow)
+void EndpointListener::take(const stores::RowChange& aRow, Changes& aChanges, base::TimePoint aNow)
 {
   auto record = platform::readEndpoint(aRow.key, aRow.value, mZones);
   if (!record) {
@@ -50,32 +48,35 @@
                "endpoint_row_invalid",
                { { "id", aRow.key }, { "error", record.error().describe() } },
                aNow);
-    gone(aRow.key, aNow);
+    gone(aRow.key, aChanges, aNow);
     return;
   }
   mGuard.present(aRow.key);
   mKnown.insert(aRow.key);
-  aRecords.push_back(std::move(*record));
+  aChanges.emplace_back(std::move(*record));
 }
 
-void EndpointListener::gone(const std::string& aId, base::TimePoint aNow)
+void EndpointListener::gone(const std::string& aId, Changes& aChanges, base::TimePoint aNow)
 {
   if (!mKnown.contains(aId)) {
     return;
   }
-  if (mGuard.gone(aId, aNow)) {
+  bool isHeld = !mGuard.gone(aId, aNow);
+  if (!isHeld) {
     mKnown.erase(aId);
-    mRelay.removeEndpoint(aId);
-  } else {
-    mRelay.lapseEndpoint(aId);
   }
+  aChanges.emplace_back(serving::EndpointGone{ aId, isHeld });
 }
 
 void EndpointListener::onAlive(base::TimePoint aNow)
 {
+  Changes changes;
   for (const std::string& id : mGuard.due(aNow)) {
     mKnown.erase(id);
-    mRelay.removeEndpoint(id);
+    changes.emplace_back(serving::EndpointGone{ id });
+  }
+  if (!changes.empty()) {
+    mRelay.changeEndpoints(std::move(changes));
   }
   mRelay.confirmList(aNow);
 }
--- a/tools/router/EndpointListener.h
+++ b/tools/router/EndpointListener.h
@@ -27,10 +27,10 @@
   std::optional<base::TimePoint> wakeAt() const override { return mGuard.nextDue(); }
 
 private:
-  void take(const stores::RowChange& aRow,
-            std::vector<serving::EndpointRecord>& aRecords,
-            base::TimePoint aNow);
-  void gone(const std::string& aId, base::TimePoint aNow);
+  using Changes = std::vector<serving::EndpointChange>;
+
+  void take(const stores::RowChange& aRow, Changes& aChanges, base::TimePoint aNow);
+  void gone(const std::string& aId, Changes& aChanges, base::TimePoint aNow);
 
   relay::Relay& mRelay;
   telemetry::EventLog& mLog;
--- a/tools/router/tests/RecordingRelay.h
+++ b/tools/router/tests/RecordingRelay.h
@@ -17,19 +17,20 @@
   void run() override {}
   void startLeaving() override {}
   void setDeployment(std::shared_ptr<const serving::Deployment>) override {}
-  void applyEndpoints(std::vector<serving::EndpointRecord> aRecords) override
+  void changeEndpoints(std::vector<serving::EndpointChange> aChanges) override
   {
-    for (const auto& record : aRecords) {
-      listed.insert(record.id);
-      lapsed.erase(record.id);
+    for (const auto& change : aChanges) {
+      if (const auto* record = std::get_if<serving::EndpointRecord>(&change)) {
+        listed.insert(record->id);
+        lapsed.erase(record->id);
+      } else if (const auto& gone = std::get<serving::EndpointGone>(change); gone.hasLapsed) {
+        lapsed.insert(gone.id);
+      } else {
+        listed.erase(gone.id);
+        lapsed.erase(gone.id);
+      }
     }
   }
-  void lapseEndpoint(std::string aId) override { lapsed.insert(std::move(aId)); }
-  void removeEndpoint(std::string aId) override
-  {
-    listed.erase(aId);
-    lapsed.erase(aId);
-  }
   void setEvacuated(std::set<std::string>) override {}
   void declareVersion(std::string, uint64_t aVersion, base::TimePoint aEnforceFrom) override
   {
