Tell an outage of the store from one of this entry's path to it

Cause: each removal within 2.2 s of the feed's return was held back, as rows that lapsed in an outage of the store are written again. One failed call of this entry was enough; an endpoint that left then stayed the last resort of its service. Change: LapseGuard holds removals only when more than half of the list is missing, which an outage of the store brings about and leaves do not; fewer are removed at once. Ruled out: asking other entries, whose number grows with the fleet. A store that loses less than half of its entries in an outage has these unused for the two seconds until they are written again.

--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -252,7 +252,9 @@
       logState("endpoint_lapsed", { { "id", aGone.id } });
       return;
     }
-    mCore.endpoints.remove(aGone.id, aNow);
+    if (!mCore.endpoints.remove(aGone.id, aNow)) {
+      return;
+    }
     mCore.pool.dropEndpoint(aGone.id);
     logState("endpoint_gone", { { "id", aGone.id } });
   }
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -238,8 +238,8 @@
    * until it is listed again or removed. */
   void lapse(std::string_view aId, base::TimePoint aNow);
   /** It left the list: nothing new is sent to it. What is known of it is kept for a while, since it
-   * may be listed again in the same life. */
-  void remove(std::string_view aId, base::TimePoint aNow);
+   * may be listed again in the same life. False when it was not listed. */
+  bool remove(std::string_view aId, base::TimePoint aNow);
   /** It said that it leaves: nothing new is sent to it until it restarts. False when this was
    * known. */
   static bool announceLeave(Endpoint& aEndpoint, base::TimePoint aNow);
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -153,15 +153,18 @@
   }
 }
 
-void EndpointSet::remove(std::string_view aId, base::TimePoint aNow)
+bool EndpointSet::remove(std::string_view aId, base::TimePoint aNow)
 {
+  forgetUnlisted(aNow);
   auto found = mById.find(aId);
-  if (found != mById.end()) {
-    found->second->isListed = false;
-    found->second->unlistedAt = aNow;
-    found->second->leaveKnownAt = found->second->leaveKnownAt.value_or(aNow);
+  if (found == mById.end() || !found->second->isListed) {
+    return false;
   }
-  forgetUnlisted(aNow);
+  Endpoint& endpoint = *found->second;
+  endpoint.isListed = false;
+  endpoint.unlistedAt = aNow;
+  endpoint.leaveKnownAt = endpoint.leaveKnownAt.value_or(aNow);
+  return true;
 }
 
 void EndpointSet::forgetUnlisted(base::TimePoint aNow)
--- a/libs/serving/src/LapseGuard.cpp
+++ b/libs/serving/src/LapseGuard.cpp
@@ -4,19 +4,46 @@
 
 namespace boragepitch::serving {
 
+namespace {
+/** More than this share of the list is missing after an outage that let entries lapse. Leaves
+ * within the time of an outage are far fewer. */
+constexpr double kLapsedShare = 0.5;
+} // namespace
+
 LapseGuard::LapseGuard(base::Milliseconds aGrace)
   : mGrace(aGrace)
 {
 }
 
-bool LapseGuard::gone(const std::string& aId, base::TimePoint aNow)
+void LapseGuard::regained(size_t aKnown, base::TimePoint aNow)
+{
+  mRegainedAt = aNow;
+  mKnown = aKnown;
+  mMissing.clear();
+}
+
+void LapseGuard::present(const std::string& aId)
+{
+  mHeld.erase(aId);
+  mMissing.erase(aId);
+}
+
+std::set<std::string> LapseGuard::hold(const std::set<std::string>& aMissing, base::TimePoint aNow)
 {
+  for (const std::string& id : aMissing) {
+    mHeld.erase(id);
+  }
   if (!mRegainedAt || aNow - *mRegainedAt >= mGrace) {
-    mHeld.erase(aId);
-    return true;
+    return {};
+  }
+  mMissing.insert(aMissing.begin(), aMissing.end());
+  if (static_cast<double>(mMissing.size()) <= kLapsedShare * static_cast<double>(mKnown)) {
+    return {};
+  }
+  for (const std::string& id : aMissing) {
+    mHeld.emplace(id, *mRegainedAt + mGrace);
   }
-  mHeld.try_emplace(aId, *mRegainedAt + mGrace);
-  return false;
+  return aMissing;
 }
 
 std::optional<base::TimePoint> LapseGuard::nextDue() const
--- a/tools/router/EndpointListener.cpp
+++ b/tools/router/EndpointListener.cpp
@@ -15,57 +15,69 @@
 
 void EndpointListener::onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
-  std::set<std::string> before = mKnown;
-  Changes changes;
+  Changes changes = read(aRows, aNow);
+  std::set<std::string> missing = mKnown;
   for (const auto& row : aRows) {
-    take(row, changes, aNow);
-    before.erase(row.key);
+    missing.erase(row.key);
   }
-  for (const std::string& id : before) {
-    gone(id, changes, aNow);
+  for (const std::string& id : missing) {
+    changes.emplace_back(serving::EndpointGone{ id });
   }
-  mRelay.changeEndpoints(std::move(changes));
+  apply(std::move(changes), aNow);
 }
 
 void EndpointListener::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
+{
+  apply(read(aRows, aNow), aNow);
+}
+
+EndpointListener::Changes EndpointListener::read(const std::vector<stores::RowChange>& aRows,
+                                                 base::TimePoint aNow) const
 {
   Changes changes;
   for (const auto& row : aRows) {
     if (row.isDeleted) {
-      gone(row.key, changes, aNow);
-    } else {
-      take(row, changes, aNow);
+      changes.emplace_back(serving::EndpointGone{ row.key });
+      continue;
+    }
+    auto record = platform::readEndpoint(row.key, row.value, mZones);
+    if (record) {
+      changes.emplace_back(std::move(*record));
+      continue;
     }
-  }
-  mRelay.changeEndpoints(std::move(changes));
-}
-
-void EndpointListener::take(const stores::RowChange& aRow, Changes& aChanges, base::TimePoint aNow)
-{
-  auto record = platform::readEndpoint(aRow.key, aRow.value, mZones);
-  if (!record) {
     mLog.write(telemetry::Weight::Critical,
                "endpoint_row_invalid",
-               { { "id", aRow.key }, { "error", record.error().describe() } },
+               { { "id", row.key }, { "error", record.error().describe() } },
                aNow);
-    gone(aRow.key, aChanges, aNow);
-    return;
+    changes.emplace_back(serving::EndpointGone{ row.key });
   }
-  mGuard.present(aRow.key);
-  mKnown.insert(aRow.key);
-  aChanges.emplace_back(std::move(*record));
+  return changes;
 }
 
-void EndpointListener::gone(const std::string& aId, Changes& aChanges, base::TimePoint aNow)
+void EndpointListener::apply(Changes aChanges, base::TimePoint aNow)
 {
-  if (!mKnown.contains(aId)) {
-    return;
+  std::set<std::string> missing; // After the last change.
+  for (const auto& change : aChanges) {
+    if (const auto* record = std::get_if<serving::EndpointRecord>(&change)) {
+      mKnown.insert(record->id);
+      mGuard.present(record->id);
+      missing.erase(record->id);
+    } else if (const auto& id = std::get<serving::EndpointGone>(change).id; mKnown.contains(id)) {
+      missing.insert(id);
+    }
   }
-  bool isHeld = !mGuard.gone(aId, aNow);
-  if (!isHeld) {
-    mKnown.erase(aId);
+  std::set<std::string> held = mGuard.hold(missing, aNow);
+  for (auto& change : aChanges) {
+    if (auto* gone = std::get_if<serving::EndpointGone>(&change)) {
+      gone->hasLapsed = held.contains(gone->id);
+    }
+  }
+  for (const std::string& id : missing) {
+    if (!held.contains(id)) {
+      mKnown.erase(id);
+    }
   }
-  aChanges.emplace_back(serving::EndpointGone{ aId, isHeld });
+  mRelay.changeEndpoints(std::move(aChanges));
 }
 
 void EndpointListener::onAlive(base::TimePoint aNow)
@@ -86,7 +98,7 @@
                                    base::TimePoint aNow)
 {
   if (aReachable && !mKnown.empty()) {
-    mGuard.regained(aNow);
+    mGuard.regained(mKnown.size(), aNow);
   }
   mLog.write(telemetry::Weight::Critical,
              aReachable ? "store_regained" : "store_lost",
--- a/tools/router/EndpointListener.h
+++ b/tools/router/EndpointListener.h
@@ -29,8 +29,9 @@
 private:
   using Changes = std::vector<serving::EndpointChange>;
 
-  void take(const stores::RowChange& aRow, Changes& aChanges, base::TimePoint aNow);
-  void gone(const std::string& aId, Changes& aChanges, base::TimePoint aNow);
+  /** What the rows say, in their order; a row that cannot be read names no endpoint. */
+  Changes read(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) const;
+  void apply(Changes aChanges, base::TimePoint aNow);
 
   relay::Relay& mRelay;
   telemetry::EventLog& mLog;
