Give up answers without end, and reserve no memory for a length that an endpoint names

What callers saw: nothing yet; found by the new tests. One answer with Content-Length: ended the entry (bad_alloc), and with it every request in flight; a chunk header without end took 1.2 GB in four seconds; interim answers or late answers without end held the request until its deadline. Cause: the parser's string body reserves the named length before any byte of it has come, and its limit is not checked there; the read buffer, skipped answers, events and repeated events had no bound. Change: a body type that takes memory for arrived bytes only; bounds on a body (16 MiB), a line (32 KiB), skipped answers (4 MiB), interim answers (16) and an event (1 MiB); ids of one send's events must increase.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -37,7 +37,8 @@
  * unnoticed would leave it unknown whether the request ran. */
 constexpr base::Milliseconds kFreshIdle = 500ms;
 constexpr base::Milliseconds kAnyIdle = 60000ms;
-constexpr size_t kMaxAnswerBytes = 16 << 20;
+/** Largest event of a stream. Above it an endpoint is taken to send without end. */
+constexpr size_t kMaxEventBytes = 1 << 20;
 /** Bytes that a slow caller may leave untaken before the endpoint is slowed down. */
 constexpr size_t kBacklogHigh = 256 << 10;
 constexpr int kHighestPriority = 0;
@@ -215,6 +216,7 @@
   mBody.clear();
   mIsStream = false;
   mSendHadEvent = false;
+  mSendLastEvent.reset();
   mSplitter.restart();
   mSentAt = aNow;
   mProgressAt = aNow;
@@ -339,10 +341,6 @@
 {
   auto now = std::chrono::steady_clock::now();
   if (!mIsStream) {
-    if (mBody.size() + aBytes.size() > kMaxAnswerBytes) {
-      abortSend({ Outcome::Broken, true, "answer_too_large" }, now);
-      return;
-    }
     mBody += aBytes;
     return;
   }
@@ -354,10 +352,18 @@
     }
     takeEvent(*event, now);
   }
+  if (mExchange && mSplitter.pending() > kMaxEventBytes) {
+    abortSend({ Outcome::Broken, true, "event_too_large" }, now);
+  }
 }
 
 void Call::takeEvent(const serving::StreamEvent& aEvent, base::TimePoint aNow)
 {
+  if (aEvent.id && mSendLastEvent && *aEvent.id <= *mSendLastEvent) {
+    abortSend({ Outcome::Broken, true, "event_repeated" }, aNow);
+    return;
+  }
+  mSendLastEvent = aEvent.id ? aEvent.id : mSendLastEvent;
   if (aEvent.id && mLastEvent) {
     if (*aEvent.id <= *mLastEvent) {
       return; // Sent before the stream was resumed.
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -121,6 +121,7 @@
   std::optional<base::TimePoint> mFirstEventAt;
   base::Duration mLongestGap{ 0 };
   bool mSendHadEvent = false;
+  std::optional<uint64_t> mSendLastEvent; ///< Of the present send, skipped events included.
 };
 
 } // namespace boragepitch::relay
--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -11,6 +11,11 @@
 
 constexpr size_t kReadBytes = 16384;
 constexpr uint32_t kMaxAnswerHeaderBytes = 32768;
+/** Largest answer. Above it an endpoint is taken to send without end. */
+constexpr uint64_t kMaxAnswerBytes = 16 << 20;
+/** Bytes of late answers to earlier requests that are read past on one exchange. */
+constexpr size_t kMaxSkippedBytes = 4 << 20;
+constexpr int kMaxInterimAnswers = 16;
 /** Idle time for which a connection is kept where the endpoint names none. */
 constexpr base::Milliseconds kDefaultKeepAlive = 3000ms;
 /** Subtracted from the time that an endpoint names: a request may cross its close. */
@@ -187,12 +192,13 @@
   mParser.emplace();
   mParser->header_limit(kMaxAnswerHeaderBytes);
   // Beast 1.74 takes any length to exceed an absent limit, which shows when head and body arrive
-  // separately.
+  // separately; parse() bounds the body.
   mParser->body_limit(std::numeric_limits<uint64_t>::max());
   mParser->eager(true);
   mParser->skip(mRequest.isHead);
   mHeadSeen = false;
   mSkipping = false;
+  mBodyBytes = 0;
 }
 
 void Exchange::read()
@@ -245,9 +251,20 @@
     if (!mHeadSeen && mParser->is_header_done() && !takeHead()) {
       return false;
     }
+    mSkippedBytes += mSkipping ? used : 0;
+    // The parser leaves what it cannot take yet, such as a line without an end, in the buffer.
+    if (mConnection->buffer.size() > kMaxAnswerHeaderBytes || mSkippedBytes > kMaxSkippedBytes) {
+      finish(ExchangeEnd::NotAnAnswer);
+      return false;
+    }
     if (mHeadSeen) {
       std::string body;
       body.swap(mParser->get().body());
+      mBodyBytes += body.size();
+      if (mBodyBytes > kMaxAnswerBytes) {
+        finish(ExchangeEnd::NotAnAnswer);
+        return false;
+      }
       if (!body.empty() && !mSkipping) {
         if (auto handler = mHandler.lock()) {
           handler->onBody(body);
@@ -259,6 +276,10 @@
     }
     if (mParser->is_done()) {
       bool interim = mParser->get().result_int() / 100 == 1;
+      if (interim && ++mInterimAnswers > kMaxInterimAnswers) {
+        finish(ExchangeEnd::NotAnAnswer);
+        return false;
+      }
       if (mSkipping || interim) {
         startParser();
         continue;
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -58,6 +58,37 @@
   bool hasLength = false; ///< Its end can be told from a broken connection.
 };
 
+/** Body of an answer for the parser. Takes memory for bytes that have arrived only, while Beast's
+ * own string body reserves it for the length that the head names. */
+struct AnswerBody
+{
+  using value_type = std::string;
+
+  class reader
+  {
+  public:
+    template<bool isRequest, class Fields>
+    reader(http::header<isRequest, Fields>& /*aHead*/, value_type& aBody)
+      : mBody(aBody)
+    {
+    }
+    void init(const boost::optional<uint64_t>& /*aLength*/, ErrorCode& aError) { aError = {}; }
+    template<class Buffers>
+    size_t put(const Buffers& aBuffers, ErrorCode& aError)
+    {
+      aError = {};
+      for (auto buffer : beast::buffers_range_ref(aBuffers)) {
+        mBody.append(static_cast<const char*>(buffer.data()), buffer.size());
+      }
+      return beast::buffer_bytes(aBuffers);
+    }
+    void finish(ErrorCode& aError) { aError = {}; }
+
+  private:
+    value_type& mBody;
+  };
+};
+
 enum class ExchangeEnd
 {
   Complete,
@@ -120,7 +151,7 @@
     Exchanging,
     Ended,
   };
-  using Parser = http::response_parser<http::string_body>;
+  using Parser = http::response_parser<AnswerBody>;
 
   void connect();
   void send();
@@ -145,7 +176,10 @@
   bool mIsNew = false;
   bool mSent = false;
   bool mHeadSeen = false;
-  bool mSkipping = false; ///< Reads past an answer to another request.
+  bool mSkipping = false;  ///< Reads past an answer to another request.
+  uint64_t mBodyBytes = 0; ///< Of the present answer.
+  size_t mSkippedBytes = 0;
+  int mInterimAnswers = 0;
   bool mPaused = false;
   bool mReading = false;
   bool mKeepOpen = false;
