Bound what a server sends beside the body, and let time limits hold for the head

A head, a chunk line or interim answers without end were read for as long as bytes came, past the call's own time limit, into memory without bound. Change: the client's stream is our own: it ends a call at its deadline, and when what is no body exceeds 64 KiB and 16 bytes for each byte of body. Test: net.HttpTest answersWithoutEndAreGivenUp and timeLimitHoldsForTheHead failed before (13 s for the first shape, bad_alloc under a limit of 8 GB for the second) and pass.

--- /dev/null
+++ b/libs/net/src/BoundedClient.cpp
@@ -0,0 +1,179 @@
+#include "BoundedClient.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace boragepitch::net {
+
+namespace {
+
+/** Bytes beside the body that any answer may have: its head, and interim answers before it. */
+constexpr uint64_t kMaxHeadBytes = 64 << 10;
+/** Bytes for each byte of body: chunks of a single byte come with five bytes of framing. */
+constexpr uint64_t kMaxFramingFactor = 16;
+constexpr size_t kReadBytes = 4096;
+
+/** Waits until the socket is ready; false when the time has passed. */
+bool waitFor(int aSocket, short aEvents, base::Duration aTime)
+{
+  pollfd entry{ .fd = aSocket, .events = aEvents, .revents = 0 };
+  auto until = std::chrono::steady_clock::now() + aTime;
+  for (;;) {
+    auto left = std::chrono::ceil<base::Milliseconds>(until - std::chrono::steady_clock::now());
+    int ready = ::poll(&entry, 1, static_cast<int>(std::max<long long>(left.count(), 0)));
+    if (ready >= 0 || errno != EINTR) {
+      return ready > 0;
+    }
+  }
+}
+
+void describe(const sockaddr_storage& aAddress, std::string& aIp, int& aPort)
+{
+  sockaddr_in address{};
+  std::memcpy(&address, &aAddress, sizeof(address));
+  std::array<char, INET_ADDRSTRLEN> text{};
+  if (address.sin_family == AF_INET &&
+      ::inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size()) != nullptr) {
+    aIp = text.data();
+    aPort = ntohs(address.sin_port);
+  }
+}
+
+class BoundedStream final : public httplib::Stream
+{
+public:
+  BoundedStream(int aSocket,
+                base::Milliseconds aReadTimeout,
+                base::Milliseconds aWriteTimeout,
+                CallBounds& aBounds)
+    : mSocket(aSocket)
+    , mReadTimeout(aReadTimeout)
+    , mWriteTimeout(aWriteTimeout)
+    , mBounds(aBounds)
+  {
+  }
+
+  bool is_readable() const override
+  {
+    return mTaken < mFilled || waitFor(mSocket, POLLIN, mReadTimeout);
+  }
+  bool is_writable() const override { return waitFor(mSocket, POLLOUT, mWriteTimeout); }
+
+  ssize_t read(char* aData, size_t aSize) override
+  {
+    if (mTaken == mFilled && !fill()) {
+      return mFailure;
+    }
+    size_t count = std::min(aSize, mFilled - mTaken);
+    std::memcpy(aData, mBuffer.data() + mTaken, count);
+    mTaken += count;
+    return static_cast<ssize_t>(count);
+  }
+
+  ssize_t write(const char* aData, size_t aSize) override
+  {
+    if (!wait(POLLOUT, mWriteTimeout)) {
+      return -1;
+    }
+    return ::send(mSocket, aData, aSize, MSG_NOSIGNAL);
+  }
+
+  void get_remote_ip_and_port(std::string& aIp, int& aPort) const override
+  {
+    sockaddr_storage address{};
+    socklen_t size = sizeof(address);
+    if (::getpeername(mSocket, reinterpret_cast<sockaddr*>(&address), &size) == 0) {
+      describe(address, aIp, aPort);
+    }
+  }
+  void get_local_ip_and_port(std::string& aIp, int& aPort) const override
+  {
+    sockaddr_storage address{};
+    socklen_t size = sizeof(address);
+    if (::getsockname(mSocket, reinterpret_cast<sockaddr*>(&address), &size) == 0) {
+      describe(address, aIp, aPort);
+    }
+  }
+  socket_t socket() const override { return mSocket; }
+
+private:
+  /** Reads what has arrived into the buffer; false at the end, an error or a bound. */
+  bool fill()
+  {
+    if (mReceived > kMaxHeadBytes + kMaxFramingFactor * mBounds.bodyBytes) {
+      mBounds.isEndless = true;
+      return fail(-1);
+    }
+    if (!wait(POLLIN, mReadTimeout)) {
+      return fail(-1);
+    }
+    ssize_t count = ::recv(mSocket, mBuffer.data(), mBuffer.size(), 0);
+    if (count <= 0) {
+      return fail(count);
+    }
+    mTaken = 0;
+    mFilled = static_cast<size_t>(count);
+    mReceived += mFilled;
+    return true;
+  }
+
+  bool fail(ssize_t aResult)
+  {
+    mFailure = aResult;
+    return false;
+  }
+
+  bool wait(short aEvents, base::Milliseconds aTimeout)
+  {
+    base::Duration time = aTimeout;
+    if (mBounds.deadline) {
+      auto left = *mBounds.deadline - std::chrono::steady_clock::now();
+      mBounds.hasTimedOut = left <= base::Duration(0);
+      time = std::min(time, std::max(left, base::Duration(0)));
+    }
+    if (mBounds.hasTimedOut) {
+      return false;
+    }
+    bool isReady = waitFor(mSocket, aEvents, time);
+    mBounds.hasTimedOut =
+      !isReady && mBounds.deadline && std::chrono::steady_clock::now() >= *mBounds.deadline;
+    return isReady;
+  }
+
+  const int mSocket;
+  const base::Milliseconds mReadTimeout;
+  const base::Milliseconds mWriteTimeout;
+  CallBounds& mBounds;
+  std::array<char, kReadBytes> mBuffer{};
+  size_t mTaken = 0;
+  size_t mFilled = 0;
+  uint64_t mReceived = 0;
+  ssize_t mFailure = 0;
+};
+
+} // namespace
+
+BoundedClient::BoundedClient(const std::string& aHost,
+                             int aPort,
+                             base::Milliseconds aReadTimeout,
+                             base::Milliseconds aWriteTimeout)
+  : httplib::ClientImpl(aHost, aPort)
+  , mReadTimeout(aReadTimeout)
+  , mWriteTimeout(aWriteTimeout)
+{
+}
+
+bool BoundedClient::process_socket(const Socket& aSocket,
+                                   std::function<bool(httplib::Stream&)> aCallback)
+{
+  BoundedStream stream(aSocket.sock, mReadTimeout, mWriteTimeout, bounds);
+  return aCallback(stream);
+}
+
+} // namespace boragepitch::net
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -5,7 +5,7 @@
 #include <mutex>
 #include <vector>
 
-#include <httplib.h>
+#include "BoundedClient.h"
 
 namespace boragepitch::net {
 
@@ -13,11 +13,9 @@
 {
   Impl(Address aServer, ClientOptions aOptions)
     : server(std::move(aServer))
-    , client(server.host, server.port)
+    , client(server.host, server.port, aOptions.readTimeout, aOptions.writeTimeout)
   {
     client.set_connection_timeout(aOptions.connectTimeout);
-    client.set_read_timeout(aOptions.readTimeout);
-    client.set_write_timeout(aOptions.writeTimeout);
     client.set_keep_alive(aOptions.keepAlive);
     client.set_tcp_nodelay(true);
     client.set_url_encode(false);
@@ -25,7 +23,7 @@
   }
 
   Address server;
-  httplib::Client client;
+  BoundedClient client;
   std::atomic<bool> cancelled{ false };
 };
 
@@ -98,8 +96,11 @@
   const std::function<bool(const ClientResponse&)>& aOnHead,
   const std::function<bool(std::string_view)>& aOnData)
 {
-  const auto start = std::chrono::steady_clock::now();
-  bool timedOut = false;
+  CallBounds& bounds = mImpl->client.bounds;
+  bounds = {};
+  if (aRequest.totalTimeout.count() > 0) {
+    bounds.deadline = std::chrono::steady_clock::now() + aRequest.totalTimeout;
+  }
   httplib::Request request;
   request.method = aRequest.method;
   request.path = aRequest.target;
@@ -120,11 +121,7 @@
     return !mImpl->cancelled && aOnHead(head);
   };
   request.content_receiver = [&](const char* aData, size_t aSize, uint64_t, uint64_t) {
-    if (aRequest.totalTimeout.count() > 0 &&
-        std::chrono::steady_clock::now() - start > aRequest.totalTimeout) {
-      timedOut = true;
-      return false;
-    }
+    bounds.bodyBytes += aSize;
     return !mImpl->cancelled && aOnData({ aData, aSize });
   };
   if (mImpl->cancelled) {
@@ -133,7 +130,13 @@
   httplib::Response response;
   httplib::Error error = httplib::Error::Success;
   bool sent = mImpl->client.send(request, response, error);
-  if (timedOut) {
+  if (bounds.isEndless) {
+    return base::fail(base::ErrorKind::TooLarge,
+                      mImpl->server.toString(),
+                      "response has a head or framing without end",
+                      "check the server");
+  }
+  if (bounds.hasTimedOut) {
     return base::fail(base::ErrorKind::Timeout,
                       mImpl->server.toString(),
                       "response took longer than " + std::to_string(aRequest.totalTimeout.count()) +
--- a/libs/net/tests/HttpTest.cpp
+++ b/libs/net/tests/HttpTest.cpp
@@ -9,9 +9,63 @@
 #include "net/HttpServer.h"
 #include "support/TestAddress.h"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace boragepitch;
 using namespace std::chrono_literals;
 
+namespace {
+
+/** Accepts one connection, sends a text and then a block again and again until the client closes.
+ */
+class EndlessServer
+{
+public:
+  EndlessServer(std::string aHead, std::string aBlock)
+    : address(test::unusedAddress())
+    , mListener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in bound{};
+    bound.sin_family = AF_INET;
+    bound.sin_port = htons(static_cast<uint16_t>(address.port));
+    inet_pton(AF_INET, address.host.c_str(), &bound.sin_addr);
+    BOOST_REQUIRE(::bind(mListener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
+    BOOST_REQUIRE(::listen(mListener, 4) == 0);
+    mThread = std::thread([this, head = std::move(aHead), block = std::move(aBlock)] {
+      int client = ::accept(mListener, nullptr, nullptr);
+      std::string repeated;
+      while (repeated.size() < (1U << 16)) {
+        repeated += block;
+      }
+      ssize_t sent = ::send(client, head.data(), head.size(), MSG_NOSIGNAL);
+      while (sent > 0 && mSent < kMostBytes) {
+        sent = ::send(client, repeated.data(), repeated.size(), MSG_NOSIGNAL);
+        mSent += static_cast<size_t>(std::max<ssize_t>(sent, 0));
+      }
+      ::close(client);
+    });
+  }
+  ~EndlessServer()
+  {
+    ::shutdown(mListener, SHUT_RDWR);
+    mThread.join();
+    ::close(mListener);
+  }
+  size_t sent() const { return mSent; }
+
+  const net::Address address;
+
+private:
+  /** Ends a test whose client takes everything. */
+  static constexpr size_t kMostBytes = 512 << 20;
+  const int mListener;
+  std::atomic<size_t> mSent{ 0 };
+  std::thread mThread;
+};
+
+} // namespace
+
 // Guards against routes that match the wrong path or lose path parameters.
 BOOST_AUTO_TEST_CASE(routesByMethodAndPattern)
 {
@@ -230,3 +284,36 @@
     BOOST_TEST(response->body == "whole body");
   }
 }
+
+// Guards against memory and time that an answer without end takes: what is no body has a bound.
+BOOST_AUTO_TEST_CASE(answersWithoutEndAreGivenUp)
+{
+  constexpr size_t kMostTaken = 16 << 20;
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (auto [head, block] : { std::pair<std::string, std::string>{ "HTTP/1.1 200 ", "a" },
+                              { "HTTP/1.1 200 OK\r\n", "A: b\r\n" },
+                              { "HTTP/1.1 200 OK\r\nA: ", "a" },
+                              { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+                              { chunked + "1", "0" },
+                              { chunked + "0\r\n", "A: b\r\n" } }) {
+    EndlessServer server(head, block);
+    net::HttpClient client(server.address);
+    auto start = std::chrono::steady_clock::now();
+    auto answer = client.send({ .target = "/" }, kMostTaken);
+    auto took = std::chrono::steady_clock::now() - start;
+    BOOST_TEST(!answer.has_value(), "head " << head);
+    BOOST_TEST((took < 2s), "head " << head << " took " << base::toMilliseconds(took) << " ms");
+    BOOST_TEST(server.sent() < kMostTaken, "head " << head);
+  }
+}
+
+// Guards against a call whose time limit holds for the body only.
+BOOST_AUTO_TEST_CASE(timeLimitHoldsForTheHead)
+{
+  EndlessServer silent("HTTP/1.1 200 OK\r\nA: b\r\n", std::string(1, 'x'));
+  net::HttpClient client(silent.address, { .readTimeout = 3000ms });
+  auto start = std::chrono::steady_clock::now();
+  auto answer = client.send({ .target = "/", .totalTimeout = 300ms });
+  BOOST_TEST(!answer.has_value());
+  BOOST_TEST((std::chrono::steady_clock::now() - start < 1s));
+}
