Notice the store's return at once, not with the next news

Cause: after a failed call the watcher waited for changes as long as ever. Change: the first call after a failed one does not wait. Test: stores.TableWatcherTest asksWithoutWaitingAfterAnOutage failed before (wait of 2,500 ms) and passes.

--- a/libs/stores/src/TableWatcher.cpp
+++ b/libs/stores/src/TableWatcher.cpp
@@ -9,6 +9,8 @@
 constexpr int kMaxPages = 1000;
 /** How soon a pause ends once the listener wants to be woken. */
 constexpr base::Milliseconds kGatherStep{ 100 };
+/** Wait of the first call after one that failed: its answer shows that the service is back. */
+constexpr base::Milliseconds kProbeWait{ 1 };
 } // namespace
 
 TableWatcher::TableWatcher(MakeFeed aMakeFeed, TableListener& aListener, WatchOptions aOptions)
@@ -126,6 +128,9 @@
 
 base::Milliseconds TableWatcher::waitTime(base::TimePoint aNow) const
 {
+  if (!mReachable) {
+    return kProbeWait;
+  }
   auto wakeAt = mListener.wakeAt();
   if (!wakeAt) {
     return mOptions.wait;
--- a/libs/stores/tests/TableWatcherTest.cpp
+++ b/libs/stores/tests/TableWatcherTest.cpp
@@ -192,3 +192,20 @@
   BOOST_REQUIRE(!script.waits.empty());
   BOOST_TEST(script.waits[0].count() <= 300);
 }
+
+// Guards against a return of the store that is noticed only with the next news, up to the longest
+// wait later (hoopline trouble-1): what leaves meanwhile looked like a part of the outage.
+BOOST_FIXTURE_TEST_CASE(asksWithoutWaitingAfterAnOutage, Fixture)
+{
+  script.reads = { page({ "a" }, 10) };
+  script.changes = {
+    failure(base::ErrorKind::UnknownOutcome), page({}, 10), page({ "b" }, 11), page({ "c" }, 12)
+  };
+  run(6);
+  BOOST_TEST(
+    (events == Texts{ "regained", "snapshot 1", "lost", "regained", "change b", "change c" }));
+  BOOST_REQUIRE(script.waits.size() >= 4U);
+  BOOST_TEST(script.waits[0].count() == 2500);
+  BOOST_TEST(script.waits[1].count() <= 10);
+  BOOST_TEST(script.waits[2].count() == 2500);
+}
