Replace a feed that fell silent within the drain time

Change: the router waits 1,100 ms for a change. It costs up to one call a second for each quiet table. Test: router.SilentStoreTest failed before (silent for 4,099 ms) and passes.

--- a/tools/router/RouterSettings.cpp
+++ b/tools/router/RouterSettings.cpp
@@ -4,6 +4,11 @@
 
 namespace boragepitch::tools {
 
+namespace {
+/** With the time for the store's answer it stays within a drain time of two seconds. */
+constexpr base::Milliseconds kDefaultStoreWait{ 1100 };
+} // namespace
+
 settings::Schema routerSchema()
 {
   settings::Schema::Builder builder;
@@ -16,10 +21,11 @@
     .address("listen.metrics", "Address of the metrics.")
     .address("store.address", "Address of the platform's store.")
     .duration("store.wait",
-              "Longest wait for a change; a silent connection is noticed after this and a second.",
+              "Longest wait for a change; a silent connection is noticed after this and a second, "
+              "which must be within the drain time of endpoints.",
               200,
               30000,
-              3000)
+              kDefaultStoreWait.count())
     .duration("store.lapse_grace",
               "After the store's return, time in which lapsed endpoints are listed again.",
               0,
--- /dev/null
+++ b/tools/router/tests/SilentStoreTest.cpp
@@ -0,0 +1,103 @@
+#define BOOST_TEST_MODULE router_silent_store
+#include <boost/test/unit_test.hpp>
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "RouterSettings.h"
+#include "StoreLinks.h"
+#include "support/TestAddress.h"
+
+using namespace boragepitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** An endpoint that announced its leave gets nothing later than this; news must be here by then. */
+constexpr base::Milliseconds kShortestDrainTime = 2000ms;
+/** For the new connection and the processor. */
+constexpr base::Milliseconds kSlack = 250ms;
+
+/** Answers the first read with an empty table, then takes requests and stays silent. */
+class SilentStore
+{
+public:
+  SilentStore()
+    : address(test::unusedAddress())
+    , mListener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in bound{};
+    bound.sin_family = AF_INET;
+    bound.sin_port = htons(static_cast<uint16_t>(address.port));
+    inet_pton(AF_INET, address.host.c_str(), &bound.sin_addr);
+    BOOST_REQUIRE(::bind(mListener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
+    BOOST_REQUIRE(::listen(mListener, 4) == 0);
+    mThread = std::thread([this] { serve(); });
+  }
+  ~SilentStore()
+  {
+    ::shutdown(mListener, SHUT_RDWR);
+    mThread.join();
+    ::close(mListener);
+  }
+
+  const net::Address address;
+  std::atomic<base::TimePoint> silentSince{ base::TimePoint() };
+  std::atomic<base::TimePoint> reconnectedAt{ base::TimePoint() };
+
+private:
+  void serve()
+  {
+    int first = ::accept(mListener, nullptr, nullptr);
+    char buffer[4096];
+    static_cast<void>(::recv(first, buffer, sizeof(buffer), 0));
+    const std::string body = R"({"rows":[],"has_more":false,"row_version":1,"current_time_ms":1})";
+    const std::string answer =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    static_cast<void>(::send(first, answer.data(), answer.size(), MSG_NOSIGNAL));
+    silentSince = std::chrono::steady_clock::now();
+    int second = ::accept(mListener, nullptr, nullptr);
+    reconnectedAt = std::chrono::steady_clock::now();
+    ::close(second);
+    ::close(first);
+  }
+
+  const int mListener;
+  std::thread mThread;
+};
+
+struct Ignored final : stores::TableListener
+{
+  void onSnapshot(const std::vector<stores::RowChange>&, base::TimePoint) override {}
+  void onChanges(const std::vector<stores::RowChange>&, base::TimePoint) override {}
+  void onReachable(bool, const std::string&, base::TimePoint) override {}
+};
+
+} // namespace
+
+// Guards against a feed that falls silent for longer than the time in which a leave must be known.
+BOOST_AUTO_TEST_CASE(replacesASilentFeedWithinTheDrainTime)
+{
+  const std::string required = "[node]\nid = e\nzone = z\nregion = r\n[listen]\n"
+                               "callers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\n"
+                               "peers = 127.0.0.1:3\nmetrics = 127.0.0.1:4\n"
+                               "[store]\naddress = 127.0.0.1:5\n[zones]\nz = r\n";
+  auto settings = tools::routerSchema().parse(required, "test");
+  BOOST_REQUIRE(settings.has_value());
+  SilentStore store;
+  telemetry::EventLog log(::open("/dev/null", O_WRONLY | O_CLOEXEC), "entry-1");
+  Ignored listener;
+  tools::StoreLinks links("entry-1", store.address, log);
+  links.watch("t", listener, settings->duration("store.wait"), 0ms);
+  auto until = std::chrono::steady_clock::now() + 6s;
+  while (store.reconnectedAt.load() == base::TimePoint() &&
+         std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(10ms);
+  }
+  links.stop();
+  BOOST_REQUIRE((store.reconnectedAt.load() != base::TimePoint()));
+  auto silence = store.reconnectedAt.load() - store.silentSince.load();
+  BOOST_TEST((silence <= kShortestDrainTime + kSlack),
+             "silent for " << base::toMilliseconds(silence) << " ms");
+}
