--- a/tools/bpctl/src/Explain.cpp
+++ b/tools/bpctl/src/Explain.cpp
@@ -23,11 +23,27 @@
 bool isChange(const LogLine& aLine)
 {
   static const std::set<std::string_view> kChanges{
-    "started",         "signal",           "leaving",     "stopped",
-    "store_lost",      "store_regained",   "deployment",  "deployment_invalid",
-    "evacuated",       "weights_declared", "endpoint",    "endpoint_gone",
-    "endpoint_lapsed", "entries",          "log_dropped", "engine_lost",
-    "weights_loaded",  "engine_restarted", "order",       "staging_failed",
+    "started",
+    "signal",
+    "leaving",
+    "stopped",
+    "store_lost",
+    "store_regained",
+    "deployment",
+    "deployment_invalid",
+    "evacuated",
+    "weights_declared",
+    "endpoint",
+    "endpoint_gone",
+    "endpoint_lapsed",
+    "entries",
+    "log_dropped",
+    "engine_lost",
+    "weights_loaded",
+    "engine_restarted",
+    "order",
+    "staging_failed",
+    "endpoint_announced_leave",
   };
   return kChanges.contains(aLine.event);
 }
