--- a/libs/relay/tests/EndlessAnswerTest.cpp
+++ b/libs/relay/tests/EndlessAnswerTest.cpp
@@ -31,7 +31,7 @@
 /** Sends a head and then the same bytes until the other side closes. */
 struct EndlessEndpoint
 {
-  EndlessEndpoint(std::string aHead, std::string aRepeated)
+  EndlessEndpoint(const std::string& aHead, const std::string& aRepeated)
     : endpoint([=](const std::string& aRequest) {
       std::string text = aHead;
       size_t at = text.find("ID");
