Bound late and interim answers by number, and a body to 4 MiB

Found by relay.EndlessAnswerTest under the address sanitizer (4.1 s and 2.7 s where 1.5 s are allowed, 90 MiB where 64 are): 4 MiB of short late answers are 70,000 heads to parse, and a body of 16 MiB in chunks of 16 bytes a million chunks, on an entry with a fifth of a core. Change: 16 late or interim answers on one exchange; 4 MiB for a body, of which an entry of 240 MB bears many at once. Test: relay.EndlessAnswerTest under the address sanitizer, failed before (4 runs of 4) and passed three times in a row.

--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -11,11 +11,12 @@
 
 constexpr size_t kReadBytes = 16384;
 constexpr uint32_t kMaxAnswerHeaderBytes = 32768;
-/** Largest answer. Above it an endpoint is taken to send without end. */
-constexpr uint64_t kMaxAnswerBytes = 16 << 20;
-/** Bytes of late answers to earlier requests that are read past on one exchange. */
-constexpr size_t kMaxSkippedBytes = 4 << 20;
-constexpr int kMaxInterimAnswers = 16;
+/** Largest answer. Above it an endpoint is taken to send without end; an entry with 240 MB must
+ * bear several such answers at once. */
+constexpr uint64_t kMaxAnswerBytes = 4 << 20;
+/** Late answers to earlier requests, and interim ones, that are read past on one exchange. Reading
+ * them takes processor time, however short they are. */
+constexpr int kMaxSkippedAnswers = 16;
 /** Idle time for which a connection is kept where the endpoint names none. */
 constexpr base::Milliseconds kDefaultKeepAlive = 3000ms;
 /** Subtracted from the time that an endpoint names: a request may cross its close. */
@@ -251,9 +252,8 @@
     if (!mHeadSeen && mParser->is_header_done() && !takeHead()) {
       return false;
     }
-    mSkippedBytes += mSkipping ? used : 0;
     // The parser leaves what it cannot take yet, such as a line without an end, in the buffer.
-    if (mConnection->buffer.size() > kMaxAnswerHeaderBytes || mSkippedBytes > kMaxSkippedBytes) {
+    if (mConnection->buffer.size() > kMaxAnswerHeaderBytes) {
       finish(ExchangeEnd::NotAnAnswer);
       return false;
     }
@@ -276,11 +276,11 @@
     }
     if (mParser->is_done()) {
       bool interim = mParser->get().result_int() / 100 == 1;
-      if (interim && ++mInterimAnswers > kMaxInterimAnswers) {
-        finish(ExchangeEnd::NotAnAnswer);
-        return false;
-      }
       if (mSkipping || interim) {
+        if (++mSkippedAnswers > kMaxSkippedAnswers) {
+          finish(ExchangeEnd::NotAnAnswer);
+          return false;
+        }
         startParser();
         continue;
       }
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -178,8 +178,7 @@
   bool mHeadSeen = false;
   bool mSkipping = false;  ///< Reads past an answer to another request.
   uint64_t mBodyBytes = 0; ///< Of the present answer.
-  size_t mSkippedBytes = 0;
-  int mInterimAnswers = 0;
+  int mSkippedAnswers = 0;
   bool mPaused = false;
   bool mReading = false;
   bool mKeepOpen = false;
