--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -45,7 +45,8 @@
 /**
  * Client of one server. Not thread-safe, but for cancel(). Errors: Unavailable when nothing was
  * sent (connection refused or timed out); UnknownOutcome when the request was or may have been
- * sent; Timeout when totalTimeout ran out; Cancelled after cancel() or when a callback returned
+ * sent; Timeout when totalTimeout ran out; TooLarge when the head or what stands between the pieces
+ * of the body has no end; Cancelled after cancel() or when a callback returned
  * false.
  */
 class HttpClient
--- a/libs/net/tests/HttpTest.cpp
+++ b/libs/net/tests/HttpTest.cpp
@@ -8,6 +8,7 @@
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
 #include "support/TestAddress.h"
+#include "support/TestListener.h"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -24,14 +25,8 @@
 public:
   EndlessServer(std::string aHead, std::string aBlock)
     : address(test::unusedAddress())
-    , mListener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    , mListener(test::listenOn(address))
   {
-    sockaddr_in bound{};
-    bound.sin_family = AF_INET;
-    bound.sin_port = htons(static_cast<uint16_t>(address.port));
-    inet_pton(AF_INET, address.host.c_str(), &bound.sin_addr);
-    BOOST_REQUIRE(::bind(mListener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
-    BOOST_REQUIRE(::listen(mListener, 4) == 0);
     mThread = std::thread([this, head = std::move(aHead), block = std::move(aBlock)] {
       int client = ::accept(mListener, nullptr, nullptr);
       std::string repeated;
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -11,6 +11,7 @@
 
 #include "relay/Relay.h"
 #include "support/TestAddress.h"
+#include "support/TestListener.h"
 
 namespace boragepitch::relay::test {
 
@@ -115,15 +116,7 @@
     : mScript(std::move(aScript))
     , mAddress(boragepitch::test::unusedAddress())
   {
-    mListener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    int on = 1;
-    setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<uint16_t>(mAddress.port));
-    inet_pton(AF_INET, mAddress.host.c_str(), &address.sin_addr);
-    BOOST_REQUIRE(::bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-    ::listen(mListener, 16);
+    mListener = boragepitch::test::listenOn(mAddress);
     mThread = std::thread([this] { accept(); });
   }
 
--- a/tools/router/tests/SilentStoreTest.cpp
+++ b/tools/router/tests/SilentStoreTest.cpp
@@ -8,6 +8,7 @@
 #include "RouterSettings.h"
 #include "StoreLinks.h"
 #include "support/TestAddress.h"
+#include "support/TestListener.h"
 
 using namespace boragepitch;
 using namespace std::chrono_literals;
@@ -25,14 +26,8 @@
 public:
   SilentStore()
     : address(test::unusedAddress())
-    , mListener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    , mListener(test::listenOn(address))
   {
-    sockaddr_in bound{};
-    bound.sin_family = AF_INET;
-    bound.sin_port = htons(static_cast<uint16_t>(address.port));
-    inet_pton(AF_INET, address.host.c_str(), &bound.sin_addr);
-    BOOST_REQUIRE(::bind(mListener, reinterpret_cast<sockaddr*>(&bound), sizeof(bound)) == 0);
-    BOOST_REQUIRE(::listen(mListener, 4) == 0);
     mThread = std::thread([this] { serve(); });
   }
   ~SilentStore()
