Let each engine be used by four entries, chosen by rendezvous hashing

Cause: 21 entries choose the cheapest of all engines from reports of the same age, so that they crowd it between two reports.

Change: EntrySubset assigns each engine to four entries, by weighted rendezvous hashing over the entries' names, preferring the engine's region. An entry whose engines are full takes spare slots of others only where a fresh report shows them; without an engine of its own it uses all. Cold endpoints are used by these entries alone, so that the sum of their shares holds for any number of entries (21 and 27 entries could reach 27 requests a second where 26 are allowed; 330 entries 330). Loaders send each report to the engine's entries and one in 750 ms to the others. A report is found by address instead of by walking all endpoints.

Fleets of up to four entries are unchanged.

Tests: EntrySubsetTest, EndpointSetTest (spare slots, own endpoints gone, report by address) and OverloadTest/manyEntriesDoNotCrowdTheSameEngines, which compares with every entry using all. Entry rows now hold the region; old rows are ignored until their entry writes a new one.

--- a/bench/overload/Policies.cpp
+++ b/bench/overload/Policies.cpp
@@ -86,6 +86,24 @@
   }
 };
 
+std::string entryName(size_t aEntry)
+{
+  return "entry-" + std::to_string(aEntry);
+}
+
+std::string regionName(size_t aZone)
+{
+  return "region-" + std::to_string(aZone);
+}
+
+serving::PlacementOptions withIdentity(serving::PlacementOptions aOptions,
+                                       const PolicyContext& aContext)
+{
+  aOptions.node = entryName(aContext.entry);
+  aOptions.region = regionName(aContext.entry % aContext.zones);
+  return aOptions;
+}
+
 /** The module that the product runs, one instance for each entry. */
 class Module final : public Policy
 {
@@ -93,7 +111,7 @@
   Module(const PolicyContext& aContext, serving::PlacementOptions aOptions)
     : mKinds(aContext.kinds)
     , mRng(aContext.seed)
-    , mEndpoints(std::move(aOptions))
+    , mEndpoints(withIdentity(std::move(aOptions), aContext))
   {
     mService.name = kService;
     mService.engine = aContext.profile;
@@ -101,12 +119,19 @@
     mService.coldTime = kColdTime;
     mRoute.kind = serving::CallKind::Streaming;
     mRoute.isResumable = true;
-    mEndpoints.setSenders(static_cast<int>(aContext.entries));
+    std::vector<serving::EntryIdentity> others;
+    for (size_t entry = 0; entry < aContext.entries; ++entry) {
+      if (entry != aContext.entry) {
+        others.push_back({ entryName(entry), regionName(entry % aContext.zones) });
+      }
+    }
+    mEndpoints.setOtherEntries(others);
     for (size_t engine = 0; engine < aContext.engines; ++engine) {
       serving::EndpointRecord record;
       record.id = std::to_string(engine);
       record.service = kService;
       record.address = { "10.0.0.1", static_cast<int>(engine) + 1 };
+      record.region = regionName(engine % aContext.zones);
       record.startTimeMs = 1;
       record.slots = aContext.profile.slots;
       record.weightVersion = 1;
@@ -147,6 +172,11 @@
     mInFlight.erase(aId);
   }
 
+  bool needsFrequentReports(size_t aEngine) const override
+  {
+    return mEndpoints.all().at(std::to_string(aEngine))->isInSubset;
+  }
+
   void report(size_t aEngine, int aRunning, int aQueued, double aNow) override
   {
     serving::LoadReport report;
@@ -254,6 +284,14 @@
   return options;
 }
 
+/** The module with every entry using every engine. */
+serving::PlacementOptions optionsWithoutSubsets()
+{
+  serving::PlacementOptions options;
+  options.subset.entriesPerEndpoint = std::numeric_limits<size_t>::max();
+  return options;
+}
+
 } // namespace
 
 std::unique_ptr<PolicyFactory> currentPolicy()
@@ -261,6 +299,11 @@
   return std::make_unique<ModuleFactory>("module", serving::PlacementOptions());
 }
 
+std::unique_ptr<PolicyFactory> policyWithoutSubsets()
+{
+  return std::make_unique<ModuleFactory>("withoutSubsets", optionsWithoutSubsets());
+}
+
 std::vector<std::unique_ptr<PolicyFactory>> allPolicies()
 {
   std::vector<std::unique_ptr<PolicyFactory>> policies;
--- a/bench/overload/Policy.h
+++ b/bench/overload/Policy.h
@@ -34,6 +34,8 @@
   virtual void started(uint64_t aId, size_t aEngine, double aNow) = 0;
   virtual void firstEvent(uint64_t aId, double aNow) = 0;
   virtual void finished(uint64_t aId, serving::Outcome aOutcome, double aNow) = 0;
+  /** Whether the entry gets each report of the engine; else it gets one in several. */
+  virtual bool needsFrequentReports(size_t /*aEngine*/) const { return true; }
   virtual void report(size_t aEngine, int aRunning, int aQueued, double aNow) = 0;
   /** The VM list says that the engine leaves, is in cold start, or pauses admission. */
   virtual void changed(const Change& aChange, double aNow) = 0;
@@ -45,6 +47,8 @@
   std::vector<RequestKind> kinds;
   size_t engines = 0;
   size_t entries = 0;
+  size_t entry = 0; ///< Number of the entry, from 0.
+  size_t zones = 1; ///< Entries and engines are assigned to zones in turn.
   uint64_t seed = 1;
 };
 
@@ -60,5 +64,7 @@
  * release; the module as it is. */
 std::vector<std::unique_ptr<PolicyFactory>> allPolicies();
 std::unique_ptr<PolicyFactory> currentPolicy();
+/** The module as it is, but with every entry using every engine. */
+std::unique_ptr<PolicyFactory> policyWithoutSubsets();
 
 } // namespace boragepitch::overload
--- a/bench/overload/Simulation.cpp
+++ b/bench/overload/Simulation.cpp
@@ -13,6 +13,8 @@
 /** Interval of an agent's engine reports, and their age on arrival at an entry. */
 constexpr double kReportPeriodMs = 150;
 constexpr double kReportLagMs = 5;
+/** An agent sends to the entries that seldom use its engine one report in this many periods. */
+constexpr size_t kSparseReportPeriods = 5;
 /** Delay until the entries see a change of the VM list. */
 constexpr double kVmListDelayMs = 150;
 /** Maximum length of an engine's queue. */
@@ -29,10 +31,13 @@
     : mWorkload(aWorkload)
     , mOptions(aOptions)
   {
-    PolicyContext context{
-      aProfile, aWorkload.kinds, aOptions.engines, aOptions.entries, aOptions.seed
-    };
+    PolicyContext context{ .profile = aProfile,
+                           .kinds = aWorkload.kinds,
+                           .engines = aOptions.engines,
+                           .entries = aOptions.entries,
+                           .zones = aOptions.zones };
     for (size_t entry = 0; entry < aOptions.entries; ++entry) {
+      context.entry = entry;
       context.seed = aOptions.seed + entry;
       mEntries.push_back(aPolicy.make(context));
     }
@@ -223,12 +228,16 @@
     for (size_t engine = 0; engine < mEngines.size(); ++engine) {
       int running = mEngines[engine].running();
       int queued = mEngines[engine].queued();
-      at(mNow + kReportLagMs, [this, engine, running, queued] {
+      bool toAll = (mReportPeriod + engine) % kSparseReportPeriods == 0;
+      at(mNow + kReportLagMs, [this, engine, running, queued, toAll] {
         for (auto& entry : mEntries) {
-          entry->report(engine, running, queued, mNow);
+          if (toAll || entry->needsFrequentReports(engine)) {
+            entry->report(engine, running, queued, mNow);
+          }
         }
       });
     }
+    ++mReportPeriod;
     if (mNow < mOptions.lengthMs) {
       at(mNow + kReportPeriodMs, [this] { takeReports(); });
     }
@@ -270,6 +279,7 @@
   std::map<uint64_t, Caller> mCallers;
   std::priority_queue<Event> mEvents;
   uint64_t mNumber = 0;
+  size_t mReportPeriod = 0;
   double mNow = 0;
 };
 
--- a/bench/overload/main.cpp
+++ b/bench/overload/main.cpp
@@ -71,6 +71,7 @@
 {
   auto profile = usualEngine();
   auto policies = allPolicies();
+  policies.push_back(policyWithoutSubsets());
   std::map<std::string, Result> sums;
   double bound = 0;
   for (aOptions.seed = 1; aOptions.seed <= aSeeds; ++aOptions.seed) {
--- a/bench/overload/tests/OverloadTest.cpp
+++ b/bench/overload/tests/OverloadTest.cpp
@@ -109,6 +109,27 @@
   }
 }
 
+// Many entries before many engines, beyond capacity: entries that all choose the cheapest engine
+// from reports of the same age crowd it, and a quarter of the answers came late.
+BOOST_AUTO_TEST_CASE(manyEntriesDoNotCrowdTheSameEngines)
+{
+  constexpr double kMaxLateShare = 0.05;
+  auto profile = usualEngine();
+  WorkloadOptions options;
+  options.load = 1.2;
+  options.lengthMs = 4000;
+  options.entries = 21;
+  options.engines = 138;
+  for (Pattern pattern : { Pattern::Steady, Pattern::Burst }) {
+    options.pattern = pattern;
+    auto workload = makeWorkload(profile, options);
+    Result result = simulate(profile, workload, options, *currentPolicy());
+    Result without = simulate(profile, workload, options, *policyWithoutSubsets());
+    BOOST_TEST(result.late <= kMaxLateShare * result.requests, toString(pattern));
+    BOOST_TEST(result.worthInTime > without.worthInTime, toString(pattern));
+  }
+}
+
 // Overload: refusing at once what would be late serves more than taking everything.
 BOOST_AUTO_TEST_CASE(beatsTheBaselinesUnderOverload)
 {
--- a/libs/relay/include/relay/Relay.h
+++ b/libs/relay/include/relay/Relay.h
@@ -12,6 +12,7 @@
 #include "relay/HeaderCodec.h"
 #include "serving/Deployment.h"
 #include "serving/EndpointSet.h"
+#include "serving/EntrySubset.h"
 #include "serving/PeerMessage.h"
 #include "serving/SharedRetryBudget.h"
 #include "telemetry/EventLog.h"
@@ -38,6 +39,13 @@
   uint64_t seed = 1;
 };
 
+/** Another entry. */
+struct Peer
+{
+  serving::EntryIdentity identity;
+  net::Address address; ///< Receives datagrams.
+};
+
 /**
  * The event-driven data path between callers and endpoints; one thread serves all connections. It
  * matches routes, checks keys, places requests, retries them where that is safe, resumes streams,
@@ -86,9 +94,9 @@
   virtual void declareVersion(std::string aModel,
                               uint64_t aVersion,
                               base::TimePoint aEnforceFrom) = 0;
-  /** Any thread: sets the other entries, which share the retry budget and the rate limits of cold
-   * endpoints with this one. */
-  virtual void setPeers(std::vector<net::Address> aPeers) = 0;
+  /** Any thread: sets the other entries, which share the retry budget and the endpoints with this
+   * one. */
+  virtual void setPeers(std::vector<Peer> aPeers) = 0;
   /** Any thread: the known endpoints matched the platform's list at time aAt. */
   virtual void confirmList(base::TimePoint aAt) = 0;
 };
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -198,16 +198,18 @@
     });
   }
 
-  void setPeers(std::vector<net::Address> aPeers) override
+  void setPeers(std::vector<Peer> aPeers) override
   {
     post([this, peers = std::move(aPeers)] {
       mCore.peers.clear();
-      for (const net::Address& peer : peers) {
-        mCore.peers.emplace_back(asio::ip::make_address_v4(peer.host),
-                                 static_cast<uint16_t>(peer.port));
+      std::vector<serving::EntryIdentity> identities;
+      for (const Peer& peer : peers) {
+        mCore.peers.emplace_back(asio::ip::make_address_v4(peer.address.host),
+                                 static_cast<uint16_t>(peer.address.port));
+        identities.push_back(peer.identity);
       }
       int entries = static_cast<int>(peers.size()) + 1;
-      mCore.endpoints.setSenders(entries);
+      mCore.endpoints.setOtherEntries(identities);
       mCore.retryBudget.setProcessCount(entries);
       logState("entries", { { "count", std::to_string(entries) } });
     });
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -16,6 +16,7 @@
 #include "base/Time.h"
 #include "net/Address.h"
 #include "serving/Deployment.h"
+#include "serving/EntrySubset.h"
 
 namespace boragepitch::serving {
 
@@ -115,6 +116,8 @@
    * stale row does not revoke it. */
   bool hasAnnouncedLeave = false;
   bool isLapsed = false; ///< Missing from the list, perhaps only because the list was unavailable.
+  /** This process is one of the entries that use the endpoint; see EntrySubset. */
+  bool isInSubset = true;
   /** When this process learned that the endpoint leaves, lapsed or is unlisted; else empty. */
   std::optional<base::TimePoint> leaveKnownAt;
   base::TimePoint unlistedAt; ///< When the endpoint left the list; valid while it is unlisted.
@@ -149,8 +152,10 @@
 
 struct PlacementOptions
 {
+  std::string node;   ///< Name of this process.
   std::string zone;   ///< Zone of this process.
   std::string region; ///< Region of this process.
+  SubsetOptions subset;
   double coldOvershoot = 1.5;
   double coldTolerance = 5;
   /** A request is refused when its predicted wait, without the time for its own prompt, exceeds
@@ -251,9 +256,9 @@
   /** Sets the zones whose endpoints get no new requests. */
   void setEvacuated(std::set<std::string> aZones) { mEvacuated = std::move(aZones); }
   const std::set<std::string>& evacuated() const { return mEvacuated; }
-  /** Sets the number of processes that send to the same endpoints. They share the rate limit of a
-   * cold endpoint equally. */
-  void setSenders(int aCount) { mSenders = aCount; }
+  /** Sets the other entries that send to the same endpoints. Each engine is used by some of them,
+   * which share its rate limit while it is cold equally. */
+  void setOtherEntries(std::span<const EntryIdentity> aOthers);
   void recordReport(const LoadReport& aReport, base::TimePoint aNow);
 
   Placement choose(const PlacementRequest& aRequest, base::TimePoint aNow, base::Rng& aRng) const;
@@ -277,6 +282,22 @@
 
 private:
   static void markBegun(Endpoint& aEndpoint, Occupancy& aOccupancy);
+  /** Replaces aBest by the cheapest of the endpoints, if one can serve the request in time, and
+   * lowers aSoonestMs to the shortest predicted time. */
+  void chooseCheapest(std::span<const EndpointPtr* const> aEndpoints,
+                      const PlacementRequest& aRequest,
+                      base::TimePoint aNow,
+                      base::Rng& aRng,
+                      Placement& aBest,
+                      double& aSoonestMs) const;
+  /** Whether an engine outside the subset is reported to have slots that its regular entries do not
+   * need now. */
+  bool hasSpareSlots(const Endpoint& aEndpoint,
+                     const PlacementRequest& aRequest,
+                     base::TimePoint aNow) const;
+  /** Number of entries that send to the endpoints of the service, this process included. */
+  int sendersOf(const Service& aService) const;
+  void updateSubset(Endpoint& aEndpoint) const;
   void eraseUnlisted(base::TimePoint aNow);
   /** Empty when the endpoint has no capacity for the request. */
   std::optional<Prediction> predict(const Endpoint& aEndpoint,
@@ -297,8 +318,9 @@
 
   PlacementOptions mOptions;
   std::map<std::string, EndpointPtr, std::less<>> mById;
+  std::map<std::string, EndpointPtr, std::less<>> mByAddress; ///< The latest listed one of each.
   std::set<std::string> mEvacuated;
-  int mSenders = 1;
+  EntrySubset mSubset;
 };
 
 } // namespace boragepitch::serving
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -51,6 +51,9 @@
 /** Maximum requests at an engine beyond its slots, late ones included. The engine's own queue holds
  * twice as many. */
 constexpr int kMaxBeyondSlots = 12;
+/** Load of an engine, relative to its slots, below which an entry that otherwise does not use it
+ * may send to it. Its few regular entries need the rest. */
+constexpr double kSpareLoadShare = 0.6;
 /** Typical time of a call to an idle endpoint of a service without engines. */
 constexpr double kIdleCallMs = 15;
 
@@ -121,7 +124,32 @@
 
 EndpointSet::EndpointSet(PlacementOptions aOptions)
   : mOptions(std::move(aOptions))
+  , mSubset(mOptions.subset)
 {
+  setOtherEntries({});
+}
+
+void EndpointSet::setOtherEntries(std::span<const EntryIdentity> aOthers)
+{
+  std::vector<EntryIdentity> entries(aOthers.begin(), aOthers.end());
+  entries.push_back({ mOptions.node, mOptions.region });
+  mSubset.setEntries(entries);
+  for (auto& [id, endpoint] : mById) {
+    updateSubset(*endpoint);
+  }
+}
+
+void EndpointSet::updateSubset(Endpoint& aEndpoint) const
+{
+  aEndpoint.isInSubset = mSubset.usesEndpoint(
+    mOptions.node, aEndpoint.record.address.toString(), aEndpoint.record.region);
+}
+
+int EndpointSet::sendersOf(const Service& aService) const
+{
+  // Only engines report their load, which is what subsets are for: a service without engines has
+  // few endpoints, and all entries use each.
+  return static_cast<int>(aService.engine ? mSubset.entriesOfEndpoint() : mSubset.entryCount());
 }
 
 void EndpointSet::apply(const EndpointRecord& aRecord,
@@ -135,6 +163,8 @@
     endpoint = std::make_shared<Endpoint>();
   }
   endpoint->record = aRecord;
+  updateSubset(*endpoint);
+  mByAddress[aRecord.address.toString()] = endpoint;
   endpoint->isListed = true;
   endpoint->isLapsed = false;
   if (aRecord.isDraining) {
@@ -174,11 +204,13 @@
 
 void EndpointSet::eraseUnlisted(base::TimePoint aNow)
 {
-  std::erase_if(mById, [&](const auto& aEntry) {
+  auto isExpired = [&](const auto& aEntry) {
     const Endpoint& endpoint = *aEntry.second;
     return !endpoint.isListed && aNow - endpoint.unlistedAt >= kUnlistedRetention &&
            aNow >= endpoint.pausedUntil;
-  });
+  };
+  std::erase_if(mById, isExpired);
+  std::erase_if(mByAddress, isExpired);
 }
 
 bool EndpointSet::announceLeave(Endpoint& aEndpoint, base::TimePoint aNow)
@@ -204,17 +236,17 @@
 
 void EndpointSet::recordReport(const LoadReport& aReport, base::TimePoint aNow)
 {
-  for (auto& [id, endpoint] : mById) {
-    if (endpoint->record.address.toString() == aReport.address &&
-        endpoint->record.startTimeMs == aReport.startTimeMs) {
-      endpoint->report = aReport;
-      ++endpoint->reportCount;
-      endpoint->unreported = {};
-      endpoint->reportedAt = aNow;
-      endpoint->waitingAtReport = waitingOf(*endpoint);
-      endpoint->begunAtReport = endpoint->inFlight - endpoint->waitingAtReport;
-    }
+  auto found = mByAddress.find(aReport.address);
+  if (found == mByAddress.end() || found->second->record.startTimeMs != aReport.startTimeMs) {
+    return;
   }
+  Endpoint& endpoint = *found->second;
+  endpoint.report = aReport;
+  ++endpoint.reportCount;
+  endpoint.unreported = {};
+  endpoint.reportedAt = aNow;
+  endpoint.waitingAtReport = waitingOf(endpoint);
+  endpoint.begunAtReport = endpoint.inFlight - endpoint.waitingAtReport;
 }
 
 int EndpointSet::load(const Endpoint& aEndpoint, base::TimePoint aNow)
@@ -262,7 +294,7 @@
   }
   load.running = std::min(load.running, profile.slots);
   if (aRequest.urgency != Urgency::Continued) {
-    double concurrentShare = kConcurrentSendShare * (mSenders - 1);
+    double concurrentShare = kConcurrentSendShare * (sendersOf(*aRequest.service) - 1);
     load.waiting += aEndpoint.ordinary.requests + kOthersAheadShare * othersWaiting +
                     concurrentShare * aEndpoint.unreported.requests;
     load.waitingPromptMs += kConcurrentPromptFactor * aEndpoint.ordinary.promptMs +
@@ -326,7 +358,11 @@
   if (aService.coldRequestsPerSecond <= 0 || !aEndpoint.isCold(aNow)) {
     return false;
   }
-  double share = std::max(1.0, std::floor(aService.coldRequestsPerSecond / mSenders));
+  if (!aEndpoint.isInSubset) {
+    return true;
+  }
+  auto entries = static_cast<double>(mSubset.entriesOfEndpoint());
+  double share = std::max(1.0, std::floor(aService.coldRequestsPerSecond / entries));
   auto recent = std::count_if(aEndpoint.recentSends.begin(),
                               aEndpoint.recentSends.end(),
                               [&](base::TimePoint aAt) { return aNow - aAt < 1s; });
@@ -357,48 +393,80 @@
 {
   Placement best;
   best.refusal = Refusal::NoEndpoint;
-  double bestCost = 0;
-  double soonest = std::numeric_limits<double>::infinity();
-  base::TimePoint firstPauseEnds = base::TimePoint::max();
-  std::uniform_real_distribution<double> costJitter(0, kCostJitterMs);
-  bool onlyLapsedAllowed = std::none_of(mById.begin(), mById.end(), [&](const auto& aEntry) {
-    return !aEntry.second->isLapsed && isAllowed(*aEntry.second, aRequest, aNow);
-  });
+  std::vector<const EndpointPtr*> subset;
+  std::vector<const EndpointPtr*> others;
+  std::vector<const EndpointPtr*> lapsed;
   for (const auto& [id, endpoint] : mById) {
-    if (!isAllowed(*endpoint, aRequest, aNow) || (endpoint->isLapsed && !onlyLapsedAllowed)) {
-      continue;
+    if (isAllowed(*endpoint, aRequest, aNow)) {
+      bool isUsed = endpoint->isInSubset || !aRequest.service->engine;
+      (endpoint->isLapsed ? lapsed : isUsed ? subset : others).push_back(&endpoint);
     }
-    ++best.candidates;
-    firstPauseEnds = std::min(firstPauseEnds, endpoint->pausedUntil);
+  }
+  if (subset.empty() && others.empty()) {
+    subset = std::move(lapsed);
+  }
+  if (subset.empty()) {
+    subset = std::move(others);
+    others.clear();
+  }
+  double soonest = std::numeric_limits<double>::infinity();
+  chooseCheapest(subset, aRequest, aNow, aRng, best, soonest);
+  if (!best.endpoint) {
+    std::erase_if(others, [&](const EndpointPtr* aEndpoint) {
+      return !hasSpareSlots(**aEndpoint, aRequest, aNow);
+    });
+    chooseCheapest(others, aRequest, aNow, aRng, best, soonest);
+  }
+  if (!best.endpoint && std::isfinite(soonest)) {
+    best.predictedMs = soonest;
+  }
+  return best;
+}
+
+bool EndpointSet::hasSpareSlots(const Endpoint& aEndpoint,
+                                const PlacementRequest& aRequest,
+                                base::TimePoint aNow) const
+{
+  return aEndpoint.report && aNow - aEndpoint.reportedAt < kMaxReportAge &&
+         load(aEndpoint, aNow) < kSpareLoadShare * aRequest.service->engine->slots;
+}
+
+void EndpointSet::chooseCheapest(std::span<const EndpointPtr* const> aEndpoints,
+                                 const PlacementRequest& aRequest,
+                                 base::TimePoint aNow,
+                                 base::Rng& aRng,
+                                 Placement& aBest,
+                                 double& aSoonestMs) const
+{
+  double bestCost = 0;
+  std::uniform_real_distribution<double> costJitter(0, kCostJitterMs);
+  for (const EndpointPtr* pointer : aEndpoints) {
+    const EndpointPtr& endpoint = *pointer;
+    base::Duration pausedFor = std::max(base::Duration(0), endpoint->pausedUntil - aNow);
+    aBest.pausedFor = aBest.candidates == 0 ? pausedFor : std::min(aBest.pausedFor, pausedFor);
+    ++aBest.candidates;
     bool isBeingProbed = endpoint->consecutiveSilences > 0 && endpoint->inFlight > 0;
     bool isMemoryFull = endpoint->report && endpoint->report->memoryUsed > kMemoryFullShare;
     bool isPaused = aNow < endpoint->pausedUntil;
     bool isAvoided = isPaused || aNow < endpoint->avoidUntil || isBeingProbed || isMemoryFull;
     auto predicted = isAvoided ? std::nullopt : predict(*endpoint, aRequest, aNow);
-    soonest = predicted ? std::min(soonest, predicted->ms) : soonest;
+    aSoonestMs = predicted ? std::min(aSoonestMs, predicted->ms) : aSoonestMs;
     if (!predicted || !predicted->isInTime) {
-      best.refusal = best.endpoint ? best.refusal : Refusal::Full;
+      aBest.refusal = aBest.endpoint ? aBest.refusal : Refusal::Full;
       continue;
     }
     if (isColdShareUsed(*endpoint, *aRequest.service, aNow)) {
-      best.refusal = best.endpoint ? best.refusal : Refusal::Cold;
+      aBest.refusal = aBest.endpoint ? aBest.refusal : Refusal::Cold;
       continue;
     }
     double cost = costMs(*endpoint, aRequest, predicted->ms) + costJitter(aRng);
-    if (!best.endpoint || cost < bestCost) {
-      best.endpoint = endpoint;
-      best.refusal = Refusal::None;
-      best.predictedMs = predicted->ms;
+    if (!aBest.endpoint || cost < bestCost) {
+      aBest.endpoint = endpoint;
+      aBest.refusal = Refusal::None;
+      aBest.predictedMs = predicted->ms;
       bestCost = cost;
     }
   }
-  if (!best.endpoint && std::isfinite(soonest)) {
-    best.predictedMs = soonest;
-  }
-  if (best.candidates > 0) {
-    best.pausedFor = std::max(base::Duration(0), firstPauseEnds - aNow);
-  }
-  return best;
 }
 
 Occupancy EndpointSet::started(const Placement& aPlacement,
--- a/libs/serving/tests/EndpointSetTest.cpp
+++ b/libs/serving/tests/EndpointSetTest.cpp
@@ -65,6 +65,16 @@
     return created;
   }
 
+  /** Sets the number of entries, this one included. */
+  void setEntryCount(int aCount)
+  {
+    std::vector<EntryIdentity> others;
+    for (int i = 1; i < aCount; ++i) {
+      others.push_back({ "entry-" + std::to_string(i), "north" });
+    }
+    set.setOtherEntries(others);
+  }
+
   /** Places a request and keeps it in flight. Returns the id of its endpoint; empty if refused. */
   std::string place(const PlacementRequest& aRequest)
   {
@@ -242,7 +252,7 @@
 {
   list("n", "north", drafter);
   auto admittedBy = [&](int aSenders) {
-    set.setSenders(aSenders);
+    setEntryCount(aSenders);
     set.recordReport(report("n", 0, 0), now);
     int admitted = 0;
     while (admitted < 100 && !place(request(drafter)).empty()) {
@@ -261,6 +271,70 @@
   BOOST_TEST(admittedBy(1) == alone);
 }
 
+// Guards against refusals by a busy entry while engines that only others use are idle, and against
+// sends to such an engine when it is not known to be idle.
+BOOST_FIXTURE_TEST_CASE(takesSpareSlotsOfEnginesThatOthersUse, Fixture)
+{
+  setEntryCount(21);
+  int used = 0;
+  for (int i = 0; i < 40; ++i) {
+    list("n" + std::to_string(i), "north", drafter);
+    used += set.all().at("n" + std::to_string(i))->isInSubset ? 1 : 0;
+  }
+  BOOST_REQUIRE(used > 0);
+  BOOST_REQUIRE(used < 40);
+  auto reportOthers = [&](int aRunning) {
+    for (const auto& [id, endpoint] : set.all()) {
+      set.recordReport(endpoint->isInSubset ? report(id, 16, 20) : report(id, aRunning, 0), now);
+    }
+  };
+  BOOST_TEST(set.all().at(place(request(drafter)))->isInSubset);
+  reportOthers(15);
+  BOOST_TEST(place(request(drafter)).empty());
+  reportOthers(2);
+  std::string spare = place(request(drafter));
+  BOOST_REQUIRE(!spare.empty());
+  BOOST_TEST(!set.all().at(spare)->isInSubset);
+  now += 2s; // The reports are stale.
+  std::string afterwards = place(request(drafter));
+  BOOST_TEST((afterwards.empty() || set.all().at(afterwards)->isInSubset));
+}
+
+// Guards against requests that no endpoint gets because all of the entry's own ones have left.
+BOOST_FIXTURE_TEST_CASE(usesOtherEndpointsWhenItsOwnAreGone, Fixture)
+{
+  setEntryCount(21);
+  for (int i = 0; i < 40; ++i) {
+    list("n" + std::to_string(i), "north", drafter);
+  }
+  std::vector<std::string> own;
+  for (const auto& [id, endpoint] : set.all()) {
+    if (endpoint->isInSubset) {
+      own.push_back(id);
+    }
+  }
+  for (const std::string& id : own) {
+    set.remove(id, now);
+  }
+  BOOST_TEST(!place(request(drafter)).empty());
+}
+
+// Guards against a report that is taken for one of an endpoint's predecessor at the same address.
+BOOST_FIXTURE_TEST_CASE(reportsFollowTheLatestEndpointOfAnAddress, Fixture)
+{
+  list("first", "north", drafter);
+  EndpointRecord next = set.all().at("first")->record;
+  next.id = "second";
+  next.startTimeMs = 6;
+  set.apply(next, &drafter, now);
+  auto old = report("first", 3, 0);
+  set.recordReport(old, now);
+  BOOST_TEST(!set.all().at("second")->report.has_value());
+  old.startTimeMs = 6;
+  set.recordReport(old, now);
+  BOOST_TEST(set.all().at("second")->report.has_value());
+}
+
 // Guards against counts that drift when a report arrives between a send and its first event.
 BOOST_FIXTURE_TEST_CASE(reportResetsUnreportedRequests, Fixture)
 {
@@ -314,7 +388,7 @@
 BOOST_FIXTURE_TEST_CASE(coldRateLimitIsSharedByAllEntries, Fixture)
 {
   list("cold", "north", drafter, 1, 3000ms);
-  set.setSenders(4);
+  setEntryCount(4);
   int sent = 0;
   for (int i = 0; i < 200; ++i, now += 5ms) {
     if (!place(request(drafter)).empty()) {
--- a/tools/loader/LoadReporter.cpp
+++ b/tools/loader/LoadReporter.cpp
@@ -15,6 +15,9 @@
 
 /** An unchanged report is sent again after this time: datagrams may be lost and reports expire. */
 constexpr base::Milliseconds kResendInterval = 600ms;
+/** Interval of the reports to entries that do not use the engine: they only look for spare slots,
+ * and ignore reports older than twice this time. */
+constexpr base::Milliseconds kSparseInterval = 750ms;
 /** Polling interval during a switch, so that entries soon learn that the engine is ready again. */
 constexpr base::Milliseconds kSwitchPollInterval = 40ms;
 
@@ -102,6 +105,7 @@
 void LoadReporter::sendReport(base::TimePoint aNow)
 {
   std::string text;
+  bool toAll = false;
   {
     std::lock_guard lock(mMutex);
     if (!mLatest) {
@@ -111,25 +115,36 @@
     report.isSwitching = report.isSwitching || mWeights.isSwitching();
     report.switchesSoon = mWeights.switchesSoon();
     text = serving::encode(report);
+    bool isSwitchNews = report.isSwitching != mSentSwitching;
     if (text == mSentText && aNow - mSentAt < kResendInterval) {
       return;
     }
+    toAll = isSwitchNews || aNow - mSentToAllAt >= kSparseInterval;
     mSentText = text;
     mSentAt = aNow;
+    mSentToAllAt = toAll ? aNow : mSentToAllAt;
+    mSentSwitching = report.isSwitching;
   }
-  for (const net::Address& entry : mFleet.entries()) {
-    sockaddr_in target{};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(static_cast<uint16_t>(entry.port));
-    inet_pton(AF_INET, entry.host.c_str(), &target.sin_addr);
-    // A failed send is ignored: the next report replaces the datagram.
-    static_cast<void>(::sendto(mSocket,
-                               text.data(),
-                               text.size(),
-                               0,
-                               reinterpret_cast<const sockaddr*>(&target),
-                               sizeof(target)));
+  for (const ReportTarget& entry : mFleet.reportTargets()) {
+    if (entry.usesEngine || toAll) {
+      send(text, entry.address);
+    }
   }
 }
 
+void LoadReporter::send(const std::string& aText, const net::Address& aEntry) const
+{
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port = htons(static_cast<uint16_t>(aEntry.port));
+  inet_pton(AF_INET, aEntry.host.c_str(), &target.sin_addr);
+  // A failed send is ignored: the next report replaces the datagram.
+  static_cast<void>(::sendto(mSocket,
+                             aText.data(),
+                             aText.size(),
+                             0,
+                             reinterpret_cast<const sockaddr*>(&target),
+                             sizeof(target)));
+}
+
 } // namespace boragepitch::tools
--- a/tools/loader/LoadReporter.h
+++ b/tools/loader/LoadReporter.h
@@ -33,6 +33,7 @@
   void run();
   void pollEngine(base::TimePoint aNow);
   void sendReport(base::TimePoint aNow);
+  void send(const std::string& aText, const net::Address& aEntry) const;
 
   platform::EngineControlClient& mEngine;
   LoaderFleet& mFleet;
@@ -46,6 +47,8 @@
   std::optional<serving::LoadReport> mLatest;
   std::string mSentText;
   base::TimePoint mSentAt;
+  base::TimePoint mSentToAllAt; ///< Latest report to entries that do not use the engine.
+  bool mSentSwitching = false;
   bool mIsEngineReachable = true;
   std::thread mThread;
 };
--- a/tools/loader/LoaderFleet.cpp
+++ b/tools/loader/LoaderFleet.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "NodeRows.h"
 #include "base/Digest.h"
 #include "base/Json.h"
 
@@ -34,9 +33,15 @@
                     *weights };
 }
 
-LoaderFleet::LoaderFleet(std::string aSelf, LoaderRow aSelfRow, telemetry::EventLog& aLog)
+LoaderFleet::LoaderFleet(std::string aSelf,
+                         LoaderRow aSelfRow,
+                         std::string aEngine,
+                         serving::SubsetOptions aSubset,
+                         telemetry::EventLog& aLog)
   : mSelf(std::move(aSelf))
   , mSelfRow(std::move(aSelfRow))
+  , mEngine(std::move(aEngine))
+  , mSubset(aSubset)
   , mLog(aLog)
   , mConfig(std::make_shared<resources::Snapshot>())
 {
@@ -88,12 +93,7 @@
 void LoaderFleet::applyRow(const stores::RowChange& aRow)
 {
   if (aRow.key.starts_with(kEntryPrefix)) {
-    auto address = net::parseAddress(aRow.value);
-    if (aRow.isDeleted || !address) {
-      mEntries.erase(aRow.key);
-    } else {
-      mEntries[aRow.key] = *address;
-    }
+    applyEntryRow(aRow);
     return;
   }
   if (!aRow.key.starts_with(kLoaderPrefix)) {
@@ -108,6 +108,30 @@
   }
 }
 
+void LoaderFleet::applyEntryRow(const stores::RowChange& aRow)
+{
+  std::string name = aRow.key.substr(std::string_view(kEntryPrefix).size());
+  auto row = readEntryRow(aRow.value);
+  if (aRow.isDeleted || !row) {
+    mEntries.erase(name);
+  } else {
+    mEntries[name] = *row;
+  }
+}
+
+void LoaderFleet::rebuildTargets()
+{
+  std::vector<serving::EntryIdentity> identities;
+  for (const auto& [name, row] : mEntries) {
+    identities.push_back({ name, row.region });
+  }
+  mSubset.setEntries(identities);
+  mTargets.clear();
+  for (const auto& [name, row] : mEntries) {
+    mTargets.push_back({ row.peers, mSubset.usesEndpoint(name, mEngine, mSelfRow.region) });
+  }
+}
+
 void LoaderFleet::onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint /*aNow*/)
 {
   std::lock_guard lock(mMutex);
@@ -117,6 +141,7 @@
     applyRow(row);
   }
   rebuildNodes();
+  rebuildTargets();
 }
 
 void LoaderFleet::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint /*aNow*/)
@@ -126,6 +151,7 @@
     applyRow(row);
   }
   rebuildNodes();
+  rebuildTargets();
 }
 
 void LoaderFleet::onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow)
@@ -136,14 +162,10 @@
              aNow);
 }
 
-std::vector<net::Address> LoaderFleet::entries() const
+std::vector<ReportTarget> LoaderFleet::reportTargets() const
 {
   std::lock_guard lock(mMutex);
-  std::vector<net::Address> addresses;
-  for (const auto& [key, address] : mEntries) {
-    addresses.push_back(address);
-  }
-  return addresses;
+  return mTargets;
 }
 
 std::pair<size_t, size_t> LoaderFleet::rank() const
--- a/tools/loader/LoaderFleet.h
+++ b/tools/loader/LoaderFleet.h
@@ -6,7 +6,9 @@
 #include <string>
 #include <vector>
 
+#include "NodeRows.h"
 #include "control/FleetView.h"
+#include "serving/EntrySubset.h"
 #include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
 
@@ -21,6 +23,14 @@
   net::Address weights;
 };
 
+/** An entry that receives the load reports of this VM's engine. */
+struct ReportTarget
+{
+  net::Address address;
+  /** The entry uses the engine and needs each report; others only look for spare capacity. */
+  bool usesEngine = true;
+};
+
 std::string writeLoaderRow(const LoaderRow& aRow);
 base::Result<LoaderRow> readLoaderRow(std::string_view aText);
 
@@ -33,7 +43,12 @@
   , public stores::TableListener
 {
 public:
-  LoaderFleet(std::string aSelf, LoaderRow aSelfRow, telemetry::EventLog& aLog);
+  /** @param aEngine address of the engine on this VM, as in the list of endpoints. */
+  LoaderFleet(std::string aSelf,
+              LoaderRow aSelfRow,
+              std::string aEngine,
+              serving::SubsetOptions aSubset,
+              telemetry::EventLog& aLog);
 
   std::shared_ptr<const resources::Snapshot> config() const override;
   std::shared_ptr<const control::NodeTable> nodes() const override;
@@ -44,23 +59,28 @@
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
 
-  /** Addresses at which the entries receive load reports. */
-  std::vector<net::Address> entries() const;
+  /** The known entries, which receive load reports. */
+  std::vector<ReportTarget> reportTargets() const;
   /** Rank of this loader among the loaders of its service, and their number. The order is by hash
    * of the name, which mixes the zones. */
   std::pair<size_t, size_t> rank() const;
 
 private:
   void applyRow(const stores::RowChange& aRow);
+  void applyEntryRow(const stores::RowChange& aRow);
   control::NodeState stateOf(const std::string& aId, const LoaderRow& aRow) const;
   void rebuildNodes();
+  void rebuildTargets();
 
   const std::string mSelf;
   const LoaderRow mSelfRow;
+  const std::string mEngine;
+  serving::EntrySubset mSubset; ///< Guarded by mMutex.
   telemetry::EventLog& mLog;
   mutable std::mutex mMutex;
   std::map<std::string, LoaderRow> mLoaders;
-  std::map<std::string, net::Address> mEntries;
+  std::map<std::string, EntryRow> mEntries; ///< By name.
+  std::vector<ReportTarget> mTargets;
   std::shared_ptr<const control::NodeTable> mNodes;
   std::shared_ptr<const resources::Snapshot> mConfig;
 };
--- a/tools/loader/LoaderSettings.cpp
+++ b/tools/loader/LoaderSettings.cpp
@@ -1,5 +1,7 @@
 #include "LoaderSettings.h"
 
+#include "serving/EntrySubset.h"
+
 namespace boragepitch::tools {
 
 settings::Schema loaderSchema()
@@ -14,6 +16,12 @@
     .text("engine.service", "Service to which the engine belongs.")
     .duration(
       "engine.report_interval", "Interval between two reads of the engine's load.", 20, 60000, 150)
+    .integer("placement.entries_per_engine",
+             "Entries that use one engine, as set for the entries. They receive each load report.",
+             "entries",
+             1,
+             1000,
+             static_cast<int64_t>(serving::SubsetOptions().entriesPerEndpoint))
     .address("store.address", "Address of the platform's store.")
     .duration("store.wait", "Longest wait for a change in the store.", 200, 30000, 4000)
     .freeSection("zones", "Region of each availability zone.", 1)
--- a/tools/loader/main.cpp
+++ b/tools/loader/main.cpp
@@ -40,6 +40,14 @@
   return options;
 }
 
+serving::SubsetOptions subsetOptions(const settings::Settings& aSettings)
+{
+  serving::SubsetOptions options;
+  options.entriesPerEndpoint =
+    static_cast<size_t>(aSettings.integer("placement.entries_per_engine"));
+  return options;
+}
+
 /** The process; each member may depend on those declared before it. */
 class Loader final : public tools::NodeProcess
 {
@@ -51,7 +59,11 @@
     , mStoreConnections(mOptions.node, aSettings.address("store.address"), mLog)
     , mEngine(aSettings.address("engine.address"))
     , mSelfRow{ mOptions.zone, mOptions.region, mOptions.service, mOptions.weights }
-    , mFleet(mOptions.node, mSelfRow, mLog)
+    , mFleet(mOptions.node,
+             mSelfRow,
+             aSettings.address("engine.address").toString(),
+             subsetOptions(aSettings),
+             mLog)
     , mWeightTable(mOptions.service, mLog)
     , mWeights(mOptions, mEngine, mFleet, mWeightTable, mMetrics, mLog)
     , mReporter(mEngine, mFleet, mWeights, mLog, aSettings.duration("engine.report_interval"))
--- a/tools/node/NodeRows.h
+++ b/tools/node/NodeRows.h
@@ -1,12 +1,28 @@
 #pragma once
 
+#include <string>
+#include <string_view>
+
+#include "base/Error.h"
+#include "net/Address.h"
+
 namespace boragepitch::tools {
 
 /** Table in the platform's store in which entries and loaders register themselves. */
 inline constexpr const char* kNodeTable = "boragepitch";
-/** Key prefix of an entry, followed by its name; the value is its address for datagrams. */
+/** Key prefix of an entry, followed by its name; the value is an EntryRow. */
 inline constexpr const char* kEntryPrefix = "entry/";
 /** Key prefix of a loader, followed by its name; the value is a LoaderRow. */
 inline constexpr const char* kLoaderPrefix = "agent/";
 
+/** An entry's row in the table of nodes. */
+struct EntryRow
+{
+  std::string region;
+  net::Address peers; ///< Receives datagrams.
+};
+
+std::string writeEntryRow(const EntryRow& aRow);
+base::Result<EntryRow> readEntryRow(std::string_view aText);
+
 } // namespace boragepitch::tools
--- a/tools/router/EntryListener.cpp
+++ b/tools/router/EntryListener.cpp
@@ -1,7 +1,5 @@
 #include "EntryListener.h"
 
-#include "NodeRows.h"
-
 namespace boragepitch::tools {
 
 EntryListener::EntryListener(relay::Relay& aRelay, telemetry::EventLog& aLog, std::string aSelf)
@@ -31,22 +29,23 @@
 
 void EntryListener::applyRow(const stores::RowChange& aRow)
 {
-  if (!aRow.key.starts_with(kEntryPrefix) || aRow.key == kEntryPrefix + mSelf) {
+  if (!aRow.key.starts_with(kEntryPrefix)) {
     return;
   }
-  auto address = net::parseAddress(aRow.value);
-  if (aRow.isDeleted || !address) {
-    mEntries.erase(aRow.key);
+  std::string name = aRow.key.substr(std::string_view(kEntryPrefix).size());
+  auto row = readEntryRow(aRow.value);
+  if (aRow.isDeleted || !row || name == mSelf) {
+    mEntries.erase(name);
   } else {
-    mEntries[aRow.key] = *address;
+    mEntries[name] = *row;
   }
 }
 
 void EntryListener::updatePeers()
 {
-  std::vector<net::Address> peers;
-  for (const auto& [key, address] : mEntries) {
-    peers.push_back(address);
+  std::vector<relay::Peer> peers;
+  for (const auto& [name, row] : mEntries) {
+    peers.push_back({ { name, row.region }, row.peers });
   }
   mRelay.setPeers(std::move(peers));
 }
--- a/tools/router/EntryListener.h
+++ b/tools/router/EntryListener.h
@@ -3,13 +3,14 @@
 #include <map>
 #include <string>
 
+#include "NodeRows.h"
 #include "relay/Relay.h"
 #include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
 
 namespace boragepitch::tools {
 
-/** Forwards the addresses of the other entries to the relay. */
+/** Tells the relay which other entries there are. */
 class EntryListener final : public stores::TableListener
 {
 public:
@@ -26,7 +27,7 @@
   relay::Relay& mRelay;
   telemetry::EventLog& mLog;
   const std::string mSelf;
-  std::map<std::string, net::Address> mEntries;
+  std::map<std::string, EntryRow> mEntries; ///< Other entries by name.
 };
 
 } // namespace boragepitch::tools
--- a/tools/router/RouterSettings.cpp
+++ b/tools/router/RouterSettings.cpp
@@ -80,6 +80,14 @@
       0,
       60000,
       serving::PlacementOptions().minBudget.count())
+    .integer(
+      "placement.entries_per_engine",
+      "Entries that use one engine. Fewer know its load better; with too few, the engines of "
+      "a busy entry are full while others are idle.",
+      "entries",
+      1,
+      1000,
+      static_cast<int64_t>(serving::SubsetOptions().entriesPerEndpoint))
     .duration("leave.limit", "Longest wait for requests in flight at shutdown.", 100, 600000, 7000);
   return builder.build();
 }
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -36,6 +36,9 @@
   options.metrics = aSettings.address("listen.metrics");
   options.peers = aSettings.address("listen.peers");
   options.maxCallerConnections = static_cast<size_t>(aSettings.integer("limits.connections"));
+  options.placement.node = options.node;
+  options.placement.subset.entriesPerEndpoint =
+    static_cast<size_t>(aSettings.integer("placement.entries_per_engine"));
   options.placement.zone = aSettings.text("node.zone");
   options.placement.region = aSettings.text("node.region");
   options.placement.coldOvershoot = aSettings.number("cold.overshoot");
@@ -85,8 +88,9 @@
     mStoreConnections.watch(platform::kOperatorTable, mOperators, wait, kChangeCoalesceTime);
     mStoreConnections.watch(platform::kEndpointTable, mEndpoints, wait, kChangeCoalesceTime);
     mStoreConnections.watch(tools::kNodeTable, mEntries, kNodeTableWait, kNodeTableCoalesceTime);
-    mStoreConnections.registerNode(tools::kEntryPrefix + mNode,
-                                   mSettings.address("listen.peers").toString());
+    mStoreConnections.registerNode(
+      tools::kEntryPrefix + mNode,
+      tools::writeEntryRow({ mSettings.text("node.region"), mSettings.address("listen.peers") }));
     mLoop = std::thread([this] { mRelay->run(); });
     return {};
   }
--- a/tools/router/tests/RecordingRelay.h
+++ b/tools/router/tests/RecordingRelay.h
@@ -36,7 +36,7 @@
   {
     declared[aVersion] = aEnforceFrom;
   }
-  void setPeers(std::vector<net::Address>) override {}
+  void setPeers(std::vector<relay::Peer>) override {}
   void confirmList(base::TimePoint aAt) override { confirmedAt = aAt; }
 
   std::set<std::string> listed; ///< Includes lapsed endpoints.
