Withdraw requests that would begin on outdated weights

Cause: a version is enforced when a request is sent, one second before the version time ends, but a request that is already at an engine may wait there longer. A silent engine was given up only if another one could take the request; while no engine holds the new weights none can, so the request stayed in the queue of the old one until its deadline, up to 6 s later.

Change: a request without an event is withdrawn 0.6 s after the version that its engine lacks is enforced, whether or not another engine can take it, and goes to one that holds the version, else it gets its final answer at once. Requests that are predicted to begin that late are not sent there in the first place (EndpointSet::startsOutdated).

Streams that have begun go on, as before.

--- a/libs/relay/include/relay/Relay.h
+++ b/libs/relay/include/relay/Relay.h
@@ -31,6 +31,9 @@
   size_t maxCallerConnections = 3000;
   serving::PlacementOptions placement;
   serving::RetryLimits retries;
+  /** Time after the enforcement of a version in which a request that was sent before may still
+   * begin on an older one; it is then withdrawn from the endpoint. */
+  base::Milliseconds versionStartGrace{ 600 };
   /** How long a stop still accepts connections. The platform polls readiness every second and
    * sends new callers for up to two more polls. */
   base::Milliseconds leaveAcceptTime{ 2600 };
--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -190,6 +190,7 @@
   if (mService->engine) {
     request.minWeightVersion = mCore.requiredVersion(mFacts.model, aNow);
     request.newestWeightVersion = mCore.newestVersion(mFacts.model);
+    request.dueVersion = mCore.dueVersion(mFacts.model, aNow);
   }
   return request;
 }
@@ -559,6 +560,13 @@
   return std::max<base::Duration>(kMinAnswerTimeout, kAnswerTimeoutTargets * mRoute->latencyTarget);
 }
 
+bool Call::isStartOverdue(base::TimePoint aNow) const
+{
+  auto since = aNow - base::Duration(mCore.options.versionStartGrace);
+  return mService->engine && !mSendHadEvent &&
+         mEndpoint->weightVersion() < mCore.requiredVersion(mFacts.model, since);
+}
+
 void Call::tick(base::TimePoint aNow)
 {
   if (mDone || !mExchange) {
@@ -577,6 +585,10 @@
     giveUp(aNow, "deadline");
     return;
   }
+  if (isStartOverdue(aNow)) {
+    abortSend({ Outcome::Abandoned, true, "version_overdue" }, aNow);
+    return;
+  }
   bool isTimedOut = mRoute->mayRepeat() && mPossibleRuns + 1 < mRoute->maxAttempts &&
                     aNow - mProgressAt > progressTimeout();
   // A silent endpoint is given up only if another one can take the request.
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -61,6 +61,8 @@
   void handleEvent(const serving::StreamEvent& aEvent, base::TimePoint aNow);
   void completed(base::TimePoint aNow);
   void failureAnswered(base::TimePoint aNow);
+  /** Whether the request waits at an engine whose weights it may no longer begin on. */
+  bool isStartOverdue(base::TimePoint aNow) const;
   base::Duration progressTimeout() const;
   /** Sends the caller the final answer after all sends failed or none was possible. */
   void giveUp(base::TimePoint aNow, std::string_view aReason);
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -62,6 +62,23 @@
   return required;
 }
 
+std::optional<serving::DueVersion> Core::dueVersion(const std::string& aModel,
+                                                    base::TimePoint aNow) const
+{
+  auto found = versions.find(aModel);
+  if (found == versions.end()) {
+    return std::nullopt;
+  }
+  for (const DeclaredVersion& declared : found->second) {
+    if (aNow < declared.enforceFrom) {
+      return serving::DueVersion{
+        declared.version, declared.enforceFrom + base::Duration(options.versionStartGrace)
+      };
+    }
+  }
+  return std::nullopt;
+}
+
 uint64_t Core::newestVersion(const std::string& aModel) const
 {
   auto found = versions.find(aModel);
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -54,6 +54,10 @@
 
   /** The oldest version that a request for the model may start on now; 0 for any. */
   uint64_t requiredVersion(const std::string& aModel, base::TimePoint aNow) const;
+  /** The next version to be enforced, with the latest time at which a request may begin on an older
+   * one; empty when none is due. */
+  std::optional<serving::DueVersion> dueVersion(const std::string& aModel,
+                                                base::TimePoint aNow) const;
   /** The newest declared version of the model; 0 when none was declared. */
   uint64_t newestVersion(const std::string& aModel) const;
   /** Time since the list of endpoints was last confirmed; negative before the first time. */
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -175,6 +175,13 @@
   base::Milliseconds remotePenalty{ 25 };
 };
 
+/** A declared version of weights that will be enforced. */
+struct DueVersion
+{
+  uint64_t version = 0;
+  base::TimePoint at; ///< No request may begin on an older version later than that.
+};
+
 struct PlacementRequest
 {
   const Route* route = nullptr;
@@ -189,6 +196,7 @@
   /** Newest declared version of the weights. A resumed stream prefers endpoints that hold it: an
    * endpoint with older weights will switch and break the stream again. */
   uint64_t newestWeightVersion = 0;
+  std::optional<DueVersion> dueVersion; ///< The next version to be enforced.
 };
 
 enum class Refusal
@@ -295,6 +303,11 @@
   bool hasSpareSlots(const Endpoint& aEndpoint,
                      const PlacementRequest& aRequest,
                      base::TimePoint aNow) const;
+  /** Whether the request is predicted to begin on weights that are outdated by then. */
+  static bool startsOutdated(const Endpoint& aEndpoint,
+                             const PlacementRequest& aRequest,
+                             double aPredictedMs,
+                             base::TimePoint aNow);
   /** Number of entries that send to the endpoints of the service, this process included. */
   int sendersOf(const Service& aService) const;
   void updateSubset(Endpoint& aEndpoint) const;
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -431,6 +431,20 @@
          load(aEndpoint, aNow) < kSpareLoadShare * aRequest.service->engine->slots;
 }
 
+bool EndpointSet::startsOutdated(const Endpoint& aEndpoint,
+                                 const PlacementRequest& aRequest,
+                                 double aPredictedMs,
+                                 base::TimePoint aNow)
+{
+  if (!aRequest.service->engine || !aRequest.dueVersion ||
+      aEndpoint.weightVersion() >= aRequest.dueVersion->version) {
+    return false;
+  }
+  auto predicted = std::chrono::duration_cast<base::Duration>(
+    std::chrono::duration<double, std::milli>(aPredictedMs));
+  return aNow + predicted > aRequest.dueVersion->at;
+}
+
 void EndpointSet::chooseCheapest(std::span<const EndpointPtr* const> aEndpoints,
                                  const PlacementRequest& aRequest,
                                  base::TimePoint aNow,
@@ -451,7 +465,8 @@
     bool isAvoided = isPaused || aNow < endpoint->avoidUntil || isBeingProbed || isMemoryFull;
     auto predicted = isAvoided ? std::nullopt : predict(*endpoint, aRequest, aNow);
     aSoonestMs = predicted ? std::min(aSoonestMs, predicted->ms) : aSoonestMs;
-    if (!predicted || !predicted->isInTime) {
+    if (!predicted || !predicted->isInTime ||
+        startsOutdated(*endpoint, aRequest, predicted->ms, aNow)) {
       aBest.refusal = aBest.endpoint ? aBest.refusal : Refusal::Full;
       continue;
     }
--- a/libs/serving/tests/EndpointSetTest.cpp
+++ b/libs/serving/tests/EndpointSetTest.cpp
@@ -368,6 +368,22 @@
   BOOST_TEST(place(moved) == "new");
 }
 
+// Guards against requests that begin on outdated weights because they were sent just before the
+// version is enforced: late and resumed requests may wait longer than the margin.
+BOOST_FIXTURE_TEST_CASE(skipsEnginesThatWouldBeginTooLateForTheirVersion, Fixture)
+{
+  list("old", "north", drafter, 1);
+  set.recordReport(report("old", 16, 10), now);
+  auto late = request(drafter);
+  late.urgency = Urgency::Late;
+  late.dueVersion = DueVersion{ 2, now + 100ms };
+  BOOST_TEST(place(late).empty());
+  late.dueVersion = DueVersion{ 2, now + 10s };
+  BOOST_TEST(place(late) == "old");
+  late.dueVersion = DueVersion{ 1, now };
+  BOOST_TEST(place(late) == "old");
+}
+
 // During a rollout, an endpoint that switches weights soon gets a new request only when the others
 // are busier.
 BOOST_FIXTURE_TEST_CASE(endpointThatSwitchesSoonIsAvoided, Fixture)
