Read the store less often: growing delays, longer waits, notices from entries

Entries followed the endpoints' rows, which change all the time while many are in cold start, with a call each 150 ms.

Change: - TableWatcher doubles its delay while changes keep coming (nodes: 3 to 24 s, entries 2 to 8 s). - An entry writes a setup only if its row is missing or differs. - Entries tell loaders by datagram of themselves and of declared versions, each loader by four entries; a loader whose feed does not deliver an announced version within 0.4 s replaces the connection. So its idle call may last 24 s instead of 4 s, and an entry that joins gets reports at once. - Changes of endpoints are gathered for 500 ms (150 ms): a leave must be known within 2 s. - The entries' longest wait follows from the drain time that the platform states (2 s: 1.1 s as before, 4 s: 3.1 s); the setting store.wait of bp-router became endpoints.drain_time.

Tests: TableWatcherTest (growing delay, refresh), WeightPublisherTest/entriesDoNotRepeatTheSetup- OfAnother (failed first: 21 writes), LoaderNotifierTest, EntryNoticesTest. The counter of FakeWeightTable now counts created rows as well, so that the existing checks are as strict.

--- a/libs/serving/src/PeerMessage.cpp
+++ b/libs/serving/src/PeerMessage.cpp
@@ -36,6 +36,20 @@
   return json;
 }
 
+Json::Value toJson(const EntryNotice& aNotice)
+{
+  Json::Value json;
+  json["kind"] = "entry";
+  json["name"] = aNotice.entry.name;
+  json["region"] = aNotice.entry.region;
+  json["address"] = aNotice.address.toString();
+  json["weights"] = Json::Value(Json::objectValue);
+  for (const auto& [model, version] : aNotice.weightVersions) {
+    json["weights"][model] = Json::UInt64{ version };
+  }
+  return json;
+}
+
 double numberOr(const Json::Value& aJson, const char* aKey, double aDefault)
 {
   const Json::Value& value = aJson[aKey];
@@ -84,6 +98,30 @@
   return PeerMessage(evidence);
 }
 
+base::Result<PeerMessage> noticeFrom(const Json::Value& aJson)
+{
+  auto name = base::requireString(aJson, "name");
+  auto region = base::requireString(aJson, "region");
+  auto address = net::parseAddress(base::stringOr(aJson, "address"));
+  if (!name || !region) {
+    return tl::make_unexpected(name ? region.error() : name.error());
+  }
+  if (!address) {
+    return tl::make_unexpected(address.error());
+  }
+  EntryNotice notice{ { *name, *region }, *address, {} };
+  const Json::Value& weights = aJson["weights"];
+  for (const std::string& model :
+       weights.isObject() ? weights.getMemberNames() : Json::Value::Members()) {
+    auto version = base::requireInt(weights, model.c_str(), 1, std::numeric_limits<int64_t>::max());
+    if (!version) {
+      return tl::make_unexpected(version.error());
+    }
+    notice.weightVersions[model] = static_cast<uint64_t>(*version);
+  }
+  return PeerMessage(notice);
+}
+
 } // namespace
 
 std::string encode(const PeerMessage& aMessage)
@@ -93,7 +131,7 @@
 
 base::Result<PeerMessage> decode(std::string_view aText)
 {
-  auto json = base::parseJson(aText, { .bytes = kMaxMessageBytes, .depth = 2 });
+  auto json = base::parseJson(aText, { .bytes = kMaxMessageBytes, .depth = 3 });
   if (!json) {
     return tl::make_unexpected(json.error());
   }
@@ -104,6 +142,9 @@
   if (kind == "crash") {
     return crashFrom(*json);
   }
+  if (kind == "entry") {
+    return noticeFrom(*json);
+  }
   return base::fail(base::ErrorKind::Invalid,
                     "kind",
                     "unknown message kind",
--- a/libs/stores/include/stores/TableWatcher.h
+++ b/libs/stores/include/stores/TableWatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -42,6 +43,9 @@
   /** Delay after received changes, so that one call reads further ones; a call for each change of a
    * series would multiply the calls of all processes. */
   base::Milliseconds coalesceTime{ 0 };
+  /** The delay doubles up to this time with each call that returns changes, and starts anew after a
+   * call without any. Zero keeps it constant. */
+  base::Milliseconds maxCoalesceTime{ 0 };
   base::Milliseconds backoffBase{ 50 };
   base::Milliseconds backoffCap{ 500 };
   uint64_t seed = 1;
@@ -63,23 +67,29 @@
 
   void start();
   void stop();
+  /** Any thread: gives up the call in progress and reads the changes on a new connection. For news
+   * of a change that should have arrived: the present connection may be dead. */
+  void refresh();
 
 private:
   void run();
   base::Status step(RowFeed& aFeed);
   base::Status readSnapshot(RowFeed& aFeed);
   base::Milliseconds waitTime(base::TimePoint aNow) const;
-  void waitToCoalesce();
+  void waitToCoalesce(base::TimePoint aNow);
   std::shared_ptr<RowFeed> makeFeed();
   void report(const base::Status& aStatus);
 
   const MakeFeed mMakeFeed;
   TableListener& mListener;
   const WatchOptions mOptions;
+  base::Milliseconds mCoalesceTime; ///< Delay after the next changes.
   base::Rng mRng;
   base::Backoff mBackoff;
   std::atomic<bool> mStopping{ false };
   std::mutex mMutex;
+  std::condition_variable mWake;
+  bool mRefreshing = false;       ///< Ends waitToCoalesce(); guarded by mMutex.
   std::shared_ptr<RowFeed> mFeed; ///< Guarded by mMutex for cancel().
   std::thread mThread;
   bool mHasPosition = false;
--- a/libs/stores/src/TableWatcher.cpp
+++ b/libs/stores/src/TableWatcher.cpp
@@ -17,6 +17,7 @@
   : mMakeFeed(std::move(aMakeFeed))
   , mListener(aListener)
   , mOptions(std::move(aOptions))
+  , mCoalesceTime(mOptions.coalesceTime)
   , mRng(mOptions.seed)
   , mBackoff(mOptions.backoffBase, mOptions.backoffCap)
 {
@@ -32,15 +33,22 @@
   mThread = std::thread([this] { run(); });
 }
 
-void TableWatcher::stop()
+void TableWatcher::refresh()
 {
-  mStopping = true;
   {
     std::lock_guard lock(mMutex);
+    mRefreshing = true;
     if (mFeed) {
       mFeed->cancel();
     }
   }
+  mWake.notify_all();
+}
+
+void TableWatcher::stop()
+{
+  mStopping = true;
+  refresh();
   if (mThread.joinable()) {
     mThread.join();
   }
@@ -49,6 +57,7 @@
 std::shared_ptr<RowFeed> TableWatcher::makeFeed()
 {
   std::lock_guard lock(mMutex);
+  mRefreshing = false;
   mFeed = mMakeFeed();
   return mFeed;
 }
@@ -107,22 +116,26 @@
     mListener.onChanges(page->rows, now);
   }
   mListener.onCallSucceeded(now);
-  if (!page->rows.empty()) {
-    waitToCoalesce();
+  if (page->rows.empty()) {
+    mCoalesceTime = mOptions.coalesceTime;
+  } else {
+    waitToCoalesce(now);
+    mCoalesceTime = std::max(mCoalesceTime, std::min(2 * mCoalesceTime, mOptions.maxCoalesceTime));
   }
   return {};
 }
 
-void TableWatcher::waitToCoalesce()
+void TableWatcher::waitToCoalesce(base::TimePoint aNow)
 {
-  auto until = std::chrono::steady_clock::now() + mOptions.coalesceTime;
-  for (auto now = std::chrono::steady_clock::now(); now < until && !mStopping;
+  auto until = aNow + base::Duration(mCoalesceTime);
+  std::unique_lock lock(mMutex);
+  for (auto now = aNow; now < until && !mStopping && !mRefreshing;
        now = std::chrono::steady_clock::now()) {
     auto wakeAt = mListener.wakeAt();
     if (wakeAt && *wakeAt <= now) {
       return;
     }
-    std::this_thread::sleep_for(std::min<base::Duration>(kWakeCheckInterval, until - now));
+    mWake.wait_for(lock, std::min<base::Duration>(kWakeCheckInterval, until - now));
   }
 }
 
--- a/libs/stores/tests/TableWatcherTest.cpp
+++ b/libs/stores/tests/TableWatcherTest.cpp
@@ -211,3 +211,54 @@
   BOOST_TEST(script.waits[1].count() <= 10);
   BOOST_TEST(script.waits[2].count() == 2500);
 }
+
+// Guards against one call for each of a long series of changes: while a fleet grows for a minute,
+// every process that follows its list called once for each delay.
+BOOST_FIXTURE_TEST_CASE(delayGrowsWhileChangesKeepComing, Fixture)
+{
+  script.reads = { page({ "a" }, 10) };
+  for (uint64_t position = 11; position < 60; ++position) {
+    script.changes.push_back(page({ "b" }, position));
+  }
+  TableWatcher watcher([this] { return std::make_unique<ScriptedFeed>(script); },
+                       recorder,
+                       { .table = "t", .coalesceTime = 20ms, .maxCoalesceTime = 160ms });
+  watcher.start();
+  std::this_thread::sleep_for(700ms);
+  watcher.stop();
+  std::lock_guard lock(script.mutex);
+  // Delays of 20, 40, 80, then 160 ms; a constant delay would allow 35 calls.
+  BOOST_TEST(script.calls.size() <= 9U);
+  BOOST_TEST(script.calls.size() >= 4U);
+}
+
+// Guards against missing a change for the rest of a long wait on a connection that went silent,
+// although another process has told of the change.
+BOOST_FIXTURE_TEST_CASE(refreshReplacesACallThatDoesNotAnswer, Fixture)
+{
+  script.reads = { page({ "a" }, 10) };
+  TableWatcher watcher(
+    [this] {
+      std::lock_guard lock(script.mutex);
+      ++script.feeds;
+      return std::make_unique<ScriptedFeed>(script);
+    },
+    recorder,
+    { .table = "t", .wait = 30000ms, .backoffBase = 1ms, .backoffCap = 2ms });
+  watcher.start();
+  recorder.wait(2);
+  {
+    std::lock_guard lock(script.mutex);
+    script.changes = {};
+  }
+  std::this_thread::sleep_for(20ms); // The call for changes has begun.
+  watcher.refresh();
+  {
+    std::lock_guard lock(script.mutex);
+    script.changes.push_back(page({ "b" }, 11));
+  }
+  events = recorder.wait(5);
+  watcher.stop();
+  BOOST_TEST((events == Texts{ "regained", "snapshot 1", "lost", "regained", "change b" }));
+  BOOST_TEST(script.feeds == 2);
+}
--- a/tools/loader/LoadReporter.cpp
+++ b/tools/loader/LoadReporter.cpp
@@ -1,5 +1,8 @@
 #include "LoadReporter.h"
 
+#include <array>
+#include <system_error>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -21,16 +24,31 @@
 /** Polling interval during a switch, so that entries soon learn that the engine is ready again. */
 constexpr base::Milliseconds kSwitchPollInterval = 40ms;
 
+constexpr size_t kMaxDatagramBytes = 2048;
+/** Bounds the time that a flood of datagrams can take from the reports. */
+constexpr int kMaxNoticesPerPoll = 64;
+
+sockaddr_in socketAddress(const net::Address& aAddress)
+{
+  sockaddr_in socket{};
+  socket.sin_family = AF_INET;
+  socket.sin_port = htons(static_cast<uint16_t>(aAddress.port));
+  inet_pton(AF_INET, aAddress.host.c_str(), &socket.sin_addr);
+  return socket;
+}
+
 } // namespace
 
 LoadReporter::LoadReporter(platform::EngineControlClient& aEngine,
                            LoaderFleet& aFleet,
                            WeightLoader& aWeights,
+                           EntryNotices& aNotices,
                            telemetry::EventLog& aLog,
                            base::Milliseconds aInterval)
   : mEngine(aEngine)
   , mFleet(aFleet)
   , mWeights(aWeights)
+  , mNotices(aNotices)
   , mLog(aLog)
   , mInterval(aInterval)
   , mSocket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
@@ -68,6 +86,8 @@
   while (!mStopping) {
     lock.unlock();
     auto now = std::chrono::steady_clock::now();
+    receiveNotices(now);
+    mNotices.step(now);
     pollEngine(now);
     mLog.flush(now);
     lock.lock();
@@ -76,6 +96,30 @@
   }
 }
 
+base::Status LoadReporter::bind(const net::Address& aAddress)
+{
+  sockaddr_in own = socketAddress(aAddress);
+  if (::bind(mSocket, reinterpret_cast<const sockaddr*>(&own), sizeof(own)) != 0) {
+    return base::fail(base::ErrorKind::Unavailable,
+                      aAddress.toString(),
+                      "cannot receive datagrams: " + std::generic_category().message(errno),
+                      "free the address or correct the setting");
+  }
+  return {};
+}
+
+void LoadReporter::receiveNotices(base::TimePoint aNow)
+{
+  std::array<char, kMaxDatagramBytes> datagram{};
+  for (int count = 0; count < kMaxNoticesPerPoll; ++count) {
+    ssize_t size = ::recv(mSocket, datagram.data(), datagram.size(), 0);
+    if (size < 0) {
+      return; // Nothing is waiting.
+    }
+    mNotices.receive({ datagram.data(), static_cast<size_t>(size) }, aNow);
+  }
+}
+
 void LoadReporter::pollEngine(base::TimePoint aNow)
 {
   auto report = mEngine.report();
@@ -134,10 +178,7 @@
 
 void LoadReporter::send(const std::string& aText, const net::Address& aEntry) const
 {
-  sockaddr_in target{};
-  target.sin_family = AF_INET;
-  target.sin_port = htons(static_cast<uint16_t>(aEntry.port));
-  inet_pton(AF_INET, aEntry.host.c_str(), &target.sin_addr);
+  sockaddr_in target = socketAddress(aEntry);
   // A failed send is ignored: the next report replaces the datagram.
   static_cast<void>(::sendto(mSocket,
                              aText.data(),
--- a/tools/loader/LoadReporter.h
+++ b/tools/loader/LoadReporter.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <thread>
 
+#include "EntryNotices.h"
 #include "LoaderFleet.h"
 #include "WeightLoader.h"
 #include "platform/EngineControlClient.h"
@@ -13,17 +14,21 @@
 
 namespace boragepitch::tools {
 
-/** Polls the engine's load over loopback and sends it to the entries as UDP datagrams. */
+/** Polls the engine's load over loopback and sends it to the entries as UDP datagrams; receives the
+ * notices of entries on the same socket. */
 class LoadReporter
 {
 public:
   LoadReporter(platform::EngineControlClient& aEngine,
                LoaderFleet& aFleet,
                WeightLoader& aWeights,
+               EntryNotices& aNotices,
                telemetry::EventLog& aLog,
                base::Milliseconds aInterval);
   ~LoadReporter();
 
+  /** Receives the notices of entries at the address, and sends from it. */
+  base::Status bind(const net::Address& aAddress);
   void start();
   void stop();
   /** Sends the latest report at once; may be called from any thread. */
@@ -31,6 +36,7 @@
 
 private:
   void run();
+  void receiveNotices(base::TimePoint aNow);
   void pollEngine(base::TimePoint aNow);
   void sendReport(base::TimePoint aNow);
   void send(const std::string& aText, const net::Address& aEntry) const;
@@ -38,6 +44,7 @@
   platform::EngineControlClient& mEngine;
   LoaderFleet& mFleet;
   WeightLoader& mWeights;
+  EntryNotices& mNotices;
   telemetry::EventLog& mLog;
   const base::Milliseconds mInterval;
   int mSocket = -1;
--- a/tools/loader/LoaderFleet.cpp
+++ b/tools/loader/LoaderFleet.cpp
@@ -3,35 +3,13 @@
 #include <algorithm>
 
 #include "base/Digest.h"
-#include "base/Json.h"
 
 namespace boragepitch::tools {
 
-std::string writeLoaderRow(const LoaderRow& aRow)
-{
-  Json::Value json;
-  json["zone"] = aRow.zone;
-  json["region"] = aRow.region;
-  json["service"] = aRow.service;
-  json["weights"] = aRow.weights.toString();
-  return base::writeJson(json);
-}
-
-base::Result<LoaderRow> readLoaderRow(std::string_view aText)
-{
-  auto json = base::parseJson(aText);
-  if (!json) {
-    return tl::make_unexpected(json.error());
-  }
-  auto weights = net::parseAddress(base::stringOr(*json, "weights"));
-  if (!weights) {
-    return tl::make_unexpected(weights.error());
-  }
-  return LoaderRow{ base::stringOr(*json, "zone"),
-                    base::stringOr(*json, "region"),
-                    base::stringOr(*json, "service"),
-                    *weights };
-}
+namespace {
+/** Bounds the memory that announcements can take. */
+constexpr size_t kMaxEntries = 1000;
+} // namespace
 
 LoaderFleet::LoaderFleet(std::string aSelf,
                          LoaderRow aSelfRow,
@@ -119,6 +97,17 @@
   }
 }
 
+void LoaderFleet::addEntry(const std::string& aName, const EntryRow& aRow)
+{
+  std::lock_guard lock(mMutex);
+  auto known = mEntries.find(aName);
+  if ((known != mEntries.end() && known->second == aRow) || mEntries.size() >= kMaxEntries) {
+    return;
+  }
+  mEntries[aName] = aRow;
+  rebuildTargets();
+}
+
 void LoaderFleet::rebuildTargets()
 {
   std::vector<serving::EntryIdentity> identities;
--- a/tools/loader/LoaderFleet.h
+++ b/tools/loader/LoaderFleet.h
@@ -14,15 +14,6 @@
 
 namespace boragepitch::tools {
 
-/** A loader's row in the table of nodes. */
-struct LoaderRow
-{
-  std::string zone;
-  std::string region;
-  std::string service; ///< Service of the engine on the same VM.
-  net::Address weights;
-};
-
 /** An entry that receives the load reports of this VM's engine. */
 struct ReportTarget
 {
@@ -31,9 +22,6 @@
   bool usesEngine = true;
 };
 
-std::string writeLoaderRow(const LoaderRow& aRow);
-base::Result<LoaderRow> readLoaderRow(std::string_view aText);
-
 /**
  * The fleet according to the table of nodes. All loaders count as alive, since the transfer itself
  * avoids peers that do not answer. Thread-safe.
@@ -59,6 +47,8 @@
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
 
+  /** Adds an entry that announced itself, until the table of nodes names it. */
+  void addEntry(const std::string& aName, const EntryRow& aRow);
   /** The known entries, which receive load reports. */
   std::vector<ReportTarget> reportTargets() const;
   /** Rank of this loader among the loaders of its service, and their number. The order is by hash
--- a/tools/loader/LoaderSettings.cpp
+++ b/tools/loader/LoaderSettings.cpp
@@ -23,7 +23,12 @@
              1000,
              static_cast<int64_t>(serving::SubsetOptions().entriesPerEndpoint))
     .address("store.address", "Address of the platform's store.")
-    .duration("store.wait", "Longest wait for a change in the store.", 200, 30000, 4000)
+    .duration(
+      "store.wait",
+      "Longest wait for a change in the store. Entries tell of declared versions meanwhile.",
+      200,
+      30000,
+      24000)
     .freeSection("zones", "Region of each availability zone.", 1)
     .number("links.vm_mbps", "Rate of this VM's link, each way.", "Mbit/s", 0.01, 1000000, 1000)
     .number("links.weights_share", "Fraction of the link that weights may use.", "", 0.05, 1, 1)
--- a/tools/loader/WeightTableListener.cpp
+++ b/tools/loader/WeightTableListener.cpp
@@ -62,6 +62,16 @@
   return missing == declared->second.end() ? aNow : missing->second;
 }
 
+bool WeightTableListener::isMissing(const std::string& aModel, uint64_t aVersion) const
+{
+  std::lock_guard lock(mMutex);
+  if (!mSetup || mSetup->model != aModel) {
+    return false;
+  }
+  auto declared = mDeclared.find(aModel);
+  return declared == mDeclared.end() || !declared->second.contains(aVersion);
+}
+
 std::shared_ptr<const weights::Manifest> WeightTableListener::manifest(
   const WeightTarget& aTarget) const
 {
--- a/tools/loader/WeightTableListener.h
+++ b/tools/loader/WeightTableListener.h
@@ -41,6 +41,8 @@
   base::TimePoint oldestMissingDeclaredAt(const std::string& aModel,
                                           uint64_t aEngineVersion,
                                           base::TimePoint aNow) const;
+  /** Whether the version is of this loader's model and its declaration has not been read. */
+  bool isMissing(const std::string& aModel, uint64_t aVersion) const;
   /** The manifest that a loader has published for the target; null if there is none. */
   std::shared_ptr<const weights::Manifest> manifest(const WeightTarget& aTarget) const;
 
--- a/tools/loader/main.cpp
+++ b/tools/loader/main.cpp
@@ -16,11 +16,13 @@
 using namespace boragepitch;
 using namespace std::chrono_literals;
 
-/** The list of nodes changes rarely, and a late update only affects the choice of peers. */
-constexpr base::Milliseconds kNodeTableWait = 20000ms;
+/** A late update of the list of nodes affects the choice of peers only: entries announce
+ * themselves, and a loader that joins reads the list at its start. */
+constexpr base::Milliseconds kNodeTableWait = 30000ms;
 /** Coalesces the rows that entries write at about the same time. */
 constexpr base::Milliseconds kWeightTableCoalesceTime = 100ms;
-constexpr base::Milliseconds kNodeTableCoalesceTime = 2500ms;
+constexpr base::Milliseconds kNodeTableCoalesceTime = 3000ms;
+constexpr base::Milliseconds kMaxNodeTableCoalesceTime = 24000ms;
 constexpr double kBitsPerByte = 8;
 constexpr double kMega = 1e6;
 
@@ -66,7 +68,13 @@
              mLog)
     , mWeightTable(mOptions.service, mLog)
     , mWeights(mOptions, mEngine, mFleet, mWeightTable, mMetrics, mLog)
-    , mReporter(mEngine, mFleet, mWeights, mLog, aSettings.duration("engine.report_interval"))
+    , mNotices(mFleet, mWeightTable, mLog, [this] { mWeightWatcher->refresh(); })
+    , mReporter(mEngine,
+                mFleet,
+                mWeights,
+                mNotices,
+                mLog,
+                aSettings.duration("engine.report_interval"))
   {
   }
 
@@ -94,11 +102,15 @@
                    std::chrono::steady_clock::now());
       }
     });
-    mStoreConnections.watch(tools::kWeightTable,
-                            mWeightTable,
-                            mSettings.duration("store.wait"),
-                            kWeightTableCoalesceTime);
-    mStoreConnections.watch(tools::kNodeTable, mFleet, kNodeTableWait, kNodeTableCoalesceTime);
+    if (auto bound = mReporter.bind(mOptions.weights); !bound) {
+      return bound;
+    }
+    mWeightWatcher = &mStoreConnections.watch(tools::kWeightTable,
+                                              mWeightTable,
+                                              mSettings.duration("store.wait"),
+                                              kWeightTableCoalesceTime);
+    mStoreConnections.watch(
+      tools::kNodeTable, mFleet, kNodeTableWait, kNodeTableCoalesceTime, kMaxNodeTableCoalesceTime);
     mStoreConnections.registerNode(tools::kLoaderPrefix + mOptions.node,
                                    tools::writeLoaderRow(mSelfRow));
     mWeights.start();
@@ -127,6 +139,8 @@
   tools::LoaderFleet mFleet;
   tools::WeightTableListener mWeightTable;
   tools::WeightLoader mWeights;
+  stores::TableWatcher* mWeightWatcher = nullptr; ///< Set before the reporter starts.
+  tools::EntryNotices mNotices;
   tools::LoadReporter mReporter;
   std::unique_ptr<net::HttpServer> mMetricsServer;
 };
--- a/tools/node/NodeRows.cpp
+++ b/tools/node/NodeRows.cpp
@@ -25,4 +25,30 @@
   return EntryRow{ base::stringOr(*json, "region"), *peers };
 }
 
+std::string writeLoaderRow(const LoaderRow& aRow)
+{
+  Json::Value json;
+  json["zone"] = aRow.zone;
+  json["region"] = aRow.region;
+  json["service"] = aRow.service;
+  json["weights"] = aRow.weights.toString();
+  return base::writeJson(json);
+}
+
+base::Result<LoaderRow> readLoaderRow(std::string_view aText)
+{
+  auto json = base::parseJson(aText);
+  if (!json) {
+    return tl::make_unexpected(json.error());
+  }
+  auto weights = net::parseAddress(base::stringOr(*json, "weights"));
+  if (!weights) {
+    return tl::make_unexpected(weights.error());
+  }
+  return LoaderRow{ base::stringOr(*json, "zone"),
+                    base::stringOr(*json, "region"),
+                    base::stringOr(*json, "service"),
+                    *weights };
+}
+
 } // namespace boragepitch::tools
--- a/tools/node/NodeRows.h
+++ b/tools/node/NodeRows.h
@@ -20,9 +20,23 @@
 {
   std::string region;
   net::Address peers; ///< Receives datagrams.
+
+  bool operator==(const EntryRow&) const = default;
 };
 
 std::string writeEntryRow(const EntryRow& aRow);
 base::Result<EntryRow> readEntryRow(std::string_view aText);
 
+/** A loader's row in the table of nodes. */
+struct LoaderRow
+{
+  std::string zone;
+  std::string region;
+  std::string service; ///< Service of the engine on the same VM.
+  net::Address weights;
+};
+
+std::string writeLoaderRow(const LoaderRow& aRow);
+base::Result<LoaderRow> readLoaderRow(std::string_view aText);
+
 } // namespace boragepitch::tools
--- a/tools/node/StoreConnections.cpp
+++ b/tools/node/StoreConnections.cpp
@@ -27,15 +27,17 @@
   stop();
 }
 
-void StoreConnections::watch(const char* aTable,
-                             stores::TableListener& aListener,
-                             base::Milliseconds aWait,
-                             base::Milliseconds aCoalesceTime)
+stores::TableWatcher& StoreConnections::watch(const char* aTable,
+                                              stores::TableListener& aListener,
+                                              base::Milliseconds aWait,
+                                              base::Milliseconds aCoalesceTime,
+                                              base::Milliseconds aMaxCoalesceTime)
 {
   stores::WatchOptions options;
   options.table = aTable;
   options.wait = aWait;
   options.coalesceTime = aCoalesceTime;
+  options.maxCoalesceTime = aMaxCoalesceTime;
   options.seed = base::fastHash(base::asBytes(mNode + aTable));
   auto makeFeed = [this, aWait] {
     return std::make_unique<platform::MetadataStoreClient>(mStore, aWait);
@@ -43,6 +45,7 @@
   mWatchers.push_back(
     std::make_unique<stores::TableWatcher>(makeFeed, aListener, std::move(options)));
   mWatchers.back()->start();
+  return *mWatchers.back();
 }
 
 void StoreConnections::registerNode(std::string aKey, std::string aValue)
--- a/tools/node/StoreConnections.h
+++ b/tools/node/StoreConnections.h
@@ -23,11 +23,14 @@
 
   /** Watches a table on a separate thread.
    * @param aWait longest time that the store holds a request for changes.
-   * @param aCoalesceTime time in which changes are coalesced. */
-  void watch(const char* aTable,
-             stores::TableListener& aListener,
-             base::Milliseconds aWait,
-             base::Milliseconds aCoalesceTime);
+   * @param aCoalesceTime time in which changes are coalesced.
+   * @param aMaxCoalesceTime as WatchOptions::maxCoalesceTime.
+   * @return the watcher, which lives as long as this object. */
+  stores::TableWatcher& watch(const char* aTable,
+                              stores::TableListener& aListener,
+                              base::Milliseconds aWait,
+                              base::Milliseconds aCoalesceTime,
+                              base::Milliseconds aMaxCoalesceTime = base::Milliseconds(0));
   /** Writes the program's row to the table of nodes on a separate thread; retries until it
    * succeeds. */
   void registerNode(std::string aKey, std::string aValue);
--- a/tools/router/EntryListener.cpp
+++ b/tools/router/EntryListener.cpp
@@ -2,8 +2,12 @@
 
 namespace boragepitch::tools {
 
-EntryListener::EntryListener(relay::Relay& aRelay, telemetry::EventLog& aLog, std::string aSelf)
+EntryListener::EntryListener(relay::Relay& aRelay,
+                             LoaderNotifier& aNotifier,
+                             telemetry::EventLog& aLog,
+                             std::string aSelf)
   : mRelay(aRelay)
+  , mNotifier(aNotifier)
   , mLog(aLog)
   , mSelf(std::move(aSelf))
 {
@@ -13,10 +17,11 @@
                                base::TimePoint /*aNow*/)
 {
   mEntries.clear();
+  mLoaders.clear();
   for (const auto& row : aRows) {
     applyRow(row);
   }
-  updatePeers();
+  updateNodes();
 }
 
 void EntryListener::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint /*aNow*/)
@@ -24,29 +29,48 @@
   for (const auto& row : aRows) {
     applyRow(row);
   }
-  updatePeers();
+  updateNodes();
 }
 
 void EntryListener::applyRow(const stores::RowChange& aRow)
 {
-  if (!aRow.key.starts_with(kEntryPrefix)) {
-    return;
+  std::string_view key = aRow.key;
+  if (key.starts_with(kEntryPrefix)) {
+    applyEntryRow(aRow, std::string(key.substr(std::string_view(kEntryPrefix).size())));
+  } else if (key.starts_with(kLoaderPrefix)) {
+    applyLoaderRow(aRow, std::string(key.substr(std::string_view(kLoaderPrefix).size())));
   }
-  std::string name = aRow.key.substr(std::string_view(kEntryPrefix).size());
+}
+
+void EntryListener::applyEntryRow(const stores::RowChange& aRow, std::string aName)
+{
   auto row = readEntryRow(aRow.value);
-  if (aRow.isDeleted || !row || name == mSelf) {
-    mEntries.erase(name);
+  if (aRow.isDeleted || !row || aName == mSelf) {
+    mEntries.erase(aName);
+  } else {
+    mEntries[std::move(aName)] = *row;
+  }
+}
+
+void EntryListener::applyLoaderRow(const stores::RowChange& aRow, std::string aName)
+{
+  auto row = readLoaderRow(aRow.value);
+  if (aRow.isDeleted || !row) {
+    mLoaders.erase(aName);
   } else {
-    mEntries[name] = *row;
+    mLoaders[std::move(aName)] = *row;
   }
 }
 
-void EntryListener::updatePeers()
+void EntryListener::updateNodes()
 {
   std::vector<relay::Peer> peers;
+  std::vector<serving::EntryIdentity> identities;
   for (const auto& [name, row] : mEntries) {
-    peers.push_back({ { name, row.region }, row.peers });
+    identities.push_back({ name, row.region });
+    peers.push_back({ identities.back(), row.peers });
   }
+  mNotifier.setNodes(identities, mLoaders);
   mRelay.setPeers(std::move(peers));
 }
 
--- a/tools/router/EntryListener.h
+++ b/tools/router/EntryListener.h
@@ -3,18 +3,21 @@
 #include <map>
 #include <string>
 
-#include "NodeRows.h"
+#include "LoaderNotifier.h"
 #include "relay/Relay.h"
 #include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
 
 namespace boragepitch::tools {
 
-/** Tells the relay which other entries there are. */
+/** Tells the relay which other entries there are, and the notifier of all nodes. */
 class EntryListener final : public stores::TableListener
 {
 public:
-  EntryListener(relay::Relay& aRelay, telemetry::EventLog& aLog, std::string aSelf);
+  EntryListener(relay::Relay& aRelay,
+                LoaderNotifier& aNotifier,
+                telemetry::EventLog& aLog,
+                std::string aSelf);
 
   void onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
@@ -22,12 +25,16 @@
 
 private:
   void applyRow(const stores::RowChange& aRow);
-  void updatePeers();
+  void applyEntryRow(const stores::RowChange& aRow, std::string aName);
+  void applyLoaderRow(const stores::RowChange& aRow, std::string aName);
+  void updateNodes();
 
   relay::Relay& mRelay;
+  LoaderNotifier& mNotifier;
   telemetry::EventLog& mLog;
   const std::string mSelf;
-  std::map<std::string, EntryRow> mEntries; ///< Other entries by name.
+  std::map<std::string, EntryRow> mEntries;  ///< Other entries by name.
+  std::map<std::string, LoaderRow> mLoaders; ///< By name.
 };
 
 } // namespace boragepitch::tools
--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -7,10 +7,12 @@
 using platform::OperatorRowKind;
 
 OperatorListener::OperatorListener(relay::Relay& aRelay,
+                                   LoaderNotifier& aNotifier,
                                    telemetry::EventLog& aLog,
                                    serving::VersionTiming aTiming,
                                    stores::TableWatcher::MakeFeed aMakeFeed)
   : mRelay(aRelay)
+  , mNotifier(aNotifier)
   , mLog(aLog)
   , mTiming(aTiming)
   , mPublisher(std::move(aMakeFeed), aLog)
@@ -107,6 +109,7 @@
   mPublisher.queueDeclaration(
     declared->model, declared->version, mServiceTime - (mTiming.afterDeclaration - left));
   mRelay.declareVersion(declared->model, declared->version, from);
+  mNotifier.declareVersion(declared->model, declared->version);
 }
 
 void OperatorListener::onCallSucceeded(base::TimePoint aNow)
--- a/tools/router/OperatorListener.h
+++ b/tools/router/OperatorListener.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "LoaderNotifier.h"
 #include "WeightPublisher.h"
 #include "relay/Relay.h"
 #include "serving/VersionTiming.h"
@@ -22,6 +23,7 @@
 public:
   /** @param aMakeFeed opens a connection to the store that holds the weight table. */
   OperatorListener(relay::Relay& aRelay,
+                   LoaderNotifier& aNotifier,
                    telemetry::EventLog& aLog,
                    serving::VersionTiming aTiming,
                    stores::TableWatcher::MakeFeed aMakeFeed);
@@ -45,6 +47,7 @@
   void applyVersion(const stores::RowChange& aRow, RowSource aSource, base::TimePoint aNow);
 
   relay::Relay& mRelay;
+  LoaderNotifier& mNotifier;
   telemetry::EventLog& mLog;
   const serving::VersionTiming mTiming;
   WeightPublisher mPublisher;
--- a/tools/router/RouterSettings.cpp
+++ b/tools/router/RouterSettings.cpp
@@ -1,14 +1,23 @@
 #include "RouterSettings.h"
 
+#include <algorithm>
+
 #include "serving/EndpointSet.h"
 
 namespace boragepitch::tools {
 
 namespace {
-/** Together with the time for the store's answer, it stays within a drain time of two seconds. */
-constexpr base::Milliseconds kDefaultStoreWait{ 1100 };
+/** Time for the answer to a call that does not wait, and for a new connection after it. */
+constexpr base::Milliseconds kStoreAnswerTime{ 900 };
+constexpr base::Milliseconds kMinStoreWait{ 200 };
+constexpr base::Milliseconds kMaxStoreWait{ 5000 };
 } // namespace
 
+base::Milliseconds storeWait(base::Milliseconds aDrainTime)
+{
+  return std::clamp(aDrainTime - kStoreAnswerTime, kMinStoreWait, kMaxStoreWait);
+}
+
 settings::Schema routerSchema()
 {
   settings::Schema::Builder builder;
@@ -20,12 +29,12 @@
     .address("listen.peers", "Address at which datagrams from other processes arrive.")
     .address("listen.metrics", "Address at which metrics are served.")
     .address("store.address", "Address of the platform's store.")
-    .duration("store.wait",
-              "Longest wait for a change; a silent connection is detected a second later, "
-              "which must be within the drain time of endpoints.",
+    .duration("endpoints.drain_time",
+              "Time for which an endpoint still serves after it announced its leave. A silent "
+              "connection to the store is replaced within this time.",
               200,
-              30000,
-              kDefaultStoreWait.count())
+              600000,
+              2000)
     .duration("store.lapse_grace",
               "Time that lapsed endpoints have to register again after the store is back.",
               0,
--- a/tools/router/RouterSettings.h
+++ b/tools/router/RouterSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Time.h"
 #include "settings/Settings.h"
 
 namespace boragepitch::tools {
@@ -7,4 +8,8 @@
 /** What the INI file of bp-router may contain. */
 settings::Schema routerSchema();
 
+/** Longest wait for a change in the store, so that a silent connection is replaced within the time
+ * for which endpoints serve after they announced their leave. */
+base::Milliseconds storeWait(base::Milliseconds aDrainTime);
+
 } // namespace boragepitch::tools
--- a/tools/router/WeightPublisher.cpp
+++ b/tools/router/WeightPublisher.cpp
@@ -62,7 +62,7 @@
     if (found != mWrittenSetups.end() && found->second == value) {
       continue;
     }
-    if (auto written = feed->put(kWeightTable, key, value); !written) {
+    if (auto written = writeSetup(*feed, key, value); !written) {
       logFailure(key, written.error());
       return;
     }
@@ -70,6 +70,24 @@
   }
 }
 
+base::Status WeightPublisher::writeSetup(stores::RowFeed& aFeed,
+                                         const std::string& aKey,
+                                         const std::string& aValue)
+{
+  auto created = aFeed.create(kWeightTable, aKey, aValue);
+  if (created || created.error().kind != base::ErrorKind::Conflict) {
+    return created;
+  }
+  auto page = aFeed.get(kWeightTable, aKey);
+  if (!page) {
+    return tl::make_unexpected(page.error());
+  }
+  if (!page->rows.empty() && page->rows.front().value == aValue) {
+    return {};
+  }
+  return aFeed.put(kWeightTable, aKey, aValue);
+}
+
 std::optional<base::Milliseconds> WeightPublisher::declarationAge(const std::string& aModel,
                                                                   uint64_t aVersion,
                                                                   base::TimePoint aNow)
--- a/tools/router/WeightPublisher.h
+++ b/tools/router/WeightPublisher.h
@@ -34,6 +34,12 @@
                                                    base::TimePoint aNow);
 
 private:
+  /** Writes the setup unless its row holds it already: each write wakes every loader, and all
+   * entries write the same. */
+  static base::Status writeSetup(stores::RowFeed& aFeed,
+                                 const std::string& aKey,
+                                 const std::string& aValue);
+
   const stores::TableWatcher::MakeFeed mMakeFeed;
   telemetry::EventLog& mLog;
   std::map<std::string, std::string> mPendingRecords; ///< Declarations to be written, by key.
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -20,9 +20,13 @@
 
 /** The list of entries changes rarely, and a late update only shifts budgets between entries. */
 constexpr base::Milliseconds kNodeTableWait = 10000ms;
-/** Changes of endpoints and configurations must be in force within two seconds. */
-constexpr base::Milliseconds kChangeCoalesceTime = 150ms;
+/** Versions of weights are enforced from the time at which their declaration is read. */
+constexpr base::Milliseconds kOperatorTableCoalesceTime = 150ms;
+/** The endpoints' rows change all the time while many are in cold start. A leave must be known
+ * within two seconds. */
+constexpr base::Milliseconds kEndpointTableCoalesceTime = 500ms;
 constexpr base::Milliseconds kNodeTableCoalesceTime = 2000ms;
+constexpr base::Milliseconds kMaxNodeTableCoalesceTime = 8000ms;
 /** Delay before a version without a record is enforced: it may have been declared long before. */
 constexpr base::Milliseconds kUnrecordedVersionDelay = 2000ms;
 
@@ -68,14 +72,19 @@
                .metrics(&mMetrics)
                .log(&mLog)
                .build())
+    , mNotifier({ mNode, aSettings.text("node.region") },
+                aSettings.address("listen.peers"),
+                relayOptions(aSettings).placement.subset,
+                mNoticeSender)
     , mOperators(
         *mRelay,
+        mNotifier,
         mLog,
         { aSettings.duration("weights.version_time") - aSettings.duration("weights.version_margin"),
           kUnrecordedVersionDelay },
         [this] { return mStoreConnections.openFeed(); })
     , mEndpoints(*mRelay, mLog, aSettings.section("zones"), aSettings.duration("store.lapse_grace"))
-    , mEntries(*mRelay, mLog, mNode)
+    , mEntries(*mRelay, mNotifier, mLog, mNode)
   {
   }
 
@@ -84,10 +93,14 @@
     if (auto started = mRelay->start(); !started) {
       return started;
     }
-    auto wait = mSettings.duration("store.wait");
-    mStoreConnections.watch(platform::kOperatorTable, mOperators, wait, kChangeCoalesceTime);
-    mStoreConnections.watch(platform::kEndpointTable, mEndpoints, wait, kChangeCoalesceTime);
-    mStoreConnections.watch(tools::kNodeTable, mEntries, kNodeTableWait, kNodeTableCoalesceTime);
+    auto wait = tools::storeWait(mSettings.duration("endpoints.drain_time"));
+    mStoreConnections.watch(platform::kOperatorTable, mOperators, wait, kOperatorTableCoalesceTime);
+    mStoreConnections.watch(platform::kEndpointTable, mEndpoints, wait, kEndpointTableCoalesceTime);
+    mStoreConnections.watch(tools::kNodeTable,
+                            mEntries,
+                            kNodeTableWait,
+                            kNodeTableCoalesceTime,
+                            kMaxNodeTableCoalesceTime);
     mStoreConnections.registerNode(
       tools::kEntryPrefix + mNode,
       tools::writeEntryRow({ mSettings.text("node.region"), mSettings.address("listen.peers") }));
@@ -112,6 +125,8 @@
   tools::StoreConnections mStoreConnections;
   platform::PlatformHeaderCodec mHeaders;
   std::unique_ptr<relay::Relay> mRelay;
+  tools::UdpNoticeSender mNoticeSender;
+  tools::LoaderNotifier mNotifier;
   tools::OperatorListener mOperators;
   tools::EndpointListener mEndpoints;
   tools::EntryListener mEntries;
--- a/tools/router/tests/FakeWeightTable.h
+++ b/tools/router/tests/FakeWeightTable.h
@@ -18,7 +18,7 @@
   std::map<std::string, std::string, std::less<>> rows;
   base::Milliseconds time{ 5000 };
   bool isDown = false;
-  int puts = 0;
+  int writes = 0; ///< Rows created or replaced.
 };
 
 class FakeWeightTableFeed final : public stores::RowFeed
@@ -52,7 +52,7 @@
     if (mTable.isDown) {
       return tl::make_unexpected(down().error());
     }
-    ++mTable.puts;
+    ++mTable.writes;
     mTable.rows[std::string(aKey)] = aValue;
     return {};
   }
@@ -64,6 +64,7 @@
     if (!mTable.rows.emplace(aKey, aValue).second) {
       return base::fail(base::ErrorKind::Conflict, "", "exists", "");
     }
+    ++mTable.writes;
     return {};
   }
   void cancel() override {}
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -7,6 +7,7 @@
 #include "FakeWeightTable.h"
 #include "OperatorListener.h"
 #include "RecordingRelay.h"
+#include "RecordingSender.h"
 
 using namespace boragepitch;
 using namespace boragepitch::test;
@@ -20,14 +21,18 @@
 {
   explicit Process(FakeWeightTable& aTable)
     : log(::open("/dev/null", O_WRONLY | O_CLOEXEC), "entry-1")
-    , listener(relay, log, { .afterDeclaration = 7000ms, .whenUnknown = 2000ms }, [&aTable] {
-      return std::make_unique<FakeWeightTableFeed>(aTable);
-    })
+    , listener(relay,
+               notifier,
+               log,
+               { .afterDeclaration = 7000ms, .whenUnknown = 2000ms },
+               [&aTable] { return std::make_unique<FakeWeightTableFeed>(aTable); })
   {
   }
 
   RecordingRelay relay;
   telemetry::EventLog log;
+  RecordingSender sender;
+  tools::LoaderNotifier notifier{ { "entry-1", "north" }, { "10.0.0.9", 90 }, {}, sender };
   tools::OperatorListener listener;
 };
 
--- a/tools/router/tests/SilentStoreTest.cpp
+++ b/tools/router/tests/SilentStoreTest.cpp
@@ -85,7 +85,8 @@
   telemetry::EventLog log(::open("/dev/null", O_WRONLY | O_CLOEXEC), "entry-1");
   IgnoringListener listener;
   tools::StoreConnections connections("entry-1", store.address, log);
-  connections.watch("t", listener, settings->duration("store.wait"), 0ms);
+  connections.watch(
+    "t", listener, tools::storeWait(settings->duration("endpoints.drain_time")), 0ms);
   auto until = std::chrono::steady_clock::now() + 6s;
   while (store.reconnectedAt.load() == base::TimePoint() &&
          std::chrono::steady_clock::now() < until) {
--- a/tools/router/tests/WeightPublisherTest.cpp
+++ b/tools/router/tests/WeightPublisherTest.cpp
@@ -66,13 +66,30 @@
     publisher.setDeployment(*deployment(true, "10.0.0.1:80"));
     publisher.writeQueued(now);
   }
-  BOOST_TEST(table.puts == 1);
+  BOOST_TEST(table.writes == 1);
   publisher.setDeployment(*deployment(false, "10.0.0.1:80"));
   publisher.writeQueued(now);
-  BOOST_TEST(table.puts == 2);
+  BOOST_TEST(table.writes == 2);
   BOOST_TEST(!readWeightSetup(table.rows.at("setup/drafter"))->mayMoveStreams);
 }
 
+// Guards against waking every loader once for each entry that starts: only the first of the entries
+// writes the setup that all of them compute.
+BOOST_FIXTURE_TEST_CASE(entriesDoNotRepeatTheSetupOfAnother, Fixture)
+{
+  for (int entry = 0; entry < 21; ++entry) {
+    WeightPublisher other{ [this] { return std::make_unique<FakeWeightTableFeed>(table); }, log };
+    other.setDeployment(*deployment(true, "10.0.0.1:80"));
+    other.writeQueued(now);
+  }
+  BOOST_TEST(table.writes == 1);
+  WeightPublisher other{ [this] { return std::make_unique<FakeWeightTableFeed>(table); }, log };
+  other.setDeployment(*deployment(true, "10.0.0.2:80"));
+  other.writeQueued(now);
+  BOOST_TEST(table.writes == 2);
+  BOOST_TEST(readWeightSetup(table.rows.at("setup/drafter"))->origin.toString() == "10.0.0.2:80");
+}
+
 BOOST_FIXTURE_TEST_CASE(writesTheSetupOnceTheStoreAnswersAgain, Fixture)
 {
   table.isDown = true;
