Read engines without a queue half as often

Cause: each loader read its engine and reported 6.7 times a second whatever the load.

Change: serving/ReportSchedule decides when to read and who is told: 150 ms while requests wait, 300 ms else, 40 ms during a switch; what LoadReporter decided before stands there too.

Test: ReportScheduleTest.

--- a/bench/overload/Simulation.cpp
+++ b/bench/overload/Simulation.cpp
@@ -228,7 +228,10 @@
     for (size_t engine = 0; engine < mEngines.size(); ++engine) {
       int running = mEngines[engine].running();
       int queued = mEngines[engine].queued();
-      bool toAll = (mReportPeriod + engine) % kSparseReportPeriods == 0;
+      if (queued == 0 && mReportPeriod % 2 == 1) {
+        continue; // A quiet engine is read half as often.
+      }
+      bool toAll = (mReportPeriod / 2 + engine) % (kSparseReportPeriods / 2) == 0;
       at(mNow + kReportLagMs, [this, engine, running, queued, toAll] {
         for (auto& entry : mEntries) {
           if (toAll || entry->needsFrequentReports(engine)) {
--- a/tools/loader/LoadReporter.cpp
+++ b/tools/loader/LoadReporter.cpp
@@ -16,14 +16,6 @@
 
 using namespace std::chrono_literals;
 
-/** An unchanged report is sent again after this time: datagrams may be lost and reports expire. */
-constexpr base::Milliseconds kResendInterval = 600ms;
-/** Interval of the reports to entries that do not use the engine: they only look for spare slots,
- * and ignore reports older than twice this time. */
-constexpr base::Milliseconds kSparseInterval = 750ms;
-/** Polling interval during a switch, so that entries soon learn that the engine is ready again. */
-constexpr base::Milliseconds kSwitchPollInterval = 40ms;
-
 constexpr size_t kMaxDatagramBytes = 2048;
 /** Bounds the time that a flood of datagrams can take from the reports. */
 constexpr int kMaxNoticesPerPoll = 64;
@@ -44,14 +36,14 @@
                            WeightLoader& aWeights,
                            EntryNotices& aNotices,
                            telemetry::EventLog& aLog,
-                           base::Milliseconds aInterval)
+                           serving::ReportIntervals aIntervals)
   : mEngine(aEngine)
   , mFleet(aFleet)
   , mWeights(aWeights)
   , mNotices(aNotices)
   , mLog(aLog)
-  , mInterval(aInterval)
   , mSocket(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0))
+  , mSchedule(aIntervals)
 {
 }
 
@@ -91,8 +83,7 @@
     pollEngine(now);
     mLog.flush(now);
     lock.lock();
-    auto interval = mWeights.isSwitching() ? std::min(mInterval, kSwitchPollInterval) : mInterval;
-    mWake.wait_for(lock, interval, [this] { return mStopping; });
+    mWake.wait_for(lock, mSchedule.nextRead(currentReport()), [this] { return mStopping; });
   }
 }
 
@@ -146,31 +137,34 @@
   sendReport(std::chrono::steady_clock::now());
 }
 
+std::optional<serving::LoadReport> LoadReporter::currentReport() const
+{
+  auto report = mLatest;
+  if (report) {
+    report->isSwitching = report->isSwitching || mWeights.isSwitching();
+    report->switchesSoon = mWeights.switchesSoon();
+  }
+  return report;
+}
+
 void LoadReporter::sendReport(base::TimePoint aNow)
 {
   std::string text;
-  bool toAll = false;
+  auto audience = serving::ReportAudience::Nobody;
   {
     std::lock_guard lock(mMutex);
-    if (!mLatest) {
+    auto report = currentReport();
+    if (!report) {
       return;
     }
-    serving::LoadReport report = *mLatest;
-    report.isSwitching = report.isSwitching || mWeights.isSwitching();
-    report.switchesSoon = mWeights.switchesSoon();
-    text = serving::encode(report);
-    bool isSwitchNews = report.isSwitching != mSentSwitching;
-    if (text == mSentText && aNow - mSentAt < kResendInterval) {
-      return;
-    }
-    toAll = isSwitchNews || aNow - mSentToAllAt >= kSparseInterval;
-    mSentText = text;
-    mSentAt = aNow;
-    mSentToAllAt = toAll ? aNow : mSentToAllAt;
-    mSentSwitching = report.isSwitching;
+    text = serving::encode(*report);
+    audience = mSchedule.audience(*report, text, aNow);
+  }
+  if (audience == serving::ReportAudience::Nobody) {
+    return;
   }
   for (const ReportTarget& entry : mFleet.reportTargets()) {
-    if (entry.usesEngine || toAll) {
+    if (entry.usesEngine || audience == serving::ReportAudience::Everyone) {
       send(text, entry.address);
     }
   }
--- a/tools/loader/LoadReporter.h
+++ b/tools/loader/LoadReporter.h
@@ -10,6 +10,7 @@
 #include "LoaderFleet.h"
 #include "WeightLoader.h"
 #include "platform/EngineControlClient.h"
+#include "serving/ReportSchedule.h"
 #include "telemetry/EventLog.h"
 
 namespace boragepitch::tools {
@@ -24,7 +25,7 @@
                WeightLoader& aWeights,
                EntryNotices& aNotices,
                telemetry::EventLog& aLog,
-               base::Milliseconds aInterval);
+               serving::ReportIntervals aIntervals);
   ~LoadReporter();
 
   /** Receives the notices of entries at the address, and sends from it. */
@@ -38,6 +39,8 @@
   void run();
   void receiveNotices(base::TimePoint aNow);
   void pollEngine(base::TimePoint aNow);
+  /** The latest report with what the weight loader knows; needs mMutex. Empty before the first. */
+  std::optional<serving::LoadReport> currentReport() const;
   void sendReport(base::TimePoint aNow);
   void send(const std::string& aText, const net::Address& aEntry) const;
 
@@ -46,16 +49,12 @@
   WeightLoader& mWeights;
   EntryNotices& mNotices;
   telemetry::EventLog& mLog;
-  const base::Milliseconds mInterval;
   int mSocket = -1;
   std::mutex mMutex; ///< Guards the members below.
   std::condition_variable mWake;
   bool mStopping = false;
   std::optional<serving::LoadReport> mLatest;
-  std::string mSentText;
-  base::TimePoint mSentAt;
-  base::TimePoint mSentToAllAt; ///< Latest report to entries that do not use the engine.
-  bool mSentSwitching = false;
+  serving::ReportSchedule mSchedule;
   bool mIsEngineReachable = true;
   std::thread mThread;
 };
--- a/tools/loader/LoaderSettings.cpp
+++ b/tools/loader/LoaderSettings.cpp
@@ -1,6 +1,7 @@
 #include "LoaderSettings.h"
 
 #include "serving/EntrySubset.h"
+#include "serving/ReportSchedule.h"
 
 namespace boragepitch::tools {
 
@@ -14,8 +15,16 @@
     .address("listen.metrics", "Address at which metrics are served.")
     .address("engine.address", "Address of the engine on this VM.")
     .text("engine.service", "Service to which the engine belongs.")
-    .duration(
-      "engine.report_interval", "Interval between two reads of the engine's load.", 20, 60000, 150)
+    .duration("engine.report_interval",
+              "Interval between two reads of the engine's load while requests wait there.",
+              20,
+              60000,
+              serving::ReportIntervals().busy.count())
+    .duration("engine.quiet_report_interval",
+              "Interval between two reads of the engine's load while no request waits there.",
+              20,
+              60000,
+              serving::ReportIntervals().quiet.count())
     .integer("placement.entries_per_engine",
              "Entries that use one engine, as set for the entries. They receive each load report.",
              "entries",
--- a/tools/loader/main.cpp
+++ b/tools/loader/main.cpp
@@ -50,6 +50,14 @@
   return options;
 }
 
+serving::ReportIntervals reportIntervals(const settings::Settings& aSettings)
+{
+  serving::ReportIntervals intervals;
+  intervals.busy = aSettings.duration("engine.report_interval");
+  intervals.quiet = aSettings.duration("engine.quiet_report_interval");
+  return intervals;
+}
+
 /** The process; each member may depend on those declared before it. */
 class Loader final : public tools::NodeProcess
 {
@@ -69,12 +77,7 @@
     , mWeightTable(mOptions.service, mLog)
     , mWeights(mOptions, mEngine, mFleet, mWeightTable, mMetrics, mLog)
     , mNotices(mFleet, mWeightTable, mLog, [this] { mWeightWatcher->refresh(); })
-    , mReporter(mEngine,
-                mFleet,
-                mWeights,
-                mNotices,
-                mLog,
-                aSettings.duration("engine.report_interval"))
+    , mReporter(mEngine, mFleet, mWeights, mNotices, mLog, reportIntervals(aSettings))
   {
   }
 
