Let threads of the HTTP server end when they are idle

Cause: the server's pool grew by a thread for each kept connection and never shrank, and a connection that a neighbour had used once was kept for 5 s. cpp-httplib polls each idle connection for its next request meanwhile.

Change: a thread without a task for 0.5 s ends, but for one; loaders keep idle connections for 1 s.

--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <list>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -52,8 +53,14 @@
 
 namespace {
 
-/** Thread pool that grows on demand up to a limit; httplib's own pool has a fixed size and an
- * unbounded queue. */
+/** A thread without a task for this time ends, so that a burst of connections does not leave
+ * threads behind. */
+constexpr std::chrono::milliseconds kIdleThreadTime{ 500 };
+/** Idle threads that stay for the next connections. */
+constexpr size_t kMinThreads = 1;
+
+/** Thread pool that grows on demand up to a limit and shrinks when idle; httplib's own pool has a
+ * fixed size and an unbounded queue. */
 class GrowingThreadPool final : public httplib::TaskQueue
 {
 public:
@@ -65,6 +72,7 @@
   void enqueue(std::function<void()> aTask) override
   {
     std::lock_guard lock(mMutex);
+    joinEnded();
     mTasks.push_back(std::move(aTask));
     if (mIdle >= mTasks.size()) {
       mWake.notify_one();
@@ -80,8 +88,14 @@
       mStopping = true;
     }
     mWake.notify_all();
-    for (std::thread& thread : mThreads) {
-      thread.join();
+    // Threads may still move to mEnded: they are joined in the order of the list until none is
+    // left.
+    for (std::unique_lock lock(mMutex); !mThreads.empty() || !mEnded.empty();) {
+      if (!mEnded.empty()) {
+        joinEnded();
+      } else {
+        mEndedChanged.wait(lock, [this] { return !mEnded.empty(); });
+      }
     }
   }
 
@@ -90,22 +104,39 @@
   void addThread()
   {
     try {
-      mThreads.emplace_back([this] { run(); });
+      auto thread = mThreads.emplace(mThreads.end());
+      *thread = std::thread([this, thread] { run(thread); });
     } catch (const std::system_error&) {
+      mThreads.pop_back();
       if (mThreads.empty()) {
         mTasks.pop_back();
       }
     }
   }
 
-  void run()
+  /** Joins the threads that have left run(), which takes them no time. Needs mMutex. */
+  void joinEnded()
+  {
+    for (std::thread& thread : mEnded) {
+      thread.join();
+    }
+    mEnded.clear();
+  }
+
+  void run(std::list<std::thread>::iterator aSelf)
   {
     std::unique_lock lock(mMutex);
     for (;;) {
       ++mIdle;
-      mWake.wait(lock, [this] { return mStopping || !mTasks.empty(); });
+      bool hasWork =
+        mWake.wait_for(lock, kIdleThreadTime, [this] { return mStopping || !mTasks.empty(); });
       --mIdle;
+      if (!hasWork && mIdle < kMinThreads) {
+        continue;
+      }
       if (mTasks.empty()) {
+        mEnded.splice(mEnded.end(), mThreads, aSelf);
+        mEndedChanged.notify_all();
         return;
       }
       auto task = std::move(mTasks.front());
@@ -120,7 +151,9 @@
   std::mutex mMutex;
   std::condition_variable mWake;
   std::deque<std::function<void()>> mTasks;
-  std::vector<std::thread> mThreads;
+  std::list<std::thread> mThreads;
+  std::list<std::thread> mEnded; ///< Threads that have left run() but are not joined.
+  std::condition_variable mEndedChanged;
   size_t mIdle = 0;
   bool mStopping = false;
 };
--- a/libs/net/tests/HttpTest.cpp
+++ b/libs/net/tests/HttpTest.cpp
@@ -3,6 +3,8 @@
 
 #include <atomic>
 #include <chrono>
+#include <filesystem>
+#include <memory>
 #include <thread>
 
 #include "net/HttpClient.h"
@@ -225,6 +227,39 @@
   BOOST_TEST(refused->header("X-Ran").value_or("") == "no");
 }
 
+// Guards against threads that a burst of connections leaves behind: on the large site a loader had
+// up to 189, and the machine had no room for a second day.
+BOOST_AUTO_TEST_CASE(threadsEndWithTheirConnections)
+{
+  auto threadCount = [] {
+    auto tasks = std::filesystem::directory_iterator("/proc/self/task");
+    return std::distance(begin(tasks), end(tasks));
+  };
+  net::Address address = test::unusedAddress();
+  auto server = net::HttpServer::Builder().address(address).keepAlive(1s).build();
+  server->route("GET", "/", [](const net::HttpRequest&) { return net::HttpResponse(); });
+  BOOST_REQUIRE(server->start());
+  auto before = threadCount();
+  {
+    std::vector<std::unique_ptr<net::HttpClient>> clients;
+    for (int i = 0; i < 40; ++i) {
+      clients.push_back(
+        std::make_unique<net::HttpClient>(address, net::ClientOptions{ .keepAlive = true }));
+      BOOST_REQUIRE(clients.back()->send({ .target = "/" }));
+    }
+    BOOST_TEST(threadCount() >= before + 40);
+  }
+  auto until = std::chrono::steady_clock::now() + 5s;
+  while (threadCount() > before + 2 && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(20ms);
+  }
+  BOOST_TEST(threadCount() <= before + 2);
+  // The server still serves.
+  net::HttpClient late(address, {});
+  BOOST_TEST(late.send({ .target = "/" }).has_value());
+  server->stop();
+}
+
 // Guards against a shutdown that waits for the timeout of idle keep-alive connections (30 s in the
 // agents).
 BOOST_AUTO_TEST_CASE(stopEndsIdleConnectionsButNotResponsesInFlight)
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -43,6 +43,8 @@
 constexpr base::Milliseconds kAnnounceInterval = 120ms;
 constexpr size_t kNeighbours = 5;
 constexpr size_t kMaxServerConnections = 48;
+/** The server wakes up often for each idle connection; loaders that poll come back within this. */
+constexpr std::chrono::seconds kKeepAlive{ 1 };
 
 base::Duration fractionOf(base::Milliseconds aTime, double aFraction)
 {
@@ -272,6 +274,7 @@
   mServer = net::HttpServer::Builder()
               .address(mOptions.weights)
               .maxConnections(kMaxServerConnections)
+              .keepAlive(kKeepAlive)
               .build();
   mDistributor->attach(*mServer);
   if (auto started = mServer->start(); !started) {
