Don't transfer a version that nobody may use once it is loaded

Cause: version 2 was still wanted when version 3 was about to be required (27 s): it was complete at 28.0 s, after which no request may begin on it, and shared the origin's link with version 3.

Change: a loader drops an older version one second before the newer one is required (rollout::canStillServe). Test: rollout.SwitchTest/aVersionThatIsOutdatedWhenLoadedIsNotTransferred.

--- a/libs/rollout/include/rollout/SwitchCore.h
+++ b/libs/rollout/include/rollout/SwitchCore.h
@@ -100,4 +100,11 @@
                               base::Duration aElapsed,
                               base::Duration aTimeLeft);
 
+/**
+ * True if a version that is not loaded yet can still serve requests before a newer one is required.
+ * Otherwise its transfer only delays the newer one.
+ * @param aNewerRequiredAt time from which requests start on the newer version only.
+ */
+bool canStillServe(base::TimePoint aNewerRequiredAt, base::TimePoint aNow);
+
 } // namespace boragepitch::rollout
--- a/libs/rollout/src/SwitchCore.cpp
+++ b/libs/rollout/src/SwitchCore.cpp
@@ -14,6 +14,8 @@
 constexpr size_t kMinEndpointsToMove = 4;
 /** Other endpoints process the prompts of this many streams again in a fraction of a second. */
 constexpr int kMaxStreamsToInterrupt = 3;
+/** Time for the end of a transfer, the drain and the load, in which nothing is served. */
+constexpr base::Milliseconds kMinTimeToServe{ 1000 };
 /** About the typical duration of a stream under load. */
 constexpr base::Milliseconds kMaxDrainTime{ 700 };
 } // namespace
@@ -91,4 +93,9 @@
   return remaining <= std::chrono::duration<double>(aTimeLeft);
 }
 
+bool canStillServe(base::TimePoint aNewerRequiredAt, base::TimePoint aNow)
+{
+  return aNow + base::Duration(kMinTimeToServe) < aNewerRequiredAt;
+}
+
 } // namespace boragepitch::rollout
--- a/libs/rollout/tests/SwitchTest.cpp
+++ b/libs/rollout/tests/SwitchTest.cpp
@@ -94,3 +94,14 @@
   BOOST_TEST(!core.isDueWithin(engine, false, 800ms, kNow + 2300ms));
   BOOST_TEST(!core.isDueWithin({ .incarnation = 1, .version = 2 }, true, 800ms, kNow + 2300ms));
 }
+
+// Guards against the transfer of a version that nobody may use any more: after an outage of the
+// origin it took the origin's link first, and engines got the required version 2 s later.
+BOOST_AUTO_TEST_CASE(aVersionThatIsOutdatedWhenLoadedIsNotTransferred)
+{
+  base::TimePoint newerRequiredAt = kNow + 5s;
+  BOOST_TEST(canStillServe(newerRequiredAt, kNow));
+  BOOST_TEST(canStillServe(newerRequiredAt, kNow + 3900ms));
+  BOOST_TEST(!canStillServe(newerRequiredAt, kNow + 4000ms));
+  BOOST_TEST(!canStillServe(newerRequiredAt, kNow + 60s));
+}
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -32,6 +32,8 @@
 /** An engine may hold an outdated version for this long past the version time if it thereby skips
  * an intermediate version. */
 constexpr base::Milliseconds kSkippedVersionGrace = 2000ms;
+/** Entries require a version this long before the version time ends. */
+constexpr base::Milliseconds kRequiredBeforeVersionTime = 1000ms;
 constexpr size_t kFetchThreads = 4;
 /** An importer without progress is replaced after this time. */
 constexpr base::Milliseconds kImporterTimeout = 1000ms;
@@ -183,6 +185,7 @@
     }
     mEngineStartTimeMs = report->load.startTimeMs;
   }
+  dropOutdatedTargets(wantedTargets, aNow);
   dropObsoleteManifests(wantedTargets);
   std::vector<std::shared_ptr<const weights::Manifest>> manifests;
   auto held = mDistributor->held();
@@ -284,6 +287,16 @@
   return true;
 }
 
+void WeightLoader::dropOutdatedTargets(std::vector<WeightTarget>& aTargets,
+                                       base::TimePoint aNow) const
+{
+  auto requiredAt =
+    aTargets.front().declaredAt + base::Duration(mOptions.versionTime - kRequiredBeforeVersionTime);
+  if (aTargets.size() > 1 && !rollout::canStillServe(requiredAt, aNow)) {
+    aTargets.resize(1);
+  }
+}
+
 void WeightLoader::dropObsoleteManifests(const std::vector<WeightTarget>& aTargets)
 {
   std::erase_if(mKnownManifests, [&](const auto& aEntry) {
--- a/tools/loader/WeightLoader.h
+++ b/tools/loader/WeightLoader.h
@@ -103,6 +103,8 @@
     const std::vector<std::shared_ptr<const weights::Manifest>>& aManifests);
   bool isExpectedBy(const weights::ManifestId& aId, base::TimePoint aDue) const;
   /** Drops the manifests of versions that are no longer a target. */
+  /** Removes versions that entries will not use any more once they are loaded. */
+  void dropOutdatedTargets(std::vector<WeightTarget>& aTargets, base::TimePoint aNow) const;
   void dropObsoleteManifests(const std::vector<WeightTarget>& aTargets);
   void sendLoadOrder(const weights::Manifest& aManifest, uint64_t aVersion, base::TimePoint aNow);
   /** Waits until the engine's streams may be interrupted; only for the announcement if the streams
--- a/tools/loader/WeightTableListener.cpp
+++ b/tools/loader/WeightTableListener.cpp
@@ -39,12 +39,12 @@
   }
   auto declared = mDeclared.find(mSetup->model);
   if (declared == mDeclared.end()) {
-    return { { mSetup->model, kFirstVersion } };
+    return { { mSetup->model, kFirstVersion, {} } };
   }
   for (auto entry = declared->second.rbegin();
        entry != declared->second.rend() && targets.size() < kMaxTargets;
        ++entry) {
-    targets.push_back({ mSetup->model, entry->first });
+    targets.push_back({ mSetup->model, entry->first, entry->second });
   }
   return targets;
 }
--- a/tools/loader/WeightTableListener.h
+++ b/tools/loader/WeightTableListener.h
@@ -20,6 +20,7 @@
 {
   std::string model;
   uint64_t version = 0;
+  base::TimePoint declaredAt; ///< Not set for the version that no declaration names.
 };
 
 /** The content of the weight table that concerns the loaders of one service. Thread-safe. */
