Poll two importers of each other region instead of all eight

Change: DistributorOptions::remoteNeighbours; the loader polls two importers of each other region, which pass chunks on among themselves. The default keeps all of them.

Test: weights.SelectionTest/importersPollFewPeersOfOtherRegions (before: 45 peers, 21 allowed).

--- a/libs/weights/include/weights/ChunkSelection.h
+++ b/libs/weights/include/weights/ChunkSelection.h
@@ -40,6 +40,7 @@
   size_t neighbours = 10;
   size_t importersPerRegion = 8;
   base::Duration importerTimeout{ 0 };
+  size_t remoteNeighbours = 8; ///< Importers of each other region that an importer polls.
 };
 
 /** Known state of a peer whose bitmap this VM polls. */
--- a/libs/weights/include/weights/Distributor.h
+++ b/libs/weights/include/weights/Distributor.h
@@ -82,7 +82,9 @@
   size_t originConnections = 2;  ///< Maximum number of chunk requests in flight to the origin.
   size_t neighbours = 10;        ///< Peers of the VM's own region whose bitmaps are polled.
   size_t importersPerRegion = 8; ///< VMs of a region that import chunks from outside it.
-  size_t uploadSlots = 3;        ///< Maximum number of chunks sent concurrently; others wait.
+  /** Importers of each other region whose bitmaps an importer polls. */
+  size_t remoteNeighbours = 8;
+  size_t uploadSlots = 3; ///< Maximum number of chunks sent concurrently; others wait.
   /** Longest uplink queue, as transmission time, before requests are refused. A longer queue would
    * keep requests waiting at few VMs. */
   base::Milliseconds maxUploadQueueTime{ 250 };
--- a/libs/weights/src/Distributor.cpp
+++ b/libs/weights/src/Distributor.cpp
@@ -415,10 +415,10 @@
   if (mId.empty() || mRegion.empty() || mOriginRegion.empty()) {
     return invalid("node", "node id, region and origin region are required");
   }
-  bool positive = mOptions.fetchThreads > 0 && mOptions.fetchesPerPeer > 0 &&
-                  mOptions.originConnections > 0 && mOptions.neighbours > 0 &&
-                  mOptions.importersPerRegion > 0 && mOptions.uploadSlots > 0 &&
-                  mOptions.cacheBytes > 0 && mOptions.maxOriginMismatches > 0;
+  bool positive =
+    mOptions.fetchThreads > 0 && mOptions.fetchesPerPeer > 0 && mOptions.originConnections > 0 &&
+    mOptions.neighbours > 0 && mOptions.importersPerRegion > 0 && mOptions.remoteNeighbours > 0 &&
+    mOptions.uploadSlots > 0 && mOptions.cacheBytes > 0 && mOptions.maxOriginMismatches > 0;
   if (!positive) {
     return invalid("options", "counts must be positive");
   }
--- a/libs/weights/src/SelectionSwarm.cpp
+++ b/libs/weights/src/SelectionSwarm.cpp
@@ -287,9 +287,9 @@
         continue;
       }
       auto remotePeers =
-        imports ? importersOf(aLocalVm, aMembers, region) : rendezvousOrder(members, ownKey);
-      remotePeers.resize(imports ? remotePeers.size()
-                                 : std::min(remotePeers.size(), kRemotePeersOfNonImporter));
+        rendezvousOrder(imports ? importersOf(aLocalVm, aMembers, region) : members, ownKey);
+      size_t wanted = imports ? aLocalVm.remoteNeighbours : kRemotePeersOfNonImporter;
+      remotePeers.resize(std::min(remotePeers.size(), wanted));
       ids.insert(ids.end(), remotePeers.begin(), remotePeers.end());
     }
     sortUnique(ids, aLocalVm.id);
--- a/libs/weights/src/TransferCore.cpp
+++ b/libs/weights/src/TransferCore.cpp
@@ -46,6 +46,7 @@
 {
   mLocalVm.neighbours = aOptions.neighbours;
   mLocalVm.importersPerRegion = aOptions.importersPerRegion;
+  mLocalVm.remoteNeighbours = aOptions.remoteNeighbours;
   mLocalVm.importerTimeout = aOptions.importerTimeout;
 }
 
--- a/libs/weights/tests/SelectionTest.cpp
+++ b/libs/weights/tests/SelectionTest.cpp
@@ -294,3 +294,33 @@
   RC_ASSERT(memory.used() == 0U);
   RC_ASSERT(memory.peak() <= kLimit);
 }
+
+// Guards against polled peers that grow with the number of regions: with five regions an importer
+// polled 45 peers, each on a thread of its own.
+BOOST_AUTO_TEST_CASE(importersPollFewPeersOfOtherRegions)
+{
+  constexpr size_t kRegions = 5;
+  constexpr size_t kMembers = 28;
+  auto selection = makeChunkSelection(Scheme::Swarm);
+  Members members;
+  for (size_t region = 0; region < kRegions; ++region) {
+    for (size_t member = 0; member < kMembers; ++member) {
+      members["region-" + std::to_string(region)].push_back("vm-" + std::to_string(region) + "-" +
+                                                            std::to_string(member));
+    }
+  }
+  for (const std::string& self : members["region-1"]) {
+    LocalVm localVm{ .id = self, .region = "region-1", .originRegion = "region-0" };
+    localVm.neighbours = 5;
+    localVm.remoteNeighbours = 2;
+    auto polled = selection->neighbours(localVm, members, 64);
+    BOOST_TEST(polled.size() <= 5 + localVm.importersPerRegion + 2 * (kRegions - 1));
+    for (size_t region = 0; region < kRegions; ++region) {
+      std::string prefix = "vm-" + std::to_string(region) + "-";
+      auto count = std::count_if(polled.begin(), polled.end(), [&](const std::string& aPeer) {
+        return aPeer.starts_with(prefix);
+      });
+      BOOST_TEST(count >= 1, "no peer in region " << region);
+    }
+  }
+}
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -44,6 +44,9 @@
  * sender and the receiver CPU time, and a chunk takes 35 ms on a link of 7.6 Mbit/s. */
 constexpr base::Milliseconds kAnnounceInterval = 120ms;
 constexpr size_t kNeighbours = 5;
+/** Each polled peer costs a thread and the processor time of its answers; importers of a region
+ * pass chunks on among themselves. */
+constexpr size_t kRemoteNeighbours = 2;
 constexpr size_t kMaxServerConnections = 48;
 /** The server wakes up often for each idle connection; loaders that poll come back within this. */
 constexpr std::chrono::seconds kKeepAlive{ 1 };
@@ -252,6 +255,7 @@
   options.cacheBytes = kCacheBytes;
   options.fetchThreads = kFetchThreads;
   options.importerTimeout = kImporterTimeout;
+  options.remoteNeighbours = kRemoteNeighbours;
   options.stallTimeout = kStallTimeout;
   options.backoffCap = kMaxOriginBackoff;
   options.announceInterval = kAnnounceInterval;
