Match load reports with the latest endpoint of an address

The endpoint that started last is kept. EndpointSetTest/reportsFollowTheLatestEndpointOfAnAddress failed first with this order.

--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -164,7 +164,10 @@
   }
   endpoint->record = aRecord;
   updateSubset(*endpoint);
-  mByAddress[aRecord.address.toString()] = endpoint;
+  EndpointPtr& latest = mByAddress[aRecord.address.toString()];
+  if (!latest || latest->record.startTimeMs <= aRecord.startTimeMs) {
+    latest = endpoint;
+  }
   endpoint->isListed = true;
   endpoint->isLapsed = false;
   if (aRecord.isDraining) {
--- a/libs/serving/tests/EndpointSetTest.cpp
+++ b/libs/serving/tests/EndpointSetTest.cpp
@@ -330,6 +330,8 @@
   auto old = report("first", 3, 0);
   set.recordReport(old, now);
   BOOST_TEST(!set.all().at("second")->report.has_value());
+  // A list that is read whole may name the predecessor last.
+  set.apply(set.all().at("first")->record, &drafter, now);
   old.startTimeMs = 6;
   set.recordReport(old, now);
   BOOST_TEST(set.all().at("second")->report.has_value());
