--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -331,7 +332,8 @@
 
   PlacementOptions mOptions;
   std::map<std::string, EndpointPtr, std::less<>> mById;
-  std::map<std::string, EndpointPtr, std::less<>> mByAddress; ///< The latest listed one of each.
+  /** The same endpoints by address and start time, as load reports name them. */
+  std::map<std::pair<std::string, uint64_t>, EndpointPtr> mByInstance;
   std::set<std::string> mEvacuated;
   EntrySubset mSubset;
 };
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -164,10 +164,7 @@
   }
   endpoint->record = aRecord;
   updateSubset(*endpoint);
-  EndpointPtr& latest = mByAddress[aRecord.address.toString()];
-  if (!latest || latest->record.startTimeMs <= aRecord.startTimeMs) {
-    latest = endpoint;
-  }
+  mByInstance[{ aRecord.address.toString(), aRecord.startTimeMs }] = endpoint;
   endpoint->isListed = true;
   endpoint->isLapsed = false;
   if (aRecord.isDraining) {
@@ -213,7 +210,7 @@
            aNow >= endpoint.pausedUntil;
   };
   std::erase_if(mById, isExpired);
-  std::erase_if(mByAddress, isExpired);
+  std::erase_if(mByInstance, isExpired);
 }
 
 bool EndpointSet::announceLeave(Endpoint& aEndpoint, base::TimePoint aNow)
@@ -239,8 +236,8 @@
 
 void EndpointSet::recordReport(const LoadReport& aReport, base::TimePoint aNow)
 {
-  auto found = mByAddress.find(aReport.address);
-  if (found == mByAddress.end() || found->second->record.startTimeMs != aReport.startTimeMs) {
+  auto found = mByInstance.find({ aReport.address, aReport.startTimeMs });
+  if (found == mByInstance.end()) {
     return;
   }
   Endpoint& endpoint = *found->second;
