Forget the previous start of an endpoint that keeps its id

The index of load reports kept an object for each restart. EndpointSetTest/ reportsOfAPreviousStartAreIgnored holds the previous object alone afterwards.

--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -158,6 +158,9 @@
 {
   EndpointPtr& endpoint = mById[aRecord.id];
   bool restarted = endpoint && endpoint->record.startTimeMs != aRecord.startTimeMs;
+  if (endpoint) {
+    mByInstance.erase({ endpoint->record.address.toString(), endpoint->record.startTimeMs });
+  }
   if (!endpoint || restarted) {
     // Requests in flight at the previous instance keep its object.
     endpoint = std::make_shared<Endpoint>();
--- a/libs/serving/tests/EndpointSetTest.cpp
+++ b/libs/serving/tests/EndpointSetTest.cpp
@@ -337,6 +337,21 @@
   BOOST_TEST(set.all().at("second")->report.has_value());
 }
 
+// Guards against reports that reach the previous start of an endpoint that keeps its id, and
+// against instances that are kept for each restart.
+BOOST_FIXTURE_TEST_CASE(reportsOfAPreviousStartAreIgnored, Fixture)
+{
+  list("n", "north", drafter);
+  EndpointPtr previous = set.all().at("n");
+  EndpointRecord next = previous->record;
+  next.startTimeMs = 6;
+  set.apply(next, &drafter, now);
+  auto late = report("n", 3, 0);
+  set.recordReport(late, now);
+  BOOST_TEST(!set.all().at("n")->report.has_value());
+  BOOST_TEST(previous.use_count() == 1);
+}
+
 // Guards against counts that drift when a report arrives between a send and its first event.
 BOOST_FIXTURE_TEST_CASE(reportResetsUnreportedRequests, Fixture)
 {
