--- a/bench/overload/Simulation.cpp
+++ b/bench/overload/Simulation.cpp
@@ -14,7 +14,7 @@
 constexpr double kReportPeriodMs = 150;
 constexpr double kReportLagMs = 5;
 /** An agent sends to the entries that seldom use its engine one report in this many periods. */
-constexpr size_t kSparseReportPeriods = 5;
+constexpr size_t kSparseReportPeriods = 4;
 /** Delay until the entries see a change of the VM list. */
 constexpr double kVmListDelayMs = 150;
 /** Maximum length of an engine's queue. */
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -217,8 +217,10 @@
   /** Predicted time to the first event or answer; when refused, the shortest one of all allowed
    * endpoints. */
   double predictedMs = 0;
-  int candidates = 0; ///< Number of allowed endpoints.
-  /** Time until the first pause ends, if all allowed endpoints are paused. */
+  /** Number of allowed endpoints that were considered: those that this process uses and, if none of
+   * them can serve the request, others with spare slots. */
+  int candidates = 0;
+  /** Time until the first pause ends, if all of these are paused. */
   base::Duration pausedFor{ 0 };
 };
 
