--- a/bench/overload/Simulation.cpp
+++ b/bench/overload/Simulation.cpp
@@ -231,7 +231,8 @@
       if (queued == 0 && mReportPeriod % 2 == 1) {
         continue; // A quiet engine is read half as often.
       }
-      bool toAll = (mReportPeriod / 2 + engine) % (kSparseReportPeriods / 2) == 0;
+      // Even periods only, since quiet engines are not read in the others.
+      bool toAll = mReportPeriod % kSparseReportPeriods == 2 * (engine % 2);
       at(mNow + kReportLagMs, [this, engine, running, queued, toAll] {
         for (auto& entry : mEntries) {
           if (toAll || entry->needsFrequentReports(engine)) {
