Rank the entries of an engine once for each announcement

loader.EntryNoticesTest ran into its time limit (300 s) under the thread sanitizer: each announcement of an entry compared every entry with every other, and the test announces 1,100. A forged series of announcements would have cost a loader the same. The thread sanitizer build was not run again.

--- a/libs/serving/include/serving/EntrySubset.h
+++ b/libs/serving/include/serving/EntrySubset.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -43,6 +44,9 @@
   bool usesEndpoint(std::string_view aEntry,
                     std::string_view aEndpoint,
                     std::string_view aRegion) const;
+  /** Names of the entries that use the endpoint. */
+  std::set<std::string, std::less<>> entriesUsing(std::string_view aEndpoint,
+                                                  std::string_view aRegion) const;
   /** Number of entries that use one endpoint. */
   size_t entriesOfEndpoint() const;
   size_t entryCount() const { return mEntries.size(); }
--- a/libs/serving/src/EntrySubset.cpp
+++ b/libs/serving/src/EntrySubset.cpp
@@ -46,6 +46,23 @@
   return -weight / std::log(unitInterval(base::fastHash(std::as_bytes(std::span(pair)))));
 }
 
+std::set<std::string, std::less<>> EntrySubset::entriesUsing(std::string_view aEndpoint,
+                                                             std::string_view aRegion) const
+{
+  uint64_t endpoint = base::fastHash(base::asBytes(aEndpoint));
+  std::vector<std::pair<double, const Entry*>> ranked;
+  for (const Entry& entry : mEntries) {
+    ranked.emplace_back(-scoreOf(entry, endpoint, aRegion), &entry);
+  }
+  auto end = ranked.begin() + static_cast<std::ptrdiff_t>(entriesOfEndpoint());
+  std::partial_sort(ranked.begin(), end, ranked.end());
+  std::set<std::string, std::less<>> names;
+  for (auto best = ranked.begin(); best != end; ++best) {
+    names.insert(best->second->name);
+  }
+  return names;
+}
+
 bool EntrySubset::usesEndpoint(std::string_view aEntry,
                                std::string_view aEndpoint,
                                std::string_view aRegion) const
--- a/libs/serving/tests/EntrySubsetTest.cpp
+++ b/libs/serving/tests/EntrySubsetTest.cpp
@@ -57,6 +57,9 @@
     for (size_t endpoint = 0; endpoint < kEndpoints; ++endpoint) {
       auto users = usersOf(subset, list, endpoint);
       BOOST_REQUIRE(users.size() == expected);
+      auto ranked =
+        subset.entriesUsing(endpointName(endpoint), "region-" + std::to_string(endpoint % 3));
+      BOOST_REQUIRE((ranked == std::set<std::string, std::less<>>(users.begin(), users.end())));
       for (const std::string& user : users) {
         ++load[user];
       }
--- a/tools/loader/LoaderFleet.cpp
+++ b/tools/loader/LoaderFleet.cpp
@@ -115,9 +115,10 @@
     identities.push_back({ name, row.region });
   }
   mSubset.setEntries(identities);
+  auto users = mSubset.entriesUsing(mEngine, mSelfRow.region);
   mTargets.clear();
   for (const auto& [name, row] : mEntries) {
-    mTargets.push_back({ row.peers, mSubset.usesEndpoint(name, mEngine, mSelfRow.region) });
+    mTargets.push_back({ row.peers, users.contains(name) });
   }
 }
 
