Log which weights a request begins on and how an entry learned of a version

The lines did not tell apart why a request begins on outdated weights: a wrong belief about the engine, a late declaration, a superseded version that an entry never knew, or a request that was withdrawn and ran all the same.

begun_outdated names the version that the answer states, the one believed at the send and the required one; version_read says whether a version came as a change or in a whole read, and how long ago the store answered before. No decision changes.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -229,6 +229,7 @@
   mListAge = mCore.listAge(aNow);
   mWriteTime = base::Duration(-1);
   mWasLapsed = mEndpoint->isLapsed;
+  mBelievedVersion = mEndpoint->weightVersion();
   mOccupancy = mCore.endpoints.started(placement, request, aNow);
   ExchangeRequest exchange;
   exchange.endpoint = record.id;
@@ -380,6 +381,7 @@
   if (!mSendHadEvent) {
     mSendHadEvent = true;
     mCore.endpoints.firstEvent(*mEndpoint, mOccupancy, aNow - mSentAt);
+    checkStartVersion(aNow);
   }
   if (!mStreamBegan) {
     mStreamBegan = true;
@@ -400,6 +402,27 @@
   }
 }
 
+void Call::checkStartVersion(base::TimePoint aNow)
+{
+  uint64_t required = mCore.requiredVersion(mFacts.model, aNow);
+  if (!mHead->facts.weightVersion || *mHead->facts.weightVersion >= required) {
+    return;
+  }
+  mCore.metrics.begunOutdated.add();
+  mCore.log.write(telemetry::EventClass::Refused,
+                  "begun_outdated",
+                  { { "id", mFacts.attemptId },
+                    { "endpoint", mEndpoint->record.id },
+                    { "weights", std::to_string(*mHead->facts.weightVersion) },
+                    { "believed", std::to_string(mBelievedVersion) },
+                    { "required", std::to_string(required) },
+                    { "after_ms", milliseconds(aNow - mSentAt) },
+                    { "late", mPossibleRuns > 0 ? "yes" : "no" },
+                    { "report_age_ms", milliseconds(mReportAge) },
+                    { "list_age_ms", milliseconds(mListAge) } },
+                  aNow);
+}
+
 void Call::onCallerDrained()
 {
   if (mExchange) {
@@ -703,6 +726,7 @@
                     { "reason", aReason.empty() ? "-" : std::string(aReason) },
                     { "config", std::to_string(mDeployment ? mDeployment->version() : 0) },
                     { "endpoint", mEndpoint ? mEndpoint->record.id : "-" },
+                    { "believed", std::to_string(mBelievedVersion) },
                     { "candidates", std::to_string(mCandidates) },
                     { "best_ms", std::to_string(std::lround(mPredictedMs)) },
                     { "load", std::to_string(mLoadAtSend) },
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -63,6 +63,8 @@
   void failureAnswered(base::TimePoint aNow);
   /** Whether the request waits at an engine whose weights it may no longer begin on. */
   bool isStartOverdue(base::TimePoint aNow) const;
+  /** Logs a request that begins on weights whose replacement is enforced already. */
+  void checkStartVersion(base::TimePoint aNow);
   base::Duration progressTimeout() const;
   /** Sends the caller the final answer after all sends failed or none was possible. */
   void giveUp(base::TimePoint aNow, std::string_view aReason);
@@ -109,6 +111,7 @@
   base::Duration mWriteTime{ -1 }; ///< From the last send until all its bytes were written.
   bool mWasLapsed = false;         ///< The endpoint was lapsed at the last send.
   double mPredictedMs = 0;         ///< Placement::predictedMs of the last choice.
+  uint64_t mBelievedVersion = 0;   ///< Weights that the endpoint was believed to hold at the send.
   base::Duration mReportAge{ -1 }; ///< Age of the endpoint's load report; -1 without a report.
 
   std::optional<AnswerHead> mHead; ///< Head of the answer to the last send.
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -23,6 +23,9 @@
   , sentAfterLeave(
       aRegistry.counter("bp_relay_sent_after_leave_total",
                         "Requests written to an endpoint that was known to leave by then"))
+  , begunOutdated(
+      aRegistry.counter("bp_relay_begun_outdated_total",
+                        "Requests that began on weights whose replacement was enforced"))
   , callers(aRegistry.gauge("bp_relay_callers", "Open connections of callers"))
   , inFlight(aRegistry.gauge("bp_relay_in_flight", "Requests being handled"))
   , deploymentVersion(aRegistry.gauge("bp_relay_deployment_version", "Configuration in force"))
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -28,6 +28,7 @@
   telemetry::Counter& resumes;
   telemetry::Counter& connects;
   telemetry::Counter& sentAfterLeave;
+  telemetry::Counter& begunOutdated;
   telemetry::Gauge& callers;
   telemetry::Gauge& inFlight;
   telemetry::Gauge& deploymentVersion;
--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -106,6 +106,17 @@
   auto from = serving::enforceFrom(evidence, mTiming, aNow);
   // Loaders learn of the version from its record, whose time must match the enforcement time here.
   auto left = std::chrono::duration_cast<base::Milliseconds>(from - aNow);
+  auto sinceLastCall =
+    mLastCallAt ? std::to_string(base::toMilliseconds(aNow - *mLastCallAt)) : std::string("-");
+  mLog.write(telemetry::EventClass::Critical,
+             "version_read",
+             { { "model", declared->model },
+               { "version", std::to_string(declared->version) },
+               { "source", aSource == RowSource::Change ? "change" : "snapshot" },
+               { "age_ms", evidence.age ? std::to_string(evidence.age->count()) : "-" },
+               { "last_call_ms", sinceLastCall },
+               { "enforced_in_ms", std::to_string(left.count()) } },
+             aNow);
   mPublisher.queueDeclaration(
     declared->model, declared->version, mServiceTime - (mTiming.afterDeclaration - left));
   mRelay.declareVersion(declared->model, declared->version, from);
