Let engines decline requests that rely on newer weights before the enforcement

Cause: until a version is enforced, no request named the version that it needs. An engine that was believed to hold the new version was used without a time limit, and nothing noticed when it held an older one, for instance because its row was that of an earlier start. Class: a belief that is used as a fact.

Change: requests to engines that are used because they hold the next version name it; the engine declines them if it does not. Requests to engines that may still hold an older version name none, so that a switch declines nothing.

Test: relay.OverdueVersionTest/enginesThatLostTheirWeightsDeclineRequestsBefore- TheEnforcement; on the previous code the request began at the outdated engine (check begun == 0 failed, 1 != 0).

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -261,10 +261,8 @@
     facts.priority = kHighestPriority;
   }
   facts.lastEvent = mLastEvent;
-  if (mService->engine) {
-    if (mCore.requiredVersion(mFacts.model, aNow) != 0) {
-      facts.weightVersion = mEndpoint->weightVersion();
-    }
+  if (mService->engine && needsExpectedVersion(aNow)) {
+    facts.weightVersion = mEndpoint->weightVersion();
   }
   HeaderLines headers = mRequest.headers;
   mCore.headerCodec.writeForward(headers, facts);
@@ -283,6 +281,15 @@
   return text;
 }
 
+bool Call::needsExpectedVersion(base::TimePoint aNow) const
+{
+  // Engines with an older version than the next one are watched by isStartOverdue(). The others are
+  // used without a time limit, so the engine must confirm what its row and reports say.
+  auto due = mCore.dueVersion(mFacts.model, aNow);
+  return mCore.requiredVersion(mFacts.model, aNow) != 0 ||
+         (due && mEndpoint->weightVersion() >= due->version);
+}
+
 void Call::onSent()
 {
   auto now = std::chrono::steady_clock::now();
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -52,6 +52,8 @@
   serving::PlacementRequest placementRequest(base::TimePoint aNow) const;
   void send(base::TimePoint aNow);
   std::string forwardMessage(base::TimePoint aNow) const;
+  /** Whether the endpoint must decline the request if it holds other weights than believed. */
+  bool needsExpectedVersion(base::TimePoint aNow) const;
   void sendFailed(const SendResult& aResult, base::TimePoint aNow);
   /** Reason why the request may not be sent again. Empty when it may be; this spends a retry of the
    * budget. */
--- a/libs/relay/tests/OverdueVersionTest.cpp
+++ b/libs/relay/tests/OverdueVersionTest.cpp
@@ -130,3 +130,36 @@
   BOOST_TEST(old.requests().size() == 1U);
   BOOST_TEST((time > 1s));
 }
+
+// Guards against requests that begin on outdated weights because the list names newer ones than the
+// engine holds (VERSION on hoopline): the engine must be able to decline them before the version is
+// enforced too.
+BOOST_FIXTURE_TEST_CASE(enginesThatLostTheirWeightsDeclineRequestsBeforeTheEnforcement,
+                        EngineFixture)
+{
+  std::atomic<int> begun{ 0 };
+  FakeEndpoint outdated([&](const std::string& aRequest) {
+    bool isDeclined = aRequest.find("Expect-Version: 2") != std::string::npos;
+    begun += isDeclined ? 0 : 1;
+    return isDeclined ? answer(idOf(aRequest), "", 421) : wholeStream(aRequest);
+  });
+  FakeEndpoint current(wholeStream);
+  listEngine("outdated", outdated.address(), 2);
+  relay->declareVersion("", 2, std::chrono::steady_clock::now() + 10s);
+  timedCall();
+  listEngine("current", current.address(), 2);
+  BOOST_TEST(dataOf(timedCall().first) == "t1 t2 ");
+  BOOST_TEST(outdated.requests().size() >= 1U);
+  BOOST_TEST(begun == 0);
+}
+
+// Guards against misdirected requests: an engine with other weights than an older version that may
+// still be used does not decline.
+BOOST_FIXTURE_TEST_CASE(requestsNameNoVersionThatTheyDoNotNeed, EngineFixture)
+{
+  FakeEndpoint old(wholeStream);
+  listEngine("old", old.address(), 1);
+  relay->declareVersion("", 2, std::chrono::steady_clock::now() + 10s);
+  timedCall();
+  BOOST_TEST(old.requests().at(0).find("Expect-Version") == std::string::npos);
+}
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -37,6 +37,9 @@
     std::erase_if(aHeaders, [](const HeaderLine& aLine) { return aLine.name == "Key"; });
     aHeaders.push_back({ "Expect-Endpoint", aFacts.endpointId });
     aHeaders.push_back({ "Priority", std::to_string(aFacts.priority) });
+    if (aFacts.weightVersion) {
+      aHeaders.push_back({ "Expect-Version", std::to_string(*aFacts.weightVersion) });
+    }
     if (aFacts.lastEvent) {
       aHeaders.push_back({ "Last", std::to_string(*aFacts.lastEvent) });
     }
