Enforce versions that were superseded while an entry restarted

Cause: the operators' table holds only the newest version of a model. An entry that starts after two declarations in quick succession knew and enforced the newer one only, while engines that skip the older version still held the one before it; its requests went there until the newer version's time was over. The schedule in the relay also dropped any version older than the newest known. Class: state that is rebuilt from the latest value, where a superseded value still binds. The log shows it: no weights_declared line for version 2 at the two restarted entries.

Change: an entry that reads the table whole also reads the records of all versions of the model, which the other entries wrote, and enforces each at its own time. serving::VersionSchedule keeps versions in any order and only moves an enforcement to an earlier time. An entry no longer writes a record that it has just read.

--- a/libs/relay/include/relay/Relay.h
+++ b/libs/relay/include/relay/Relay.h
@@ -93,7 +93,7 @@
   /** Any thread: sets the zones whose endpoints get no new requests. */
   virtual void setEvacuated(std::set<std::string> aZones) = 0;
   /** Any thread: from aEnforceFrom on, requests start on this or a newer version of the model's
-   * weights only. */
+   * weights only. A further call for the same version can only move the time to an earlier one. */
   virtual void declareVersion(std::string aModel,
                               uint64_t aVersion,
                               base::TimePoint aEnforceFrom) = 0;
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -54,38 +54,24 @@
 uint64_t Core::requiredVersion(const std::string& aModel, base::TimePoint aNow) const
 {
   auto found = versions.find(aModel);
-  uint64_t required = 0;
-  if (found != versions.end()) {
-    for (const DeclaredVersion& declared : found->second) {
-      if (aNow >= declared.enforceFrom) {
-        required = declared.version;
-      }
-    }
-  }
-  return required;
+  return found == versions.end() ? 0 : found->second.required(aNow);
 }
 
 std::optional<serving::DueVersion> Core::dueVersion(const std::string& aModel,
                                                     base::TimePoint aNow) const
 {
   auto found = versions.find(aModel);
-  if (found == versions.end()) {
-    return std::nullopt;
-  }
-  for (const DeclaredVersion& declared : found->second) {
-    if (aNow < declared.enforceFrom) {
-      return serving::DueVersion{
-        declared.version, declared.enforceFrom + base::Duration(options.versionStartGrace)
-      };
-    }
+  auto next = found == versions.end() ? std::nullopt : found->second.next(aNow);
+  if (next) {
+    next->at += base::Duration(options.versionStartGrace);
   }
-  return std::nullopt;
+  return next;
 }
 
 uint64_t Core::newestVersion(const std::string& aModel) const
 {
   auto found = versions.find(aModel);
-  return found == versions.end() || found->second.empty() ? 0 : found->second.back().version;
+  return found == versions.end() ? 0 : found->second.newest();
 }
 
 void Core::broadcastCrash(const serving::CrashEvidence& aEvidence)
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -10,6 +10,7 @@
 #include "base/Rng.h"
 #include "relay/Relay.h"
 #include "serving/CrashSuspects.h"
+#include "serving/VersionSchedule.h"
 
 namespace boragepitch::relay {
 
@@ -37,13 +38,6 @@
   telemetry::LatencyHistogram& total;
 };
 
-/** Declared version of a model's weights and when it is enforced. */
-struct DeclaredVersion
-{
-  uint64_t version = 0;
-  base::TimePoint enforceFrom;
-};
-
 /** State shared by all sessions and calls of one relay. Used by the event loop's thread only. */
 struct Core
 {
@@ -81,9 +75,7 @@
   serving::EndpointSet endpoints;
   serving::SharedRetryBudget retryBudget;
   serving::CrashSuspects suspects;
-  /** Declared versions by model, oldest first. Older ones are kept, since a newer declaration does
-   * not delay their enforcement. */
-  std::map<std::string, std::vector<DeclaredVersion>, std::less<>> versions;
+  std::map<std::string, serving::VersionSchedule, std::less<>> versions; ///< By model.
   std::optional<base::TimePoint> listConfirmedAt; ///< When the endpoint list was last confirmed.
   bool leaving = false;
   base::TimePoint leavingSince;
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -185,11 +185,9 @@
   void declareVersion(std::string aModel, uint64_t aVersion, base::TimePoint aEnforceFrom) override
   {
     post([this, model = std::move(aModel), aVersion, aEnforceFrom] {
-      auto& declared = mCore.versions[model];
-      if (!declared.empty() && aVersion <= declared.back().version) {
+      if (!mCore.versions[model].declare(aVersion, aEnforceFrom)) {
         return;
       }
-      declared.push_back({ aVersion, aEnforceFrom });
       auto wait = aEnforceFrom - std::chrono::steady_clock::now();
       logState("weights_declared",
                { { "model", model },
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -18,6 +18,7 @@
 #include "net/Address.h"
 #include "serving/Deployment.h"
 #include "serving/EntrySubset.h"
+#include "serving/VersionSchedule.h"
 
 namespace boragepitch::serving {
 
@@ -176,13 +177,6 @@
   base::Milliseconds remotePenalty{ 25 };
 };
 
-/** A declared version of weights that will be enforced. */
-struct DueVersion
-{
-  uint64_t version = 0;
-  base::TimePoint at; ///< No request may begin on an older version later than that.
-};
-
 struct PlacementRequest
 {
   const Route* route = nullptr;
--- a/libs/stores/include/stores/RowFeed.h
+++ b/libs/stores/include/stores/RowFeed.h
@@ -41,6 +41,10 @@
   virtual base::Result<RowPage> read(std::string_view aTable, std::string_view aAfter) = 0;
   /** The row with this key; a page without rows when there is none. */
   virtual base::Result<RowPage> get(std::string_view aTable, std::string_view aKey) = 0;
+  /** Rows with keys from aFrom to before aTo, in key order. */
+  virtual base::Result<RowPage> range(std::string_view aTable,
+                                      std::string_view aFrom,
+                                      std::string_view aTo) = 0;
   /** Changes after aSince; waits up to aWait for the first one. */
   virtual base::Result<RowPage> changes(std::string_view aTable,
                                         uint64_t aSince,
--- a/libs/stores/tests/TableWatcherTest.cpp
+++ b/libs/stores/tests/TableWatcherTest.cpp
@@ -46,6 +46,10 @@
     return next(mScript.changes, "changes " + std::to_string(aSince));
   }
   base::Result<RowPage> get(std::string_view, std::string_view) override { return RowPage{}; }
+  base::Result<RowPage> range(std::string_view, std::string_view, std::string_view) override
+  {
+    return RowPage{};
+  }
   base::Status put(std::string_view, std::string_view, std::string_view) override { return {}; }
   base::Status create(std::string_view, std::string_view, std::string_view) override { return {}; }
   void cancel() override { mCancelled = true; }
--- a/tools/node/WeightRows.cpp
+++ b/tools/node/WeightRows.cpp
@@ -29,6 +29,13 @@
   return std::string(kDeclaredPrefix) + std::string(aModel) + "/" + std::to_string(aVersion);
 }
 
+std::pair<std::string, std::string> declaredRange(std::string_view aModel)
+{
+  std::string prefix = std::string(kDeclaredPrefix) + std::string(aModel);
+  // Versions are decimal digits, which ':' follows in byte order.
+  return { prefix + "/0", prefix + "/:" };
+}
+
 std::string writeDeclaredTime(base::Milliseconds aAt)
 {
   return std::to_string(aAt.count());
--- a/tools/node/WeightRows.h
+++ b/tools/node/WeightRows.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "base/Error.h"
 #include "base/Time.h"
@@ -26,6 +27,8 @@
 };
 
 std::string declaredKey(std::string_view aModel, uint64_t aVersion);
+/** First key, and the end, of the range that holds the records of all versions of a model. */
+std::pair<std::string, std::string> declaredRange(std::string_view aModel);
 std::string writeDeclaredTime(base::Milliseconds aAt);
 /** Empty for a row of another kind or one that cannot be parsed. */
 std::optional<DeclaredRow> readDeclaredRow(std::string_view aKey, std::string_view aValue);
--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -92,35 +92,58 @@
                aNow);
     return;
   }
-  auto name = std::pair(declared->model, declared->version);
-  if (!mKnownVersions.insert(name).second) {
+  if (mKnownVersions.contains({ declared->model, declared->version })) {
     return;
   }
   serving::DeclarationEvidence evidence;
+  bool isRecorded = false;
   if (aSource == RowSource::Change) {
     evidence.age = base::Milliseconds(0);
   } else {
-    evidence.age = mPublisher.declarationAge(declared->model, declared->version, aNow);
+    auto ages = mPublisher.declarationAges(declared->model, aNow);
+    // The row names the newest version only. Older ones that were declared shortly before must be
+    // enforced earlier.
+    for (const auto& [version, age] : ages) {
+      if (version < declared->version) {
+        enforceVersion({ declared->model, version }, aSource, { .age = age }, aNow);
+      }
+    }
     evidence.notBefore = mLastCallAt;
+    if (auto own = ages.find(declared->version); own != ages.end()) {
+      evidence.age = own->second;
+      isRecorded = true;
+    }
+  }
+  auto left = enforceVersion(*declared, aSource, evidence, aNow);
+  if (!isRecorded) {
+    // Loaders learn of the version from its record, whose time must match the enforcement here.
+    mPublisher.queueDeclaration(
+      declared->model, declared->version, mServiceTime - (mTiming.afterDeclaration - left));
   }
-  auto from = serving::enforceFrom(evidence, mTiming, aNow);
-  // Loaders learn of the version from its record, whose time must match the enforcement time here.
+  mNotifier.declareVersion(declared->model, declared->version);
+}
+
+base::Milliseconds OperatorListener::enforceVersion(const platform::DeclaredWeights& aDeclared,
+                                                    RowSource aSource,
+                                                    const serving::DeclarationEvidence& aEvidence,
+                                                    base::TimePoint aNow)
+{
+  mKnownVersions.emplace(aDeclared.model, aDeclared.version);
+  auto from = serving::enforceFrom(aEvidence, mTiming, aNow);
   auto left = std::chrono::duration_cast<base::Milliseconds>(from - aNow);
   auto sinceLastCall =
     mLastCallAt ? std::to_string(base::toMilliseconds(aNow - *mLastCallAt)) : std::string("-");
   mLog.write(telemetry::EventClass::Critical,
              "version_read",
-             { { "model", declared->model },
-               { "version", std::to_string(declared->version) },
+             { { "model", aDeclared.model },
+               { "version", std::to_string(aDeclared.version) },
                { "source", aSource == RowSource::Change ? "change" : "snapshot" },
-               { "age_ms", evidence.age ? std::to_string(evidence.age->count()) : "-" },
+               { "age_ms", aEvidence.age ? std::to_string(aEvidence.age->count()) : "-" },
                { "last_call_ms", sinceLastCall },
                { "enforced_in_ms", std::to_string(left.count()) } },
              aNow);
-  mPublisher.queueDeclaration(
-    declared->model, declared->version, mServiceTime - (mTiming.afterDeclaration - left));
-  mRelay.declareVersion(declared->model, declared->version, from);
-  mNotifier.declareVersion(declared->model, declared->version);
+  mRelay.declareVersion(aDeclared.model, aDeclared.version, from);
+  return left;
 }
 
 void OperatorListener::onCallSucceeded(base::TimePoint aNow)
--- a/tools/router/OperatorListener.h
+++ b/tools/router/OperatorListener.h
@@ -7,6 +7,7 @@
 
 #include "LoaderNotifier.h"
 #include "WeightPublisher.h"
+#include "platform/OperatorRows.h"
 #include "relay/Relay.h"
 #include "serving/VersionTiming.h"
 #include "stores/TableWatcher.h"
@@ -45,6 +46,11 @@
   void applyRow(const stores::RowChange& aRow, RowSource aSource, base::TimePoint aNow);
   void applyDeployment(const stores::RowChange& aRow, base::TimePoint aNow);
   void applyVersion(const stores::RowChange& aRow, RowSource aSource, base::TimePoint aNow);
+  /** Has the relay enforce the version; returns the time until then. */
+  base::Milliseconds enforceVersion(const platform::DeclaredWeights& aDeclared,
+                                    RowSource aSource,
+                                    const serving::DeclarationEvidence& aEvidence,
+                                    base::TimePoint aNow);
 
   relay::Relay& mRelay;
   LoaderNotifier& mNotifier;
--- a/tools/router/WeightPublisher.cpp
+++ b/tools/router/WeightPublisher.cpp
@@ -88,28 +88,31 @@
   return aFeed.put(kWeightTable, aKey, aValue);
 }
 
-std::optional<base::Milliseconds> WeightPublisher::declarationAge(const std::string& aModel,
-                                                                  uint64_t aVersion,
-                                                                  base::TimePoint aNow)
+std::map<uint64_t, base::Milliseconds> WeightPublisher::declarationAges(const std::string& aModel,
+                                                                        base::TimePoint aNow)
 {
-  std::string key = declaredKey(aModel, aVersion);
-  auto page = mMakeFeed()->get(kWeightTable, key);
-  std::optional<base::Milliseconds> age;
-  std::string outcome = page ? "none" : page.error().describe();
-  if (page && !page->rows.empty()) {
-    auto row = readDeclaredRow(key, page->rows.front().value);
-    outcome = row ? "found" : "unreadable";
-    if (row) {
-      age = page->serviceTime - row->declaredAt;
+  std::map<uint64_t, base::Milliseconds> ages;
+  auto [first, end] = declaredRange(aModel);
+  auto page = mMakeFeed()->range(kWeightTable, first, end);
+  if (!page) {
+    mLog.write(telemetry::EventClass::Critical,
+               "declarations_unknown",
+               { { "model", aModel }, { "error", page.error().describe() } },
+               aNow);
+    return ages;
+  }
+  for (const stores::RowChange& row : page->rows) {
+    auto declared = readDeclaredRow(row.key, row.value);
+    if (declared) {
+      ages[declared->version] = page->serviceTime - declared->declaredAt;
     }
+    mLog.write(telemetry::EventClass::Critical,
+               "declaration_time",
+               { { "row", row.key },
+                 { "age_ms", declared ? std::to_string(ages[declared->version].count()) : "-" } },
+               aNow);
   }
-  mLog.write(telemetry::EventClass::Critical,
-             "declaration_time",
-             { { "row", key },
-               { "outcome", outcome },
-               { "age_ms", age ? std::to_string(age->count()) : "-" } },
-             aNow);
-  return age;
+  return ages;
 }
 
 } // namespace boragepitch::tools
--- a/tools/router/tests/FakeWeightTable.h
+++ b/tools/router/tests/FakeWeightTable.h
@@ -47,6 +47,22 @@
     }
     return page;
   }
+  base::Result<stores::RowPage> range(std::string_view aTable,
+                                      std::string_view aFrom,
+                                      std::string_view aTo) override
+  {
+    BOOST_TEST(aTable == tools::kWeightTable);
+    if (mTable.isDown) {
+      return down();
+    }
+    stores::RowPage page;
+    page.serviceTime = mTable.time;
+    for (auto row = mTable.rows.lower_bound(aFrom); row != mTable.rows.end() && row->first < aTo;
+         ++row) {
+      page.rows.push_back({ row->first, row->second });
+    }
+    return page;
+  }
   base::Status put(std::string_view, std::string_view aKey, std::string_view aValue) override
   {
     if (mTable.isDown) {
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -112,3 +112,26 @@
   withoutStore.listener.onSnapshot({ declaration(2) }, now);
   BOOST_TEST((withoutStore.relay.declared.at(2) == now + 2s));
 }
+
+// Guards against an entry that restarts after two declarations in quick succession and enforces the
+// newer one only (VERSION on hoopline): the older one must be enforced earlier, as by the others.
+BOOST_AUTO_TEST_CASE(enforcesAVersionThatWasSupersededWhileTheEntryRestarted)
+{
+  FakeWeightTable table;
+  Process first(table);
+  base::TimePoint now{ 1h };
+  first.listener.onServiceTime(table.time);
+  first.listener.onSnapshot({}, now);
+  first.listener.onCallSucceeded(now);
+  for (int version : { 2, 3 }) {
+    first.listener.onServiceTime(table.time);
+    first.listener.onChanges({ declaration(version) }, now);
+    first.listener.onCallSucceeded(now);
+    table.time += 3500ms;
+    now += 3500ms;
+  }
+  Process restarted(table);
+  restarted.listener.onServiceTime(table.time);
+  restarted.listener.onSnapshot({ declaration(3) }, now);
+  BOOST_TEST((restarted.relay.declared == first.relay.declared));
+}
