Count a version that was read late from the time at which it was declared

Cause: a change counted as declared when it was read. After a connection that fell silent, or a store that refused this entry while it served the others, it is read seconds later. Class: the time of news taken for the time of the event.

Change: TableWatcher tells its listener when each failed call started. A version that is read after a failed call counts by the record of the other entries, or else from the start of that call: calls that start after an outage succeed. The versions that it superseded meanwhile are enforced too.

Test: router.OperatorListenerTest/enforcesAVersionThatItReadLateAtTheSameTimeAs- TheOthers and countsAnUnrecordedVersionFromTheStartOfTheLastFailedCall (both fail without the change: the version was enforced 2,100 and 2,000 ms late), stores.TableWatcherTest/reportsTheStartOfEachFailedCall.

--- a/libs/stores/include/stores/TableWatcher.h
+++ b/libs/stores/include/stores/TableWatcher.h
@@ -29,6 +29,8 @@
   virtual void onServiceTime(base::Milliseconds /*aServiceTime*/) {}
   /** Called after each successful call, at least once per WatchOptions::wait. */
   virtual void onCallSucceeded(base::TimePoint /*aNow*/) {}
+  /** Called after each call that the service did not answer or refused. */
+  virtual void onCallFailed(base::TimePoint /*aStartedAt*/) {}
   /** Latest time of the next onCallSucceeded() call; empty for the default of WatchOptions::wait.
    */
   virtual std::optional<base::TimePoint> wakeAt() const { return std::nullopt; }
--- a/libs/stores/src/TableWatcher.cpp
+++ b/libs/stores/src/TableWatcher.cpp
@@ -66,6 +66,7 @@
 {
   auto feed = makeFeed();
   while (!mStopping) {
+    auto startedAt = std::chrono::steady_clock::now();
     auto status = step(*feed);
     if (mStopping) {
       return;
@@ -80,6 +81,7 @@
       mHasPosition = false;
       continue;
     }
+    mListener.onCallFailed(startedAt);
     std::this_thread::sleep_for(mBackoff.next(mRng) + base::Duration(mOptions.backoffBase));
     feed = makeFeed();
   }
--- a/libs/stores/tests/TableWatcherTest.cpp
+++ b/libs/stores/tests/TableWatcherTest.cpp
@@ -90,6 +90,11 @@
   {
     add(aReachable ? "regained" : "lost");
   }
+  void onCallFailed(base::TimePoint aStartedAt) override
+  {
+    std::lock_guard lock(mutex);
+    failedCalls.push_back(aStartedAt);
+  }
   std::optional<base::TimePoint> wakeAt() const override { return wake; }
 
   void add(std::string aEvent)
@@ -109,6 +114,7 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::vector<std::string> events;
+  std::vector<base::TimePoint> failedCalls; ///< Times at which they started.
   std::optional<base::TimePoint> wake;
 };
 
@@ -187,6 +193,21 @@
   BOOST_TEST(script.feeds == 3);
 }
 
+// Guards against changes that seem to be read at once although calls before them failed.
+BOOST_FIXTURE_TEST_CASE(reportsTheStartOfEachFailedCall, Fixture)
+{
+  script.reads = { page({ "a" }, 10) };
+  script.changes = { failure(base::ErrorKind::UnknownOutcome),
+                     failure(base::ErrorKind::NotFound),
+                     failure(base::ErrorKind::Unavailable) };
+  script.reads.push_back(page({ "a" }, 50));
+  auto since = std::chrono::steady_clock::now();
+  run(5);
+  BOOST_TEST(recorder.failedCalls.size() == 2U);
+  BOOST_TEST((recorder.failedCalls.at(0) >= since));
+  BOOST_TEST((recorder.failedCalls.at(1) > recorder.failedCalls.at(0)));
+}
+
 // Guards against a wait that ignores the wake-up time of the listener, which delays its due work
 // until the next answer.
 BOOST_FIXTURE_TEST_CASE(waitEndsAtTheWakeTimeOfTheListener, Fixture)
--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -95,27 +95,11 @@
   if (mKnownVersions.contains({ declared->model, declared->version })) {
     return;
   }
-  serving::DeclarationEvidence evidence;
-  bool isRecorded = false;
-  if (aSource == RowSource::Change) {
-    evidence.age = base::Milliseconds(0);
-  } else {
-    auto ages = mPublisher.declarationAges(declared->model, aNow);
-    // The row names the newest version only. Older ones that were declared shortly before must be
-    // enforced earlier.
-    for (const auto& [version, age] : ages) {
-      if (version < declared->version) {
-        enforceVersion({ declared->model, version }, aSource, { .age = age }, aNow);
-      }
-    }
-    evidence.notBefore = mLastCallAt;
-    if (auto own = ages.find(declared->version); own != ages.end()) {
-      evidence.age = own->second;
-      isRecorded = true;
-    }
-  }
+  bool isReadAtOnce = aSource == RowSource::Change && !mFailedCallAt;
+  auto evidence = isReadAtOnce ? serving::DeclarationEvidence{ .notBefore = aNow }
+                               : evidenceOfLateRead(*declared, aSource, aNow);
   auto left = enforceVersion(*declared, aSource, evidence, aNow);
-  if (!isRecorded) {
+  if (!evidence.age) {
     // Loaders learn of the version from its record, whose time must match the enforcement here.
     mPublisher.queueDeclaration(
       declared->model, declared->version, mServiceTime - (mTiming.afterDeclaration - left));
@@ -123,6 +107,29 @@
   mNotifier.declareVersion(declared->model, declared->version);
 }
 
+serving::DeclarationEvidence OperatorListener::evidenceOfLateRead(
+  const platform::DeclaredWeights& aDeclared,
+  RowSource aSource,
+  base::TimePoint aNow)
+{
+  auto ages = mPublisher.declarationAges(aDeclared.model, aNow);
+  // The row names the newest version only. Older ones that were declared shortly before must be
+  // enforced earlier.
+  for (const auto& [version, age] : ages) {
+    if (version < aDeclared.version && !mKnownVersions.contains({ aDeclared.model, version })) {
+      enforceVersion({ aDeclared.model, version }, aSource, { .age = age }, aNow);
+    }
+  }
+  serving::DeclarationEvidence evidence;
+  if (auto own = ages.find(aDeclared.version); own != ages.end()) {
+    evidence.age = own->second;
+  }
+  // A call that starts after an outage succeeds, so the outage lasted beyond the start of the last
+  // failed call. What was declared during it counts from its end.
+  evidence.notBefore = aSource == RowSource::Change ? mFailedCallAt : mLastCallAt;
+  return evidence;
+}
+
 base::Milliseconds OperatorListener::enforceVersion(const platform::DeclaredWeights& aDeclared,
                                                     RowSource aSource,
                                                     const serving::DeclarationEvidence& aEvidence,
@@ -149,6 +156,7 @@
 void OperatorListener::onCallSucceeded(base::TimePoint aNow)
 {
   mLastCallAt = aNow;
+  mFailedCallAt.reset();
   mPublisher.writeQueued(aNow);
 }
 
--- a/tools/router/OperatorListener.h
+++ b/tools/router/OperatorListener.h
@@ -34,6 +34,7 @@
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
   void onServiceTime(base::Milliseconds aServiceTime) override { mServiceTime = aServiceTime; }
   void onCallSucceeded(base::TimePoint aNow) override;
+  void onCallFailed(base::TimePoint aStartedAt) override { mFailedCallAt = aStartedAt; }
 
 private:
   /** Whether a row arrived as a change or was already there when the table was read. */
@@ -46,6 +47,11 @@
   void applyRow(const stores::RowChange& aRow, RowSource aSource, base::TimePoint aNow);
   void applyDeployment(const stores::RowChange& aRow, base::TimePoint aNow);
   void applyVersion(const stores::RowChange& aRow, RowSource aSource, base::TimePoint aNow);
+  /** Evidence for a version that may have been declared long before it was read. Enforces older
+   * versions that this process missed. */
+  serving::DeclarationEvidence evidenceOfLateRead(const platform::DeclaredWeights& aDeclared,
+                                                  RowSource aSource,
+                                                  base::TimePoint aNow);
   /** Has the relay enforce the version; returns the time until then. */
   base::Milliseconds enforceVersion(const platform::DeclaredWeights& aDeclared,
                                     RowSource aSource,
@@ -60,6 +66,8 @@
   std::set<std::string> mEvacuated;
   base::Milliseconds mServiceTime{ 0 };
   std::optional<base::TimePoint> mLastCallAt;
+  /** Start of the latest call, if it failed. */
+  std::optional<base::TimePoint> mFailedCallAt;
   std::set<std::pair<std::string, uint64_t>> mKnownVersions; ///< Model and version.
 };
 
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -135,3 +135,44 @@
   restarted.listener.onSnapshot({ declaration(3) }, now);
   BOOST_TEST((restarted.relay.declared == first.relay.declared));
 }
+
+// Guards against an entry whose connection to the store fell silent and that counts a version from
+// the time at which it read it (VERSION on hoopline): that is up to the call's timeout too late.
+BOOST_AUTO_TEST_CASE(enforcesAVersionThatItReadLateAtTheSameTimeAsTheOthers)
+{
+  FakeWeightTable table;
+  Process first(table);
+  Process late(table);
+  base::TimePoint now{ 1h };
+  for (auto* process : { &first, &late }) {
+    process->listener.onServiceTime(table.time);
+    process->listener.onSnapshot({}, now);
+    process->listener.onCallSucceeded(now);
+  }
+  first.listener.onChanges({ declaration(2) }, now);
+  first.listener.onCallSucceeded(now);
+  late.listener.onCallFailed(now);
+  table.time += 2100ms;
+  late.listener.onServiceTime(table.time);
+  late.listener.onChanges({ declaration(2) }, now + 2100ms);
+  BOOST_TEST((late.relay.declared == first.relay.declared));
+}
+
+// Guards against counting from the read where no other entry recorded the version.
+BOOST_AUTO_TEST_CASE(countsAnUnrecordedVersionFromTheStartOfTheLastFailedCall)
+{
+  FakeWeightTable table;
+  Process late(table);
+  base::TimePoint now{ 1h };
+  late.listener.onServiceTime(table.time);
+  late.listener.onSnapshot({}, now);
+  late.listener.onCallSucceeded(now);
+  late.listener.onCallFailed(now + 5s);
+  late.listener.onCallFailed(now + 7s);
+  table.time += 9s;
+  late.listener.onServiceTime(table.time);
+  late.listener.onChanges({ declaration(2) }, now + 9s);
+  late.listener.onCallSucceeded(now + 9s);
+  BOOST_TEST((late.relay.declared.at(2) == now + 7s + 7s));
+  BOOST_TEST(table.rows.at("declared/m/2") == std::to_string(5000 + 7000));
+}
