Enforce versions on time at entries that were suspended

Cause: the enforcement is a point of the local steady clock, which does not count the time for which a machine is suspended. Class: a duration that others measure, kept on a clock that can stand still.

Change: each answer of the store names its own steady clock. Where that has run ahead of the local one since a version was read, the enforcement moves to the earlier time (serving::PendingVersions).

Test: router.OperatorListenerTest/enforcesAVersionAtTheSameTimeAfterASuspension and ...IfTheSuspensionHeldUpItsAnswer (both fail with the call taken out), serving.PendingVersionsTest.

--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -150,6 +150,9 @@
                { "enforced_in_ms", std::to_string(left.count()) } },
              aNow);
   mRelay.declareVersion(aDeclared.model, aDeclared.version, from);
+  if (mServiceTime.count() > 0) {
+    mPending.add({ aDeclared.model, aDeclared.version, from }, mServiceTime, aNow);
+  }
   return left;
 }
 
@@ -157,6 +160,9 @@
 {
   mLastCallAt = aNow;
   mFailedCallAt.reset();
+  for (const auto& moved : mPending.observe(mServiceTime, aNow)) {
+    mRelay.declareVersion(moved.model, moved.version, moved.enforceFrom);
+  }
   mPublisher.writeQueued(aNow);
 }
 
--- a/tools/router/OperatorListener.h
+++ b/tools/router/OperatorListener.h
@@ -9,6 +9,7 @@
 #include "WeightPublisher.h"
 #include "platform/OperatorRows.h"
 #include "relay/Relay.h"
+#include "serving/PendingVersions.h"
 #include "serving/VersionTiming.h"
 #include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
@@ -64,7 +65,8 @@
   const serving::VersionTiming mTiming;
   WeightPublisher mPublisher;
   std::set<std::string> mEvacuated;
-  base::Milliseconds mServiceTime{ 0 };
+  base::Milliseconds mServiceTime{ 0 }; ///< Zero until the store named its clock.
+  serving::PendingVersions mPending;
   std::optional<base::TimePoint> mLastCallAt;
   /** Start of the latest call, if it failed. */
   std::optional<base::TimePoint> mFailedCallAt;
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -176,3 +176,32 @@
   BOOST_TEST((late.relay.declared.at(2) == now + 7s + 7s));
   BOOST_TEST(table.rows.at("declared/m/2") == std::to_string(5000 + 7000));
 }
+
+// Guards against an entry that was suspended and enforces a version later by that time, since its
+// steady clock stood still.
+BOOST_AUTO_TEST_CASE(enforcesAVersionAtTheSameTimeAfterASuspension)
+{
+  FakeWeightTable table;
+  Process process(table);
+  base::TimePoint now{ 1h };
+  process.listener.onServiceTime(5000ms);
+  process.listener.onChanges({ declaration(2) }, now);
+  process.listener.onCallSucceeded(now);
+  process.listener.onServiceTime(9000ms);
+  process.listener.onCallSucceeded(now + 1s);
+  BOOST_TEST((process.relay.declared.at(2) == now + 7s - 3s));
+}
+
+// Guards against a version whose answer was held up by the suspension.
+BOOST_AUTO_TEST_CASE(enforcesAVersionAtTheSameTimeIfTheSuspensionHeldUpItsAnswer)
+{
+  FakeWeightTable table;
+  Process process(table);
+  base::TimePoint now{ 1h };
+  process.listener.onServiceTime(5000ms);
+  process.listener.onChanges({ declaration(2) }, now + 2s);
+  process.listener.onCallSucceeded(now + 2s);
+  process.listener.onServiceTime(7100ms);
+  process.listener.onCallSucceeded(now + 2100ms);
+  BOOST_TEST((process.relay.declared.at(2) == now + 7s));
+}
