Quarantine parts of prompts that crash endpoints

Cause: crashes were counted by the hash of a request's path, caller and body. These requests share one part of their prompt and nothing else, so each was sent to two engines, crashed both, and left a count of two. A crash after the head of the answer left no evidence at all. Class: a detector whose key is narrower than the cause.

Change: serving::PartQuarantine counts crashes for each part of a prompt but the last, since the last request with that part that got past its beginning. Three crashes of different endpoints in two different requests quarantine the part. Evidence and quarantines travel by datagrams; a newer proof of another entry contradicts them, and they end by themselves. Requests with a quarantined part are answered 500 at once, those that wait at endpoints are withdrawn.

Ruled out: keys that sound requests share (caller, first part); a threshold on crashes alone, which a herd of kills reaches.

--- a/libs/relay/include/relay/HeaderCodec.h
+++ b/libs/relay/include/relay/HeaderCodec.h
@@ -31,6 +31,8 @@
   std::string model;
   uint64_t promptTokens = 0;
   uint64_t maxAnswerTokens = 0;
+  /** Parts of the prompt that other requests may share, without the request's own last part. */
+  std::vector<uint64_t> sharedParts;
   std::optional<uint64_t> lastEvent; ///< Id of the event after which the stream resumes.
 };
 
--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -44,6 +44,9 @@
 constexpr size_t kMaxEventBytes = 1 << 20;
 /** High watermark of bytes to write to the caller; above it reading from the endpoint pauses. */
 constexpr size_t kBacklogHighWatermark = 256 << 10;
+/** Events after which a request is past its beginning: if it crashed endpoints that begin to answer
+ * it, this one would have ended by then. */
+constexpr int kEventsPastBeginning = 3;
 constexpr int kHighestPriority = 0;
 constexpr int kLowestPriority = 9;
 constexpr std::string_view kEventStream = "text/event-stream";
@@ -142,13 +145,20 @@
   mLastEvent = mFacts.lastEvent;
   mCore.retryBudget.recordRequest(mService->name, aNow);
   mFingerprint = serving::requestFingerprint(mRequest.target, mFacts.key, mRequest.body);
-  if (mCore.suspects.isQuarantined(mFingerprint, aNow)) {
+  if (isQuarantined(aNow)) {
+    mCore.metrics.quarantined.add();
     fail(500, "quarantined", aNow);
     return false;
   }
   return true;
 }
 
+bool Call::isQuarantined(base::TimePoint aNow) const
+{
+  return mCore.suspects.isQuarantined(mFingerprint, aNow) ||
+         mCore.quarantine.isQuarantined(mFacts.sharedParts, aNow);
+}
+
 bool Call::checkKey()
 {
   if (!mDeployment->requiresKeys() || mRoute->isPublic) {
@@ -220,6 +230,7 @@
   mBody.clear();
   mIsStream = false;
   mSendHadEvent = false;
+  mSendEvents = 0;
   mSendLastEvent.reset();
   mSplitter.restart();
   mSentAt = aNow;
@@ -376,6 +387,12 @@
     return;
   }
   mSendLastEvent = aEvent.id ? aEvent.id : mSendLastEvent;
+  if (++mSendEvents == 1) {
+    mSendBegunAt = aNow;
+  }
+  if (mSendEvents == kEventsPastBeginning) {
+    mCore.quarantine.recordProof(mFacts.sharedParts, mSendBegunAt);
+  }
   if (aEvent.id && mLastEvent) {
     if (*aEvent.id <= *mLastEvent) {
       return; // The caller received this event before the stream was resumed.
@@ -454,13 +471,11 @@
     sendFailed({ Outcome::Silent, false, "connect_failed" }, now);
     return;
   }
-  if (aEnd == ExchangeEnd::CutShort && !mHead) {
-    serving::CrashEvidence evidence{
-      mFingerprint, mEndpoint->record.id + "/" + std::to_string(mEndpoint->record.startTimeMs)
-    };
-    if (mCore.suspects.record(evidence, now)) {
-      mCore.broadcastCrash(evidence);
-    }
+  if (aEnd == ExchangeEnd::CutShort && mSendEvents < kEventsPastBeginning) {
+    mCore.reportCrash({ mFingerprint,
+                        mEndpoint->record.id + "/" + std::to_string(mEndpoint->record.startTimeMs),
+                        mCore.quarantine.unproved(mFacts.sharedParts, now) },
+                      now);
   }
   sendFailed({ Outcome::Broken, true, std::string(toString(aEnd)) }, now);
 }
@@ -469,6 +484,7 @@
 {
   endSend(Outcome::Success, aNow);
   mCore.suspects.clear(mFingerprint);
+  mCore.quarantine.recordProof(mFacts.sharedParts, mSendEvents > 0 ? mSendBegunAt : mSentAt);
   if (!mIsStream && mStreamBegan) {
     // A resumed stream cannot continue with an answer that is not a stream.
     sendFailed({ Outcome::Broken, true, "not_a_stream" }, aNow);
@@ -531,7 +547,7 @@
   if (aResult.mayHaveRun) {
     ++mPossibleRuns;
   }
-  std::string_view obstacle = obstacleToRetry(aResult, aNow);
+  std::string_view obstacle = obstacleToRetry(aNow);
   bool isRetried = obstacle.empty();
   mCore.log.write(
     telemetry::EventClass::Refused,
@@ -559,7 +575,7 @@
   send(aNow);
 }
 
-std::string_view Call::obstacleToRetry(const SendResult& aResult, base::TimePoint aNow)
+std::string_view Call::obstacleToRetry(base::TimePoint aNow)
 {
   if (mSendCount >= kMaxSends || mDeadline - aNow < kMinTimeLeft) {
     return "no_time";
@@ -570,7 +586,7 @@
   if (mStreamBegan && !mLastEvent) {
     return "no_event_ids"; // Without an event id the stream cannot be resumed.
   }
-  if (aResult.mayHaveRun && mCore.suspects.isQuarantined(mFingerprint, aNow)) {
+  if (isQuarantined(aNow)) {
     return "quarantined";
   }
   if (!choose(aNow).endpoint) {
@@ -615,6 +631,11 @@
     giveUp(aNow, "deadline");
     return;
   }
+  if (!mSendHadEvent && mCore.quarantine.isQuarantined(mFacts.sharedParts, aNow)) {
+    // The endpoint may not have begun the request yet.
+    abortSend({ Outcome::Abandoned, true, "quarantined" }, aNow);
+    return;
+  }
   if (isStartOverdue(aNow)) {
     abortSend({ Outcome::Abandoned, true, "version_overdue" }, aNow);
     return;
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -57,10 +57,12 @@
   void sendFailed(const SendResult& aResult, base::TimePoint aNow);
   /** Reason why the request may not be sent again. Empty when it may be; this spends a retry of the
    * budget. */
-  std::string_view obstacleToRetry(const SendResult& aResult, base::TimePoint aNow);
+  std::string_view obstacleToRetry(base::TimePoint aNow);
   void endSend(serving::Outcome aOutcome, base::TimePoint aNow);
   void abortSend(const SendResult& aResult, base::TimePoint aNow);
   void handleEvent(const serving::StreamEvent& aEvent, base::TimePoint aNow);
+  /** Whether the request may be the reason why endpoints crash. */
+  bool isQuarantined(base::TimePoint aNow) const;
   void completed(base::TimePoint aNow);
   void failureAnswered(base::TimePoint aNow);
   /** Whether the request waits at an engine whose weights it may no longer begin on. */
@@ -129,6 +131,8 @@
   std::optional<base::TimePoint> mFirstEventAt;
   base::Duration mLongestGap{ 0 };
   bool mSendHadEvent = false;             ///< The last send brought a new event.
+  int mSendEvents = 0;                    ///< Events of the last send, including skipped ones.
+  base::TimePoint mSendBegunAt;           ///< First event of the last send; valid if there was one.
   std::optional<uint64_t> mSendLastEvent; ///< Id of its last event, including skipped events.
 };
 
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -1,6 +1,8 @@
 #include "Core.h"
 
 #include <algorithm>
+#include <cstdio>
+#include <span>
 
 #include "CallerSession.h"
 
@@ -8,7 +10,23 @@
 
 namespace {
 /** Crash evidence is sent this often, as no later datagram supersedes it; 1 in 100 is lost. */
-constexpr int kCrashEvidenceCopies = 3;
+constexpr int kBroadcastCopies = 3;
+/** Other entries that are told of the quarantine in one round: what an entry sends must not grow
+ * with their number. One that has just started hears of it from three others a round on average. */
+constexpr size_t kQuarantineFanOut = 3;
+/** Parts told in one round. */
+constexpr size_t kQuarantinedPartsPerNotice = 12;
+
+std::string listOf(std::span<const serving::PromptPart> aParts)
+{
+  std::string text;
+  for (serving::PromptPart part : aParts) {
+    char id[20];
+    std::snprintf(id, sizeof(id), "%016llx", static_cast<unsigned long long>(part));
+    text += (text.empty() ? "" : ",") + std::string(id);
+  }
+  return text.empty() ? "-" : text;
+}
 } // namespace
 
 RelayMetrics::RelayMetrics(telemetry::Registry& aRegistry)
@@ -26,6 +44,8 @@
   , begunOutdated(
       aRegistry.counter("bp_relay_begun_outdated_total",
                         "Requests that began on weights whose replacement was enforced"))
+  , quarantined(aRegistry.counter("bp_relay_quarantined_total",
+                                  "Requests failed because they may crash their endpoint"))
   , callers(aRegistry.gauge("bp_relay_callers", "Open connections of callers"))
   , inFlight(aRegistry.gauge("bp_relay_in_flight", "Requests being handled"))
   , deploymentVersion(aRegistry.gauge("bp_relay_deployment_version", "Configuration in force"))
@@ -74,11 +94,77 @@
   return found == versions.end() ? 0 : found->second.newest();
 }
 
-void Core::broadcastCrash(const serving::CrashEvidence& aEvidence)
+void Core::reportCrash(const serving::CrashEvidence& aEvidence, base::TimePoint aNow)
+{
+  if (recordCrash(aEvidence, aNow)) {
+    broadcast(aEvidence);
+  }
+}
+
+bool Core::recordCrash(const serving::CrashEvidence& aEvidence, base::TimePoint aNow)
+{
+  bool isNew = suspects.record(aEvidence, aNow);
+  if (!isNew) {
+    return false;
+  }
+  auto parts = quarantine.recordCrash(aEvidence, aNow);
+  log.write(telemetry::EventClass::Refused,
+            "crash_evidence",
+            { { "endpoint", aEvidence.endpoint }, { "parts", listOf(aEvidence.parts) } },
+            aNow);
+  if (!parts.empty()) {
+    log.write(
+      telemetry::EventClass::Critical, "parts_quarantined", { { "parts", listOf(parts) } }, aNow);
+    spreadQuarantine(aNow);
+  }
+  return true;
+}
+
+void Core::spreadQuarantine(base::TimePoint aNow)
+{
+  auto parts = quarantine.quarantined(kQuarantinedPartsPerNotice, aNow);
+  if (parts.empty() || peers.empty()) {
+    return;
+  }
+  std::string text = serving::encode(serving::PartNotice{ parts, {} });
+  for (size_t i = 0; i < std::min(kQuarantineFanOut, peers.size()); ++i) {
+    ErrorCode ignored; // The next round tells other entries.
+    peerSocket.send_to(
+      asio::buffer(text), peers[base::uniformBelow(rng, peers.size())], 0, ignored);
+  }
+}
+
+void Core::applyNotice(const serving::PartNotice& aNotice, base::TimePoint aNow)
+{
+  quarantine.recordProof(aNotice.proved, aNow);
+  serving::PartNotice answer;
+  for (const serving::QuarantinedPart& part : aNotice.quarantined) {
+    bool wasQuarantined = quarantine.isQuarantined({ &part.part, 1 }, aNow);
+    if (!quarantine.adopt(part, aNow)) {
+      answer.proved.push_back(part.part);
+    } else if (!wasQuarantined && quarantine.isQuarantined({ &part.part, 1 }, aNow)) {
+      log.write(telemetry::EventClass::Critical,
+                "parts_quarantined",
+                { { "parts", listOf({ &part.part, 1 }) },
+                  { "evidence_ms", std::to_string(part.evidenceAge.count()) },
+                  { "from", "peer" } },
+                aNow);
+    }
+  }
+  if (!answer.proved.empty()) {
+    log.write(telemetry::EventClass::Critical,
+              "quarantine_disproved",
+              { { "parts", listOf(answer.proved) } },
+              aNow);
+    broadcast(answer);
+  }
+}
+
+void Core::broadcast(const serving::PeerMessage& aMessage)
 {
-  std::string text = serving::encode(aEvidence);
+  std::string text = serving::encode(aMessage);
   for (const auto& peer : peers) {
-    for (int copy = 0; copy < kCrashEvidenceCopies; ++copy) {
+    for (int copy = 0; copy < kBroadcastCopies; ++copy) {
       ErrorCode ignored; // An unreachable peer still records the crashes that it sees itself.
       peerSocket.send_to(asio::buffer(text), peer, 0, ignored);
     }
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -10,6 +10,8 @@
 #include "base/Rng.h"
 #include "relay/Relay.h"
 #include "serving/CrashSuspects.h"
+#include "serving/PartQuarantine.h"
+#include "serving/PeerMessage.h"
 #include "serving/VersionSchedule.h"
 
 namespace boragepitch::relay {
@@ -30,6 +32,7 @@
   telemetry::Counter& connects;
   telemetry::Counter& sentAfterLeave;
   telemetry::Counter& begunOutdated;
+  telemetry::Counter& quarantined;
   telemetry::Gauge& callers;
   telemetry::Gauge& inFlight;
   telemetry::Gauge& deploymentVersion;
@@ -60,8 +63,17 @@
   {
     return listConfirmedAt ? aNow - *listConfirmedAt : base::Duration(-1);
   }
-  /** Sends the evidence to the other entries, several times, since a datagram may be lost. */
-  void broadcastCrash(const serving::CrashEvidence& aEvidence);
+  /** Records that an endpoint crashed while a request was about to begin there, and tells the other
+   * entries. */
+  void reportCrash(const serving::CrashEvidence& aEvidence, base::TimePoint aNow);
+  /** Records evidence of this or another entry. Returns true when it is new. */
+  bool recordCrash(const serving::CrashEvidence& aEvidence, base::TimePoint aNow);
+  /** Tells a few other entries which parts of prompts are in quarantine. */
+  void spreadQuarantine(base::TimePoint aNow);
+  /** Applies the notice of another entry. */
+  void applyNotice(const serving::PartNotice& aNotice, base::TimePoint aNow);
+  /** Sends to the other entries, several times, since a datagram may be lost. */
+  void broadcast(const serving::PeerMessage& aMessage);
   bool isReady() const { return !leaving && deployment != nullptr && listConfirmedAt; }
 
   const RelayOptions options;
@@ -75,6 +87,7 @@
   serving::EndpointSet endpoints;
   serving::SharedRetryBudget retryBudget;
   serving::CrashSuspects suspects;
+  serving::PartQuarantine quarantine;
   std::map<std::string, serving::VersionSchedule, std::less<>> versions; ///< By model.
   std::optional<base::TimePoint> listConfirmedAt; ///< When the endpoint list was last confirmed.
   bool leaving = false;
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -14,7 +14,8 @@
 
 /** Interval at which sessions check their timeouts. */
 constexpr base::Milliseconds kTickInterval = 50ms;
-constexpr base::Milliseconds kPruneInterval = 1000ms;
+/** Interval of housekeeping: idle connections are closed, the quarantine is told to others. */
+constexpr base::Milliseconds kHousekeepingInterval = 1000ms;
 constexpr size_t kMaxDatagramBytes = 2048;
 constexpr int kListenBacklog = 512;
 
@@ -335,7 +336,9 @@
     if (auto* report = std::get_if<serving::LoadReport>(&*message)) {
       mCore.endpoints.recordReport(*report, now);
     } else if (auto* evidence = std::get_if<serving::CrashEvidence>(&*message)) {
-      mCore.suspects.record(*evidence, now);
+      mCore.recordCrash(*evidence, now);
+    } else if (auto* notice = std::get_if<serving::PartNotice>(&*message)) {
+      mCore.applyNotice(*notice, now);
     }
   }
 
@@ -357,9 +360,10 @@
     for (const auto& session : sessions) {
       session->tick(aNow);
     }
-    if (aNow - mPrunedAt > kPruneInterval) {
-      mPrunedAt = aNow;
+    if (aNow - mHousekeepingAt > kHousekeepingInterval) {
+      mHousekeepingAt = aNow;
       mCore.pool.prune(aNow);
+      mCore.spreadQuarantine(aNow);
     }
     mCore.log.flush(aNow);
     if (mCore.leaving && advanceLeaving(aNow)) {
@@ -394,7 +398,7 @@
   Tcp::acceptor mReadinessAcceptor{ mCore.io };
   Tcp::acceptor mMetricsAcceptor{ mCore.io };
   asio::steady_timer mTimer{ mCore.io };
-  base::TimePoint mPrunedAt;
+  base::TimePoint mHousekeepingAt;
   std::array<char, kMaxDatagramBytes> mDatagram{};
   asio::ip::udp::endpoint mSender;
   const StatusSession::Answer mReadinessAnswer = [this](std::string_view aTarget) {
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -26,6 +26,10 @@
     RequestFacts facts;
     facts.attemptId = headerValue(aHeaders, "Id");
     facts.key = headerValue(aHeaders, "Key");
+    // Parts of the prompt as single digits.
+    for (char part : headerValue(aHeaders, "Parts")) {
+      facts.sharedParts.push_back(static_cast<uint64_t>(part));
+    }
     auto last = headerValue(aHeaders, "Last");
     if (!last.empty()) {
       facts.lastEvent = std::stoull(std::string(last));
@@ -270,6 +274,7 @@
     options.leaveLimit = 5000ms;
     callers = options.callers;
     readiness = options.readiness;
+    peers = options.peers;
     relay = Relay::Builder()
               .options(options)
               .headerCodec(&headerCodec)
@@ -353,6 +358,7 @@
   telemetry::EventLog log{ ::dup(STDERR_FILENO), "entry", { .linesPerSecond = { 0, 0, 0 } } };
   net::Address callers;
   net::Address readiness;
+  net::Address peers;
   bool keys = false;
   std::unique_ptr<Relay> relay;
   std::thread thread;
--- a/libs/serving/include/serving/CrashSuspects.h
+++ b/libs/serving/include/serving/CrashSuspects.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/Time.h"
 
@@ -16,6 +17,8 @@
 {
   uint64_t fingerprint = 0; ///< Hash of the request's path, caller and body.
   std::string endpoint;     ///< Id and start time of the endpoint that crashed.
+  /** Parts of the request's prompt that may have caused the crash; see PartQuarantine. */
+  std::vector<uint64_t> parts;
 };
 
 /**
--- a/libs/serving/include/serving/PeerMessage.h
+++ b/libs/serving/include/serving/PeerMessage.h
@@ -5,12 +5,14 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "base/Error.h"
 #include "net/Address.h"
 #include "serving/CrashSuspects.h"
 #include "serving/EndpointSet.h"
 #include "serving/EntrySubset.h"
+#include "serving/PartQuarantine.h"
 
 namespace boragepitch::serving {
 
@@ -22,9 +24,18 @@
   std::map<std::string, uint64_t> weightVersions; ///< Newest declared version by model.
 };
 
+/** An entry tells others which parts of prompts it holds in quarantine, and which it knows to be
+ * harmless although another entry holds them in quarantine. */
+struct PartNotice
+{
+  std::vector<QuarantinedPart> quarantined;
+  std::vector<PromptPart> proved;
+};
+
 /** Payload of one datagram between processes. A lost load report is superseded by the next one;
- * crash evidence and notices are sent more than once. */
-using PeerMessage = std::variant<LoadReport, CrashEvidence, EntryNotice>;
+ * crash evidence and notices are sent more than once. A list that would not fit into a datagram is
+ * cut. */
+using PeerMessage = std::variant<LoadReport, CrashEvidence, EntryNotice, PartNotice>;
 
 std::string encode(const PeerMessage& aMessage);
 /** Parses a datagram; ErrorKind::Invalid when it is not a well-formed message. */
--- /dev/null
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -0,0 +1,177 @@
+#include "serving/PartQuarantine.h"
+
+#include <algorithm>
+#include <set>
+
+namespace boragepitch::serving {
+
+namespace {
+constexpr base::Milliseconds kPruneInterval{ 1000 };
+} // namespace
+
+PartQuarantine::PartQuarantine(PartQuarantineOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+std::vector<PromptPart> PartQuarantine::unproved(std::span<const PromptPart> aParts,
+                                                 base::TimePoint aNow) const
+{
+  std::vector<PromptPart> parts;
+  for (PromptPart part : aParts) {
+    auto found = mRecords.find(part);
+    if (found == mRecords.end() ||
+        aNow - found->second.provedAt > base::Duration(mOptions.proofValidity)) {
+      parts.push_back(part);
+    }
+  }
+  return parts;
+}
+
+void PartQuarantine::recordProof(std::span<const PromptPart> aParts, base::TimePoint aBegunAt)
+{
+  for (PromptPart part : aParts) {
+    Record& record = recordOf(part, aBegunAt);
+    record.provedAt = std::max(record.provedAt, aBegunAt);
+    record.updatedAt = std::max(record.updatedAt, aBegunAt);
+    std::erase_if(record.crashes, [&](const Crash& aCrash) { return aCrash.at <= aBegunAt; });
+    if (aBegunAt >= record.suspectedSince) {
+      record.quarantinedUntil = {};
+    }
+  }
+}
+
+std::vector<PromptPart> PartQuarantine::recordCrash(const CrashEvidence& aEvidence,
+                                                    base::TimePoint aNow)
+{
+  std::vector<PromptPart> convicted;
+  for (PromptPart part : aEvidence.parts) {
+    Record& record = recordOf(part, aNow);
+    record.updatedAt = aNow;
+    std::erase_if(record.crashes, [&](const Crash& aCrash) {
+      return aNow - aCrash.at > base::Duration(mOptions.memory);
+    });
+    bool isKnown =
+      std::any_of(record.crashes.begin(), record.crashes.end(), [&](const Crash& aCrash) {
+        return aCrash.endpoint == aEvidence.endpoint && aCrash.fingerprint == aEvidence.fingerprint;
+      });
+    bool isFull = record.crashes.size() >= 2 * (mOptions.crashes + mOptions.requests);
+    if (!isKnown && !isFull) {
+      record.crashes.push_back({ aEvidence.endpoint, aEvidence.fingerprint, aNow });
+    }
+    if (aNow >= record.quarantinedUntil && isConvicted(record)) {
+      quarantine(record, record.crashes.front().at, aNow);
+      convicted.push_back(part);
+    }
+  }
+  return convicted;
+}
+
+bool PartQuarantine::isConvicted(const Record& aRecord) const
+{
+  std::set<std::string_view> endpoints;
+  std::set<uint64_t> requests;
+  for (const Crash& crash : aRecord.crashes) {
+    endpoints.insert(crash.endpoint);
+    requests.insert(crash.fingerprint);
+  }
+  // A part that was quarantined before and crashes an endpoint again is suspected at once.
+  size_t needed = aRecord.quarantines > 0 ? 1 : mOptions.crashes;
+  return endpoints.size() >= needed && requests.size() >= std::min(needed, mOptions.requests);
+}
+
+void PartQuarantine::quarantine(Record& aRecord, base::TimePoint aSince, base::TimePoint aNow) const
+{
+  auto duration = mOptions.duration;
+  for (uint32_t i = 0; i < aRecord.quarantines && duration < mOptions.maxDuration; ++i) {
+    duration *= 2;
+  }
+  ++aRecord.quarantines;
+  aRecord.suspectedSince = aSince;
+  aRecord.quarantinedUntil = aNow + base::Duration(std::min(duration, mOptions.maxDuration));
+  aRecord.crashes.clear();
+}
+
+bool PartQuarantine::adopt(const QuarantinedPart& aPart, base::TimePoint aNow)
+{
+  auto since = aNow - base::Duration(aPart.evidenceAge);
+  Record& record = recordOf(aPart.part, aNow);
+  if (record.provedAt > since) {
+    return false;
+  }
+  auto left = std::min(aPart.left, mOptions.maxDuration);
+  if (aNow >= record.quarantinedUntil && left.count() > 0) {
+    ++record.quarantines;
+    record.suspectedSince = since;
+    record.updatedAt = aNow;
+    record.quarantinedUntil = aNow + base::Duration(left);
+    record.crashes.clear();
+  }
+  return true;
+}
+
+bool PartQuarantine::isQuarantined(std::span<const PromptPart> aParts, base::TimePoint aNow) const
+{
+  return std::any_of(aParts.begin(), aParts.end(), [&](PromptPart aPart) {
+    auto found = mRecords.find(aPart);
+    return found != mRecords.end() && aNow < found->second.quarantinedUntil;
+  });
+}
+
+std::vector<QuarantinedPart> PartQuarantine::quarantined(size_t aLimit, base::TimePoint aNow) const
+{
+  std::vector<QuarantinedPart> parts;
+  for (const auto& [part, record] : mRecords) {
+    if (aNow < record.quarantinedUntil && parts.size() < aLimit) {
+      parts.push_back(
+        { part,
+          std::chrono::duration_cast<base::Milliseconds>(aNow - record.suspectedSince),
+          std::chrono::duration_cast<base::Milliseconds>(record.quarantinedUntil - aNow) });
+    }
+  }
+  return parts;
+}
+
+PartQuarantine::Record& PartQuarantine::recordOf(PromptPart aPart, base::TimePoint aNow)
+{
+  auto found = mRecords.find(aPart);
+  if (found != mRecords.end()) {
+    return found->second;
+  }
+  if (mRecords.size() >= mOptions.maxParts || aNow - mPrunedAt > base::Duration(kPruneInterval)) {
+    prune(aNow);
+  }
+  return mRecords[aPart];
+}
+
+bool PartQuarantine::isObsolete(const Record& aRecord, base::TimePoint aNow) const
+{
+  if (aRecord.quarantines > 0) {
+    // The next quarantine of the part is to be longer.
+    return aNow >= aRecord.quarantinedUntil + base::Duration(mOptions.maxDuration);
+  }
+  auto memory = aRecord.crashes.empty() ? mOptions.proofMemory : mOptions.memory;
+  return aNow - aRecord.updatedAt > base::Duration(memory);
+}
+
+void PartQuarantine::prune(base::TimePoint aNow)
+{
+  mPrunedAt = aNow;
+  std::erase_if(mRecords, [&](const auto& aEntry) { return isObsolete(aEntry.second, aNow); });
+  if (mRecords.size() < mOptions.maxParts) {
+    return;
+  }
+  // Drops the older half, but parts in quarantine last.
+  auto ageKey = [](const Record& aRecord) {
+    return std::pair(aRecord.quarantinedUntil, aRecord.updatedAt);
+  };
+  std::vector<std::pair<base::TimePoint, base::TimePoint>> keys;
+  for (const auto& [part, record] : mRecords) {
+    keys.push_back(ageKey(record));
+  }
+  auto middle = keys.begin() + static_cast<ptrdiff_t>(keys.size() / 2);
+  std::nth_element(keys.begin(), middle, keys.end());
+  std::erase_if(mRecords, [&](const auto& aEntry) { return ageKey(aEntry.second) <= *middle; });
+}
+
+} // namespace boragepitch::serving
--- a/libs/serving/src/PeerMessage.cpp
+++ b/libs/serving/src/PeerMessage.cpp
@@ -10,6 +10,21 @@
 
 constexpr size_t kMaxMessageBytes = 2048;
 constexpr int64_t kMaxCount = 1'000'000;
+/** Entries of a list of parts; a part takes up to 24 bytes, one in quarantine up to 80. */
+constexpr Json::ArrayIndex kMaxParts = 12;
+constexpr int64_t kMaxPartAgeMs = 86'400'000;
+
+Json::Value toJson(const std::vector<PromptPart>& aParts)
+{
+  Json::Value list(Json::arrayValue);
+  for (PromptPart part : aParts) {
+    if (list.size() < kMaxParts) {
+      // As text, since readers of JSON may hold numbers with less than 64 bits.
+      list.append(std::to_string(part));
+    }
+  }
+  return list;
+}
 
 Json::Value toJson(const LoadReport& aReport)
 {
@@ -33,6 +48,25 @@
   json["kind"] = "crash";
   json["fingerprint"] = std::to_string(aEvidence.fingerprint);
   json["endpoint"] = aEvidence.endpoint;
+  json["parts"] = toJson(aEvidence.parts);
+  return json;
+}
+
+Json::Value toJson(const PartNotice& aNotice)
+{
+  Json::Value json;
+  json["kind"] = "parts";
+  json["quarantined"] = Json::Value(Json::arrayValue);
+  for (const QuarantinedPart& part : aNotice.quarantined) {
+    if (json["quarantined"].size() < kMaxParts) {
+      Json::Value row;
+      row["part"] = std::to_string(part.part);
+      row["age"] = Json::Int64{ part.evidenceAge.count() };
+      row["left"] = Json::Int64{ part.left.count() };
+      json["quarantined"].append(std::move(row));
+    }
+  }
+  json["proved"] = toJson(aNotice.proved);
   return json;
 }
 
@@ -85,6 +119,42 @@
   return PeerMessage(report);
 }
 
+/** Invalid members are left out: a part that is missing is reported again with the next crash. */
+std::vector<PromptPart> partsFrom(const Json::Value& aList)
+{
+  std::vector<PromptPart> parts;
+  for (const Json::Value& part : aList.isArray() ? aList : Json::Value(Json::arrayValue)) {
+    if (part.isString() && parts.size() < kMaxParts) {
+      parts.push_back(std::strtoull(part.asCString(), nullptr, 10));
+    }
+  }
+  return parts;
+}
+
+base::Result<PeerMessage> partNoticeFrom(const Json::Value& aJson)
+{
+  PartNotice notice;
+  notice.proved = partsFrom(aJson["proved"]);
+  const Json::Value& rows = aJson["quarantined"];
+  for (const Json::Value& row : rows.isArray() ? rows : Json::Value(Json::arrayValue)) {
+    if (!row.isObject()) {
+      return base::fail(base::ErrorKind::Invalid, "quarantined", "not a list of objects", "");
+    }
+    auto part = base::requireString(row, "part");
+    auto age = base::requireInt(row, "age", 0, kMaxPartAgeMs);
+    auto left = base::requireInt(row, "left", 0, kMaxPartAgeMs);
+    if (!part || !age || !left) {
+      return tl::make_unexpected(!part ? part.error() : !age ? age.error() : left.error());
+    }
+    if (notice.quarantined.size() < kMaxParts) {
+      notice.quarantined.push_back({ std::strtoull(part->c_str(), nullptr, 10),
+                                     base::Milliseconds(*age),
+                                     base::Milliseconds(*left) });
+    }
+  }
+  return PeerMessage(notice);
+}
+
 base::Result<PeerMessage> crashFrom(const Json::Value& aJson)
 {
   auto fingerprint = base::requireString(aJson, "fingerprint");
@@ -95,6 +165,7 @@
   CrashEvidence evidence;
   evidence.fingerprint = std::strtoull(fingerprint->c_str(), nullptr, 10);
   evidence.endpoint = *endpoint;
+  evidence.parts = partsFrom(aJson["parts"]);
   return PeerMessage(evidence);
 }
 
@@ -142,6 +213,9 @@
   if (kind == "crash") {
     return crashFrom(*json);
   }
+  if (kind == "parts") {
+    return partNoticeFrom(*json);
+  }
   if (kind == "entry") {
     return noticeFrom(*json);
   }
--- /dev/null
+++ b/libs/serving/tests/PartQuarantineTest.cpp
@@ -0,0 +1,185 @@
+#define BOOST_TEST_MODULE serving_part_quarantine
+#include <boost/test/unit_test.hpp>
+
+#include "base/Rng.h"
+#include "serving/PartQuarantine.h"
+
+using namespace boragepitch;
+using namespace boragepitch::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr PromptPart kShared = 1; ///< In all requests of the route.
+constexpr PromptPart kDeadly = 2;
+constexpr PromptPart kOther = 3;
+
+struct Quarantine : PartQuarantine
+{
+  using PartQuarantine::PartQuarantine;
+  bool holds(PromptPart aPart, base::TimePoint aNow) const
+  {
+    return isQuarantined({ &aPart, 1 }, aNow);
+  }
+  void prove(PromptPart aPart, base::TimePoint aBegunAt) { recordProof({ &aPart, 1 }, aBegunAt); }
+  /** Records a crash as the entry does that sees it. */
+  void crash(uint64_t aRequest,
+             const std::string& aEndpoint,
+             std::vector<PromptPart> aParts,
+             base::TimePoint aNow)
+  {
+    recordCrash({ aRequest, aEndpoint, unproved(aParts, aNow) }, aNow);
+  }
+};
+
+const base::TimePoint kStart{ 1h };
+
+} // namespace
+
+// Guards against requests that crash one endpoint after the other because they share a part of
+// their prompt and nothing else (BUDGET).
+BOOST_AUTO_TEST_CASE(quarantinesAPartThatCrashesEndpointsInDifferentRequests)
+{
+  Quarantine quarantine;
+  quarantine.crash(1, "a", { kShared, kDeadly }, kStart);
+  quarantine.prove(kShared, kStart + 10ms);
+  quarantine.crash(1, "b", { kShared, kDeadly }, kStart + 20ms);
+  BOOST_TEST(!quarantine.holds(kDeadly, kStart + 20ms));
+  quarantine.prove(kShared, kStart + 30ms);
+  quarantine.crash(2, "c", { kShared, kDeadly }, kStart + 40ms);
+  BOOST_TEST(quarantine.holds(kDeadly, kStart + 40ms));
+  BOOST_TEST(!quarantine.holds(kShared, kStart + 40ms));
+}
+
+// Two such parts, one after the other.
+BOOST_AUTO_TEST_CASE(quarantinesASecondPart)
+{
+  Quarantine quarantine;
+  for (uint64_t i = 0; i < 3; ++i) {
+    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart);
+    quarantine.crash(10 + i, "b" + std::to_string(i), { kOther }, kStart + 9s);
+  }
+  BOOST_TEST(quarantine.holds(kDeadly, kStart + 9s));
+  BOOST_TEST(quarantine.holds(kOther, kStart + 9s));
+}
+
+// Guards against a quarantine of sound requests because endpoints crash by chance, or many are
+// killed at once, while these requests wait there.
+BOOST_AUTO_TEST_CASE(crashesByChanceQuarantineNoSoundPart)
+{
+  base::Rng rng(7);
+  Quarantine quarantine;
+  base::TimePoint now = kStart;
+  constexpr uint64_t kParts = 40;
+  uint64_t crashes = 0;
+  for (uint64_t request = 0; request < 20000; ++request) {
+    now += 5ms;
+    PromptPart own = 100 + base::uniformBelow(rng, kParts);
+    // One request in twelve waits at an endpoint that crashes.
+    if (base::uniformBelow(rng, 12) == 0) {
+      quarantine.crash(request, "e" + std::to_string(++crashes), { kShared, own }, now);
+    } else {
+      quarantine.recordProof(std::array{ kShared, own }, now);
+    }
+    BOOST_REQUIRE(!quarantine.holds(kShared, now));
+  }
+  BOOST_TEST(crashes > 1000U);
+  size_t wrong = quarantine.quarantined(kParts, now).size();
+  BOOST_TEST(wrong == 0U);
+}
+
+// One request that is sent again and again to endpoints that crash by chance is no evidence.
+BOOST_AUTO_TEST_CASE(aSingleRequestQuarantinesNothing)
+{
+  Quarantine quarantine;
+  for (int i = 0; i < 6; ++i) {
+    quarantine.crash(1, "e" + std::to_string(i), { kOther }, kStart);
+  }
+  BOOST_TEST(!quarantine.holds(kOther, kStart));
+}
+
+// Many requests that wait at one endpoint which crashes are no evidence.
+BOOST_AUTO_TEST_CASE(aSingleEndpointQuarantinesNothing)
+{
+  Quarantine quarantine;
+  for (uint64_t i = 0; i < 30; ++i) {
+    quarantine.crash(i, "e", { kOther }, kStart);
+  }
+  BOOST_TEST(!quarantine.holds(kOther, kStart));
+}
+
+// A wrong quarantine ends by itself, and the next one of the part lasts longer.
+BOOST_AUTO_TEST_CASE(quarantinesEnd)
+{
+  const PartQuarantineOptions options;
+  Quarantine quarantine;
+  for (uint64_t i = 0; i < 3; ++i) {
+    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart);
+  }
+  auto end = kStart + base::Duration(options.duration);
+  BOOST_TEST(quarantine.holds(kDeadly, end - 1ms));
+  BOOST_TEST(!quarantine.holds(kDeadly, end));
+  quarantine.crash(9, "z", { kDeadly }, end + 1s);
+  BOOST_TEST(quarantine.holds(kDeadly, end + 1s + 2 * base::Duration(options.duration) - 1ms));
+}
+
+// Guards against a part that becomes harmful although requests with it were sound before.
+BOOST_AUTO_TEST_CASE(earlierProofsDoNotProtectAPart)
+{
+  Quarantine quarantine;
+  quarantine.prove(kDeadly, kStart);
+  for (uint64_t i = 0; i < 3; ++i) {
+    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart + 2s);
+  }
+  BOOST_TEST(quarantine.holds(kDeadly, kStart + 2s));
+}
+
+// Guards against entries that start later, or that the evidence did not reach.
+BOOST_AUTO_TEST_CASE(otherProcessesTakeOverAQuarantine)
+{
+  Quarantine quarantine;
+  for (uint64_t i = 0; i < 3; ++i) {
+    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart + i * 1s);
+  }
+  auto now = kStart + 5s;
+  auto told = quarantine.quarantined(9, now);
+  BOOST_REQUIRE(told.size() == 1U);
+  BOOST_TEST((told[0].evidenceAge == 5s));
+  Quarantine later;
+  BOOST_TEST(later.adopt(told[0], now));
+  BOOST_TEST(later.holds(kDeadly, now + told[0].left - 1ms));
+  BOOST_TEST(!later.holds(kDeadly, now + told[0].left));
+}
+
+// Guards against an entry with little traffic that has a sound part quarantined everywhere.
+BOOST_AUTO_TEST_CASE(newerProofsContradictAQuarantine)
+{
+  Quarantine wrong;
+  for (uint64_t i = 0; i < 3; ++i) {
+    wrong.crash(i, "a" + std::to_string(i), { kShared }, kStart);
+  }
+  Quarantine busy;
+  busy.prove(kShared, kStart + 1s);
+  auto now = kStart + 2s;
+  BOOST_TEST(!busy.adopt(wrong.quarantined(9, now).at(0), now));
+  BOOST_TEST(!busy.holds(kShared, now));
+  wrong.prove(kShared, now);
+  BOOST_TEST(!wrong.holds(kShared, now));
+}
+
+// Guards against memory that grows with the number of parts.
+BOOST_AUTO_TEST_CASE(recordsAreBounded)
+{
+  PartQuarantineOptions options;
+  options.maxParts = 100;
+  Quarantine quarantine(options);
+  for (uint64_t i = 0; i < 3; ++i) {
+    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart);
+  }
+  for (uint64_t i = 0; i < 10000; ++i) {
+    quarantine.prove(1000 + i, kStart + i * 1ms);
+    quarantine.crash(i, "x", { 100000 + i }, kStart + i * 1ms);
+    BOOST_REQUIRE(quarantine.size() <= options.maxParts);
+  }
+  BOOST_TEST(quarantine.holds(kDeadly, kStart + 11s));
+}
