Read the records of versions again after the store failed

Cause: the read was tried once; a failure counted as no records.

Change: a failed read is told apart from an empty one and repeated after the next answer of the store. A version whose time was guessed meanwhile can only move to an earlier time.

Test: router.OperatorListenerTest/readsTheRecordsOnceTheStoreAnswersAgain; the read was not repeated before.

--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -1,5 +1,7 @@
 #include "OperatorListener.h"
 
+#include <utility>
+
 #include "platform/OperatorRows.h"
 
 namespace boragepitch::tools {
@@ -112,17 +114,15 @@
   RowSource aSource,
   base::TimePoint aNow)
 {
+  serving::DeclarationEvidence evidence;
   auto ages = mPublisher.declarationAges(aDeclared.model, aNow);
-  // The row names the newest version only. Older ones that were declared shortly before must be
-  // enforced earlier.
-  for (const auto& [version, age] : ages) {
-    if (version < aDeclared.version && !mKnownVersions.contains({ aDeclared.model, version })) {
-      enforceVersion({ aDeclared.model, version }, aSource, { .age = age }, aNow);
+  if (ages) {
+    if (auto own = ages->extract(aDeclared.version)) {
+      evidence.age = own.mapped();
     }
-  }
-  serving::DeclarationEvidence evidence;
-  if (auto own = ages.find(aDeclared.version); own != ages.end()) {
-    evidence.age = own->second;
+    enforceRecorded(aDeclared.model, *ages, aSource, aNow);
+  } else {
+    mModelsToRead.insert(aDeclared.model);
   }
   // A call that starts after an outage succeeds, so the outage lasted beyond the start of the last
   // failed call. What was declared during it counts from its end.
@@ -130,12 +130,27 @@
   return evidence;
 }
 
+void OperatorListener::enforceRecorded(const std::string& aModel,
+                                       const std::map<uint64_t, base::Milliseconds>& aAges,
+                                       RowSource aSource,
+                                       base::TimePoint aNow)
+{
+  // The operators' row names the newest version only. Older ones that were declared shortly before
+  // must be enforced earlier.
+  for (const auto& [version, age] : aAges) {
+    auto known = mKnownVersions.find({ aModel, version });
+    if (known == mKnownVersions.end() || !known->second) {
+      enforceVersion({ aModel, version }, aSource, { .age = age }, aNow);
+    }
+  }
+}
+
 base::Milliseconds OperatorListener::enforceVersion(const platform::DeclaredWeights& aDeclared,
                                                     RowSource aSource,
                                                     const serving::DeclarationEvidence& aEvidence,
                                                     base::TimePoint aNow)
 {
-  mKnownVersions.emplace(aDeclared.model, aDeclared.version);
+  mKnownVersions[{ aDeclared.model, aDeclared.version }] = aEvidence.age.has_value();
   auto from = serving::enforceFrom(aEvidence, mTiming, aNow);
   auto left = std::chrono::duration_cast<base::Milliseconds>(from - aNow);
   auto sinceLastCall =
@@ -160,6 +175,13 @@
 {
   mLastCallAt = aNow;
   mFailedCallAt.reset();
+  for (const std::string& model : std::exchange(mModelsToRead, {})) {
+    if (auto ages = mPublisher.declarationAges(model, aNow)) {
+      enforceRecorded(model, *ages, RowSource::Snapshot, aNow);
+    } else {
+      mModelsToRead.insert(model);
+    }
+  }
   for (const auto& moved : mPending.observe(mServiceTime, aNow)) {
     mRelay.declareVersion(moved.model, moved.version, moved.enforceFrom);
   }
--- a/tools/router/OperatorListener.h
+++ b/tools/router/OperatorListener.h
@@ -53,6 +53,12 @@
   serving::DeclarationEvidence evidenceOfLateRead(const platform::DeclaredWeights& aDeclared,
                                                   RowSource aSource,
                                                   base::TimePoint aNow);
+  /** Enforces the recorded versions of a model, unless this process took them from their records
+   * before. */
+  void enforceRecorded(const std::string& aModel,
+                       const std::map<uint64_t, base::Milliseconds>& aAges,
+                       RowSource aSource,
+                       base::TimePoint aNow);
   /** Has the relay enforce the version; returns the time until then. */
   base::Milliseconds enforceVersion(const platform::DeclaredWeights& aDeclared,
                                     RowSource aSource,
@@ -68,9 +74,11 @@
   base::Milliseconds mServiceTime{ 0 }; ///< Zero until the store named its clock.
   serving::PendingVersions mPending;
   std::optional<base::TimePoint> mLastCallAt;
+  std::set<std::string> mModelsToRead; ///< Models whose records could not be read yet.
   /** Start of the latest call, if it failed. */
   std::optional<base::TimePoint> mFailedCallAt;
-  std::set<std::pair<std::string, uint64_t>> mKnownVersions; ///< Model and version.
+  /** Versions by model and number, with whether their time was taken from a record. */
+  std::map<std::pair<std::string, uint64_t>, bool> mKnownVersions;
 };
 
 } // namespace boragepitch::tools
--- a/tools/router/WeightPublisher.cpp
+++ b/tools/router/WeightPublisher.cpp
@@ -88,10 +88,10 @@
   return aFeed.put(kWeightTable, aKey, aValue);
 }
 
-std::map<uint64_t, base::Milliseconds> WeightPublisher::declarationAges(const std::string& aModel,
-                                                                        base::TimePoint aNow)
+base::Result<std::map<uint64_t, base::Milliseconds>> WeightPublisher::declarationAges(
+  const std::string& aModel,
+  base::TimePoint aNow)
 {
-  std::map<uint64_t, base::Milliseconds> ages;
   auto [first, end] = declaredRange(aModel);
   auto page = mMakeFeed()->range(kWeightTable, first, end);
   if (!page) {
@@ -99,8 +99,9 @@
                "declarations_unknown",
                { { "model", aModel }, { "error", page.error().describe() } },
                aNow);
-    return ages;
+    return tl::make_unexpected(page.error());
   }
+  std::map<uint64_t, base::Milliseconds> ages;
   for (const stores::RowChange& row : page->rows) {
     auto declared = readDeclaredRow(row.key, row.value);
     if (declared) {
--- a/tools/router/WeightPublisher.h
+++ b/tools/router/WeightPublisher.h
@@ -28,10 +28,10 @@
   void setDeployment(const serving::Deployment& aDeployment);
   void writeQueued(base::TimePoint aNow);
 
-  /** Time since each version of the model was declared, by version, as far as valid records can be
-   * read. */
-  std::map<uint64_t, base::Milliseconds> declarationAges(const std::string& aModel,
-                                                         base::TimePoint aNow);
+  /** Time since each version of the model was declared, by version, as far as there are valid
+   * records. Fails if the store does not answer. */
+  base::Result<std::map<uint64_t, base::Milliseconds>> declarationAges(const std::string& aModel,
+                                                                       base::TimePoint aNow);
 
 private:
   /** Writes the setup unless its row holds it already: each write wakes every loader, and all
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -205,3 +205,24 @@
   process.listener.onCallSucceeded(now + 2100ms);
   BOOST_TEST((process.relay.declared.at(2) == now + 7s));
 }
+
+// Guards against a superseded version that stays unknown because the store failed when the records
+// were read.
+BOOST_AUTO_TEST_CASE(readsTheRecordsOnceTheStoreAnswersAgain)
+{
+  FakeWeightTable table;
+  table.rows["declared/m/2"] = "4000";
+  table.rows["declared/m/3"] = "6000";
+  table.time = 7000ms;
+  table.isDown = true;
+  Process process(table);
+  base::TimePoint now{ 1h };
+  process.listener.onServiceTime(table.time);
+  process.listener.onSnapshot({ declaration(3) }, now);
+  process.listener.onCallSucceeded(now);
+  BOOST_TEST(!process.relay.declared.contains(2));
+  table.isDown = false;
+  process.listener.onCallSucceeded(now + 1s);
+  BOOST_TEST((process.relay.declared.at(2) == now + 1s + 4s));
+  BOOST_TEST((process.relay.declared.at(3) == now + 2s));
+}
