Give answers of very many small chunks up

Cause: an answer may have 4 MiB, and in chunks of 16 bytes that takes a quarter of a million chunks to parse.

Change: an answer ends as invalid after 65,536 chunks, too. The longest streams have a few thousand events.

--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -14,6 +14,9 @@
 /** Maximum body size of an answer; guards against an endpoint that sends without end. An entry with
  * 240 MB of memory must be able to buffer several such answers at once. */
 constexpr uint64_t kMaxAnswerBytes = 4 << 20;
+/** Maximum chunks of an answer: small ones take more processor time to parse than their bytes. The
+ * longest streams have a few thousand events, each in a chunk of its own. */
+constexpr int kMaxAnswerChunks = 1 << 16;
 /** Maximum answers skipped in one exchange: late answers to earlier requests and interim (1xx)
  * answers. Even short ones take processor time to parse. */
 constexpr int kMaxSkippedAnswers = 16;
@@ -199,9 +202,11 @@
   mParser->body_limit(std::numeric_limits<uint64_t>::max());
   mParser->eager(true);
   mParser->skip(mRequest.isHead);
+  mParser->on_chunk_header(mOnChunk);
   mHeadSeen = false;
   mSkipping = false;
   mBodyBytes = 0;
+  mChunks = 0;
 }
 
 void Exchange::read()
@@ -263,7 +268,7 @@
       std::string body;
       body.swap(mParser->get().body());
       mBodyBytes += body.size();
-      if (mBodyBytes > kMaxAnswerBytes) {
+      if (mBodyBytes > kMaxAnswerBytes || mChunks > kMaxAnswerChunks) {
         finish(ExchangeEnd::NotAnAnswer);
         return false;
       }
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -181,6 +181,10 @@
   bool mHeadSeen = false;
   bool mSkipping = false;  ///< The answer being read is to another request and is discarded.
   uint64_t mBodyBytes = 0; ///< Body bytes received of the answer being read.
+  int mChunks = 0;         ///< Chunks received of that answer.
+  /** Counts chunks; a member because the parser keeps a reference to it. */
+  std::function<void(uint64_t, beast::string_view, ErrorCode&)> mOnChunk =
+    [this](uint64_t, beast::string_view, ErrorCode&) { ++mChunks; };
   int mSkippedAnswers = 0;
   bool mPaused = false;
   bool mReading = false;
