PartQuarantine: crashes of many requests at one endpoint hide no others

What callers see: with ten or more requests with a crashing part at one endpoint when it crashes, the part is not quarantined while these crashes are remembered (60 s), however many further endpoints it crashes. Cause: a record holds ten crashes and ignored all later ones. Now it keeps the latest two requests of each endpoint, and drops the oldest crash when it is full.

serving.PartQuarantineSpreadTest, crashesOfManyRequestsAtOneEndpointHideNoOthers: before: check holds(quarantine, kDeadly, kStart + 1s) has failed after: no errors; PartQuarantineTest: 10 cases, no errors

--- a/libs/serving/include/serving/PartQuarantine.h
+++ b/libs/serving/include/serving/PartQuarantine.h
@@ -89,6 +89,7 @@
   };
 
   Record& recordOf(PromptPart aPart, base::TimePoint aNow);
+  void addCrash(Record& aRecord, const Crash& aCrash) const;
   bool isConvicted(const Record& aRecord) const;
   void quarantine(Record& aRecord, base::TimePoint aSince, base::TimePoint aNow) const;
   bool isObsolete(const Record& aRecord, base::TimePoint aNow) const;
--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -51,14 +51,7 @@
     std::erase_if(record.crashes, [&](const Crash& aCrash) {
       return aNow - aCrash.at > base::Duration(mOptions.memory);
     });
-    bool isKnown =
-      std::any_of(record.crashes.begin(), record.crashes.end(), [&](const Crash& aCrash) {
-        return aCrash.endpoint == aEvidence.endpoint && aCrash.fingerprint == aEvidence.fingerprint;
-      });
-    bool isFull = record.crashes.size() >= 2 * (mOptions.crashes + mOptions.requests);
-    if (!isKnown && !isFull) {
-      record.crashes.push_back({ aEvidence.endpoint, aEvidence.fingerprint, aNow });
-    }
+    addCrash(record, { aEvidence.endpoint, aEvidence.fingerprint, aNow });
     if (aNow >= record.quarantinedUntil && isConvicted(record)) {
       quarantine(record, record.crashes.front().at, aNow);
       convicted.push_back(part);
@@ -67,6 +60,26 @@
   return convicted;
 }
 
+void PartQuarantine::addCrash(Record& aRecord, const Crash& aCrash) const
+{
+  auto isSameEndpoint = [&](const Crash& aOther) { return aOther.endpoint == aCrash.endpoint; };
+  auto& crashes = aRecord.crashes;
+  if (std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aOther) {
+        return isSameEndpoint(aOther) && aOther.fingerprint == aCrash.fingerprint;
+      })) {
+    return;
+  }
+  // Many requests may wait at one endpoint: they must leave room for crashes of others.
+  bool hasEnough = std::count_if(crashes.begin(), crashes.end(), isSameEndpoint) >=
+                   static_cast<ptrdiff_t>(mOptions.requests);
+  if (hasEnough) {
+    crashes.erase(std::find_if(crashes.begin(), crashes.end(), isSameEndpoint));
+  } else if (crashes.size() >= 2 * (mOptions.crashes + mOptions.requests)) {
+    crashes.erase(crashes.begin());
+  }
+  crashes.push_back(aCrash);
+}
+
 bool PartQuarantine::isConvicted(const Record& aRecord) const
 {
   std::set<std::string_view> endpoints;
--- /dev/null
+++ b/libs/serving/tests/PartQuarantineSpreadTest.cpp
@@ -0,0 +1,45 @@
+#define BOOST_TEST_MODULE serving_part_quarantine_spread
+#include <algorithm>
+#include <deque>
+
+#include <boost/test/unit_test.hpp>
+
+#include "base/Rng.h"
+#include "serving/PartQuarantine.h"
+
+using namespace boragepitch;
+using namespace boragepitch::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr PromptPart kDeadly = 2;
+const base::TimePoint kStart{ 1h };
+
+bool holds(const PartQuarantine& aQuarantine, PromptPart aPart, base::TimePoint aNow)
+{
+  return aQuarantine.isQuarantined({ &aPart, 1 }, aNow);
+}
+
+void crash(PartQuarantine& aQuarantine,
+           uint64_t aRequest,
+           const std::string& aEndpoint,
+           base::TimePoint aNow)
+{
+  aQuarantine.recordCrash({ aRequest, aEndpoint, { kDeadly } }, aNow);
+}
+
+} // namespace
+
+// Guards against many requests at one endpoint whose crashes leave no room for those of others.
+BOOST_AUTO_TEST_CASE(crashesOfManyRequestsAtOneEndpointHideNoOthers)
+{
+  PartQuarantine quarantine;
+  for (uint64_t i = 0; i < 30; ++i) {
+    crash(quarantine, i, "a", kStart);
+  }
+  crash(quarantine, 1, "b", kStart + 1s);
+  BOOST_TEST(!holds(quarantine, kDeadly, kStart + 1s));
+  crash(quarantine, 2, "c", kStart + 1s);
+  BOOST_TEST(holds(quarantine, kDeadly, kStart + 1s));
+}
