PartQuarantine: a disproved quarantine does not make the part suspect

What callers see: a rare sound part that was quarantined by coincidence and then cleared by a sound request is quarantined again, for twice as long, by the next single crash of an endpoint where it waits; ten minutes on, it still is. Cause: the count of quarantines outlived the proof that they were wrong. A proof newer than the evidence now resets it. A part that crashes engines is never proved harmless, so its second quarantine still takes one crash.

serving.PartQuarantineSpreadTest, aDisprovedQuarantineDoesNotMakeThePartSuspect: before: check !holds(quarantine, kDeadly, kStart + 4s) has failed after: no errors; PartQuarantineTest: 10 cases, no errors

--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -37,6 +37,7 @@
     std::erase_if(record.crashes, [&](const Crash& aCrash) { return aCrash.at <= aBegunAt; });
     if (aBegunAt >= record.suspectedSince) {
       record.quarantinedUntil = {};
+      record.quarantines = 0; // What the quarantine rested on was coincidence.
     }
   }
 }
--- a/libs/serving/tests/PartQuarantineSpreadTest.cpp
+++ b/libs/serving/tests/PartQuarantineSpreadTest.cpp
@@ -43,3 +43,17 @@
   crash(quarantine, 2, "c", kStart + 1s);
   BOOST_TEST(holds(quarantine, kDeadly, kStart + 1s));
 }
+
+// Guards against a sound part that is quarantined by one coincidence after the other: a request
+// that gets past its beginning takes back what the quarantine before rested on.
+BOOST_AUTO_TEST_CASE(aDisprovedQuarantineDoesNotMakeThePartSuspect)
+{
+  PartQuarantine quarantine;
+  for (uint64_t i = 0; i < 3; ++i) {
+    crash(quarantine, i, std::to_string(i), kStart);
+  }
+  BOOST_TEST(holds(quarantine, kDeadly, kStart));
+  quarantine.recordProof({ &kDeadly, 1 }, kStart + 1s);
+  crash(quarantine, 7, "x", kStart + 4s);
+  BOOST_TEST(!holds(quarantine, kDeadly, kStart + 4s));
+}
