PartQuarantine: each part in quarantine is told to other processes

What callers see: with more than twelve parts in quarantine, an entry that starts later never hears of those with the highest identifiers, and sends requests with them to engines. Cause: each round told the first twelve in the order of their identifiers. Each round now continues where the one before ended.

serving.PartQuarantineSpreadTest, eachPartInQuarantineIsTold: before: check later.quarantined(kParts, kStart + 1s).size() == kParts has failed [12 != 40] after: no errors; PartQuarantineTest: 10 cases, no errors

--- a/libs/serving/include/serving/PartQuarantine.h
+++ b/libs/serving/include/serving/PartQuarantine.h
@@ -67,8 +67,9 @@
   bool adopt(const QuarantinedPart& aPart, base::TimePoint aNow);
 
   bool isQuarantined(std::span<const PromptPart> aParts, base::TimePoint aNow) const;
-  /** The parts in quarantine, at most aLimit. */
-  std::vector<QuarantinedPart> quarantined(size_t aLimit, base::TimePoint aNow) const;
+  /** The parts in quarantine, at most aLimit; further calls continue with the others, so that each
+   * part is told. */
+  std::vector<QuarantinedPart> quarantined(size_t aLimit, base::TimePoint aNow);
   size_t size() const { return mRecords.size(); }
 
 private:
@@ -97,6 +98,7 @@
 
   PartQuarantineOptions mOptions;
   base::TimePoint mPrunedAt;
+  PromptPart mListedLast = 0;
   std::map<PromptPart, Record> mRecords;
 };
 
--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -132,11 +132,15 @@
   });
 }
 
-std::vector<QuarantinedPart> PartQuarantine::quarantined(size_t aLimit, base::TimePoint aNow) const
+std::vector<QuarantinedPart> PartQuarantine::quarantined(size_t aLimit, base::TimePoint aNow)
 {
   std::vector<QuarantinedPart> parts;
-  for (const auto& [part, record] : mRecords) {
-    if (aNow < record.quarantinedUntil && parts.size() < aLimit) {
+  auto next = mRecords.upper_bound(mListedLast);
+  for (size_t i = 0; i < mRecords.size() && parts.size() < aLimit; ++i, ++next) {
+    next = next == mRecords.end() ? mRecords.begin() : next;
+    const auto& [part, record] = *next;
+    if (aNow < record.quarantinedUntil) {
+      mListedLast = part;
       parts.push_back(
         { part,
           std::chrono::duration_cast<base::Milliseconds>(aNow - record.suspectedSince),
--- a/libs/serving/tests/PartQuarantineSpreadTest.cpp
+++ b/libs/serving/tests/PartQuarantineSpreadTest.cpp
@@ -57,3 +57,22 @@
   crash(quarantine, 7, "x", kStart + 4s);
   BOOST_TEST(!holds(quarantine, kDeadly, kStart + 4s));
 }
+
+// Guards against parts that other processes are never told of because many are in quarantine.
+BOOST_AUTO_TEST_CASE(eachPartInQuarantineIsTold)
+{
+  constexpr PromptPart kParts = 40;
+  PartQuarantine quarantine;
+  PartQuarantine later;
+  for (PromptPart part = 0; part < kParts; ++part) {
+    for (uint64_t i = 0; i < 3; ++i) {
+      quarantine.recordCrash({ 10 * part + i, std::to_string(i), { part } }, kStart);
+    }
+  }
+  for (int round = 0; round < 8; ++round) {
+    for (const auto& part : quarantine.quarantined(12, kStart + 1s)) {
+      later.adopt(part, kStart + 1s);
+    }
+  }
+  BOOST_TEST(later.quarantined(kParts, kStart + 1s).size() == kParts);
+}
