--- a/libs/serving/tests/PartQuarantineSpreadTest.cpp
+++ b/libs/serving/tests/PartQuarantineSpreadTest.cpp
@@ -44,6 +44,56 @@
   BOOST_TEST(holds(quarantine, kDeadly, kStart + 1s));
 }
 
+// Guards against a quarantine without end: processes whose quarantines end at slightly different
+// times take it over from each other again.
+BOOST_AUTO_TEST_CASE(aQuarantineThatIsToldWithDelayEndsEverywhere)
+{
+  struct Told
+  {
+    base::TimePoint at;
+    size_t to;
+    QuarantinedPart part;
+  };
+  const PartQuarantineOptions options;
+  base::Rng rng(3);
+  std::vector<PartQuarantine> entries(20);
+  std::deque<Told> underway;
+  for (uint64_t i = 0; i < 3; ++i) {
+    crash(entries[0], i, std::to_string(i), kStart);
+  }
+  auto end = kStart + base::Duration(options.duration) + 10s;
+  base::TimePoint lastHeld;
+  for (auto now = kStart; now < end + 60s; now += 10ms) {
+    for (size_t from = 0; from < entries.size(); ++from) {
+      // Each tells three others a second.
+      if ((now - kStart) % 1s != from * 50ms) {
+        continue;
+      }
+      for (const auto& part : entries[from].quarantined(9, now)) {
+        for (int copy = 0; copy < 3; ++copy) {
+          // The receiver is sometimes suspended.
+          auto delay = base::uniformBelow(rng, 100) == 0 ? 2000ms : 20ms;
+          underway.push_back({ now + delay, base::uniformBelow(rng, entries.size()), part });
+        }
+      }
+    }
+    std::erase_if(underway, [&](const Told& aTold) {
+      if (aTold.at > now) {
+        return false;
+      }
+      entries[aTold.to].adopt(aTold.part, now);
+      return true;
+    });
+    if (std::any_of(entries.begin(), entries.end(), [&](const auto& aEntry) {
+          return holds(aEntry, kDeadly, now);
+        })) {
+      lastHeld = now;
+    }
+  }
+  BOOST_TEST_MESSAGE("held for " << (lastHeld - kStart) / 1ms << " ms");
+  BOOST_TEST((lastHeld < end));
+}
+
 // Guards against a sound part that is quarantined by one coincidence after the other: a request
 // that gets past its beginning takes back what the quarantine before rested on.
 BOOST_AUTO_TEST_CASE(aDisprovedQuarantineDoesNotMakeThePartSuspect)
