PartQuarantine: spare parts that were proved more recently than another

What callers see: on a route with few sound requests (3 a second over six entries) beside ten a second with a crashing part, all requests of the route can be stopped: no sound one comes between the three crashes, so the first part of the prompt is quarantined with the crashing one. Cause: a part counted as proved for 1.5 s only and all parts without such a proof were taken for equally suspect. Now a part that was proved in the last 10 s and stands beside one whose last proof is older takes eight crashes. A part that turns harmful is still found by then.

--- a/libs/serving/include/serving/PartQuarantine.h
+++ b/libs/serving/include/serving/PartQuarantine.h
@@ -20,6 +20,9 @@
   /** Crashes of different endpoints after which a part is quarantined. Fewer may be coincidence:
    * endpoints also crash by chance, or many at once. */
   size_t crashes = 3;
+  /** The same for a part that was proved harmless within proofMemory and stands beside one whose
+   * last proof is older. With few sound requests none may come between the crashes. */
+  size_t crashesIfProved = 8;
   /** Different requests with the part that these crashes must have hit: a single one may just have
    * been resent to endpoints that crashed by chance. */
   size_t requests = 2;
@@ -31,7 +34,8 @@
   base::Milliseconds maxDuration{ 600000 };
   /** Time for which a proof keeps a part out of crash reports. */
   base::Milliseconds proofValidity{ 1500 };
-  /** Time for which a proof is remembered against the quarantine of another process. */
+  /** Time for which a proof is remembered: against the quarantine of another process, and to tell
+   * the parts of a request apart. */
   base::Milliseconds proofMemory{ 10000 };
   size_t maxParts = 8192; ///< Parts remembered.
 };
@@ -91,7 +95,7 @@
 
   Record& recordOf(PromptPart aPart, base::TimePoint aNow);
   void addCrash(Record& aRecord, const Crash& aCrash) const;
-  bool isConvicted(const Record& aRecord) const;
+  bool isConvicted(const Record& aRecord, size_t aCrashes) const;
   void quarantine(Record& aRecord, base::TimePoint aSince, base::TimePoint aNow) const;
   bool isObsolete(const Record& aRecord, base::TimePoint aNow) const;
   void prune(base::TimePoint aNow);
--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -45,6 +45,12 @@
 std::vector<PromptPart> PartQuarantine::recordCrash(const CrashEvidence& aEvidence,
                                                     base::TimePoint aNow)
 {
+  base::TimePoint earliestProof = base::TimePoint::max();
+  for (PromptPart part : aEvidence.parts) {
+    auto found = mRecords.find(part);
+    earliestProof =
+      std::min(earliestProof, found == mRecords.end() ? base::TimePoint() : found->second.provedAt);
+  }
   std::vector<PromptPart> convicted;
   for (PromptPart part : aEvidence.parts) {
     Record& record = recordOf(part, aNow);
@@ -53,7 +59,12 @@
       return aNow - aCrash.at > base::Duration(mOptions.memory);
     });
     addCrash(record, { aEvidence.endpoint, aEvidence.fingerprint, aNow });
-    if (aNow >= record.quarantinedUntil && isConvicted(record)) {
+    // Requests with a crashing part prove neither it nor what it stands beside; sound ones prove
+    // the latter only.
+    bool isLessSuspect = record.provedAt > earliestProof &&
+                         aNow - record.provedAt <= base::Duration(mOptions.proofMemory);
+    size_t needed = isLessSuspect ? mOptions.crashesIfProved : mOptions.crashes;
+    if (aNow >= record.quarantinedUntil && isConvicted(record, needed)) {
       quarantine(record, record.crashes.front().at, aNow);
       convicted.push_back(part);
     }
@@ -81,7 +92,7 @@
   crashes.push_back(aCrash);
 }
 
-bool PartQuarantine::isConvicted(const Record& aRecord) const
+bool PartQuarantine::isConvicted(const Record& aRecord, size_t aCrashes) const
 {
   std::set<std::string_view> endpoints;
   std::set<uint64_t> requests;
@@ -90,7 +101,7 @@
     requests.insert(crash.fingerprint);
   }
   // A part that was quarantined before and crashes an endpoint again is suspected at once.
-  size_t needed = aRecord.quarantines > 0 ? 1 : mOptions.crashes;
+  size_t needed = aRecord.quarantines > 0 ? 1 : aCrashes;
   return endpoints.size() >= needed && requests.size() >= std::min(needed, mOptions.requests);
 }
 
--- /dev/null
+++ b/libs/serving/tests/PartQuarantineFleetTest.cpp
@@ -0,0 +1,370 @@
+#define BOOST_TEST_MODULE serving_part_quarantine_fleet
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <queue>
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+#include "base/Rng.h"
+#include "serving/CrashSuspects.h"
+#include "serving/PartQuarantine.h"
+
+using namespace boragepitch;
+using namespace boragepitch::serving;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr size_t kEntries = 6;
+constexpr size_t kEndpoints = 40;
+constexpr PromptPart kFirst = 1; ///< First part of all requests of the route.
+constexpr std::array<PromptPart, 2> kDeadly{ 2, 3 };
+constexpr PromptPart kRare = 1000;
+const base::TimePoint kStart{ 1h };
+
+struct Plan
+{
+  uint64_t seed = 1;
+  uint64_t lossPercent = 1;
+  uint64_t soundPerSecond = 60;
+  uint64_t deadlyPerSecond = 4; ///< For each crashing part.
+  uint64_t rareParts = 100;     ///< Each sound request holds one of them.
+  std::array<base::Duration, 2> deadlyFrom{ 10s, 30s };
+  bool hasKills = false;    ///< Kills 60 of 100 endpoints at a time.
+  bool hasResets = false;   ///< 15 of 100 endpoints reset one request in three.
+  bool hasRestarts = false; ///< Entries start again, knowing nothing.
+  base::Duration duration = 60s;
+};
+
+struct Result
+{
+  std::array<size_t, 2> crashes{};
+  std::array<size_t, 2> sentLate{}; ///< Later than 3 s after the fifth crash.
+  std::set<PromptPart> wrong;       ///< Sound parts quarantined anywhere at any time.
+  size_t firstStopped = 0;          ///< Sound requests stopped because of the first part.
+  size_t rareStopped = 0;           ///< Sound requests stopped because of a rare part.
+  size_t sound = 0;
+  size_t records = 0; ///< Largest number at an entry.
+};
+
+/** Entries with all that they exchange, and endpoints, in simulated time. */
+class Fleet
+{
+public:
+  explicit Fleet(const Plan& aPlan)
+    : mPlan(aPlan)
+    , mRng(aPlan.seed)
+    , mEntries(kEntries)
+    , mEndpoints(kEndpoints)
+  {
+  }
+
+  Result run()
+  {
+    scheduleRequests();
+    for (auto at = 500ms; at < mPlan.duration; at += 1s) {
+      for (size_t entry = 0; entry < kEntries; ++entry) {
+        schedule(kStart + at + entry * 130ms, [this, entry] { spread(entry); });
+      }
+    }
+    for (auto at = 5s; mPlan.hasKills && at < mPlan.duration; at += 8s) {
+      schedule(kStart + at, [this] { killMany(); });
+    }
+    for (auto at = 12s; mPlan.hasRestarts && at < mPlan.duration; at += 3s) {
+      schedule(kStart + at, [this] { mEntries[below(kEntries)] = Entry(); });
+    }
+    while (!mEvents.empty()) {
+      auto event = mEvents.top();
+      mEvents.pop();
+      mNow = event.at;
+      event.run();
+    }
+    return mResult;
+  }
+
+private:
+  struct Entry
+  {
+    CrashSuspects suspects;
+    PartQuarantine quarantine;
+  };
+  struct Endpoint
+  {
+    uint64_t start = 1;
+    base::TimePoint upFrom;
+  };
+  struct Request
+  {
+    uint64_t id = 0;
+    size_t entry = 0;
+    std::vector<PromptPart> parts;
+    size_t deadly = 2; ///< Index of the crashing part; 2 is none.
+    int sends = 0;
+  };
+  struct Event
+  {
+    base::TimePoint at;
+    uint64_t order = 0;
+    std::function<void()> run;
+    bool operator<(const Event& aOther) const
+    {
+      return std::pair(at, order) > std::pair(aOther.at, aOther.order);
+    }
+  };
+
+  uint64_t below(uint64_t aLimit) { return base::uniformBelow(mRng, aLimit); }
+  void schedule(base::TimePoint aAt, std::function<void()> aRun)
+  {
+    mEvents.push({ aAt, ++mOrder, std::move(aRun) });
+  }
+
+  void scheduleRequests()
+  {
+    auto each = [&](uint64_t aPerSecond, base::Duration aFrom, size_t aDeadly) {
+      for (auto at = aFrom; aPerSecond > 0 && at < mPlan.duration;
+           at += 2 * 1ms * below(1000 / aPerSecond + 1)) {
+        at += 100us;
+        Request request{ ++mRequests, below(kEntries), { kFirst }, aDeadly };
+        request.parts.push_back(aDeadly < 2 ? kDeadly[aDeadly] : kRare + below(mPlan.rareParts));
+        mResult.sound += aDeadly < 2 ? 0 : 1;
+        schedule(kStart + at, [this, request] { send(request); });
+      }
+    };
+    each(mPlan.soundPerSecond, 0s, 2);
+    each(mPlan.deadlyPerSecond, mPlan.deadlyFrom[0], 0);
+    each(mPlan.deadlyPerSecond, mPlan.deadlyFrom[1], 1);
+  }
+
+  bool isStopped(const Request& aRequest)
+  {
+    Entry& entry = mEntries[aRequest.entry];
+    if (!entry.quarantine.isQuarantined(aRequest.parts, mNow)) {
+      return entry.suspects.isQuarantined(aRequest.id, mNow);
+    }
+    if (aRequest.deadly == 2) {
+      bool isFirst = entry.quarantine.isQuarantined({ &kFirst, 1 }, mNow);
+      ++(isFirst ? mResult.firstStopped : mResult.rareStopped);
+    }
+    return true;
+  }
+
+  void send(Request aRequest)
+  {
+    if (isStopped(aRequest) || aRequest.sends >= 2) {
+      return;
+    }
+    size_t target = below(kEndpoints);
+    for (size_t i = 0; mEndpoints[target].upFrom > mNow; ++i) {
+      if (i == kEndpoints) {
+        return;
+      }
+      target = (target + 1) % kEndpoints;
+    }
+    ++aRequest.sends;
+    if (aRequest.deadly < 2) {
+      size_t deadly = aRequest.deadly;
+      bool isLate = mResult.crashes[deadly] >= 5 && mNow > mFifthCrash[deadly] + 3s;
+      mResult.sentLate[deadly] += isLate ? 1 : 0;
+    }
+    uint64_t start = mEndpoints[target].start;
+    schedule(mNow + 20ms + below(400) * 1ms,
+             [this, aRequest, target, start] { begin(aRequest, target, start); });
+  }
+
+  void begin(const Request& aRequest, size_t aTarget, uint64_t aStart)
+  {
+    if (mEndpoints[aTarget].start != aStart) {
+      cut(aRequest, aTarget, aStart); // The endpoint crashed while the request waited.
+      return;
+    }
+    if (aRequest.deadly < 2) {
+      if (isStopped(aRequest)) {
+        return; // Withdrawn.
+      }
+      if (++mResult.crashes[aRequest.deadly] == 5) {
+        mFifthCrash[aRequest.deadly] = mNow;
+      }
+      crash(aTarget);
+      cut(aRequest, aTarget, aStart);
+      return;
+    }
+    if (mPlan.hasResets && aTarget * 100 < kEndpoints * 15 && below(3) == 0) {
+      cut(aRequest, aTarget, aStart);
+      return;
+    }
+    schedule(mNow + 60ms, [this, aRequest, aTarget, aStart, begun = mNow] {
+      if (mEndpoints[aTarget].start != aStart) {
+        cut(aRequest, aTarget, aStart);
+        return;
+      }
+      Entry& entry = mEntries[aRequest.entry];
+      entry.quarantine.recordProof(aRequest.parts, begun);
+      entry.suspects.clear(aRequest.id);
+    });
+  }
+
+  void crash(size_t aTarget)
+  {
+    ++mEndpoints[aTarget].start;
+    mEndpoints[aTarget].upFrom = mNow + 4s;
+  }
+
+  void killMany()
+  {
+    for (size_t target = 0; target < kEndpoints; ++target) {
+      if (below(100) < 60) {
+        crash(target);
+      }
+    }
+  }
+
+  void cut(const Request& aRequest, size_t aTarget, uint64_t aStart)
+  {
+    Entry& entry = mEntries[aRequest.entry];
+    CrashEvidence evidence{ aRequest.id,
+                            std::to_string(aTarget) + "/" + std::to_string(aStart),
+                            entry.quarantine.unproved(aRequest.parts, mNow) };
+    if (record(aRequest.entry, evidence)) {
+      broadcast(aRequest.entry, [this, evidence](size_t aTo) { record(aTo, evidence); });
+    }
+    send(aRequest);
+  }
+
+  bool record(size_t aEntry, const CrashEvidence& aEvidence)
+  {
+    Entry& entry = mEntries[aEntry];
+    if (!entry.suspects.record(aEvidence, mNow)) {
+      return false;
+    }
+    auto convicted = entry.quarantine.recordCrash(aEvidence, mNow);
+    noteWrong(convicted);
+    if (!convicted.empty()) {
+      spread(aEntry);
+    }
+    mResult.records = std::max(mResult.records, entry.quarantine.size());
+    return true;
+  }
+
+  void noteWrong(std::span<const PromptPart> aParts)
+  {
+    for (PromptPart part : aParts) {
+      if (part == kFirst || part >= kRare) {
+        mResult.wrong.insert(part);
+      }
+    }
+  }
+
+  void deliver(size_t aTo, const std::function<void(size_t)>& aReceive)
+  {
+    if (below(100) >= mPlan.lossPercent) {
+      schedule(mNow + 1ms + below(100) * 1ms, [aTo, aReceive] { aReceive(aTo); });
+    }
+  }
+
+  void broadcast(size_t aFrom, const std::function<void(size_t)>& aReceive)
+  {
+    for (size_t to = 0; to < kEntries; ++to) {
+      for (int copy = 0; to != aFrom && copy < 3; ++copy) {
+        deliver(to, aReceive);
+      }
+    }
+  }
+
+  void spread(size_t aFrom)
+  {
+    auto parts = mEntries[aFrom].quarantine.quarantined(12, mNow);
+    for (int i = 0; i < 3 && !parts.empty(); ++i) {
+      size_t to = (aFrom + 1 + below(kEntries - 1)) % kEntries;
+      deliver(to, [this, parts](size_t aTo) { adopt(aTo, parts); });
+    }
+  }
+
+  void adopt(size_t aEntry, const std::vector<QuarantinedPart>& aParts)
+  {
+    std::vector<PromptPart> proved;
+    for (const auto& part : aParts) {
+      if (!mEntries[aEntry].quarantine.adopt(part, mNow)) {
+        proved.push_back(part.part);
+      }
+    }
+    if (!proved.empty()) {
+      broadcast(aEntry,
+                [this, proved](size_t aTo) { mEntries[aTo].quarantine.recordProof(proved, mNow); });
+    }
+  }
+
+  const Plan mPlan;
+  base::Rng mRng;
+  std::vector<Entry> mEntries;
+  std::vector<Endpoint> mEndpoints;
+  std::priority_queue<Event> mEvents;
+  uint64_t mOrder = 0;
+  uint64_t mRequests = 0;
+  base::TimePoint mNow = kStart;
+  std::array<base::TimePoint, 2> mFifthCrash{};
+  Result mResult;
+};
+
+/** Runs the plan with several seeds. Crashing parts must be stopped; the first part must not be. */
+void check(Plan aPlan)
+{
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    for (uint64_t loss : { 1, 10 }) {
+      aPlan.seed = seed;
+      aPlan.lossPercent = loss;
+      Result result = Fleet(aPlan).run();
+      BOOST_TEST_MESSAGE("seed " << seed << ", loss " << loss << ": crashes " << result.crashes[0]
+                                 << "/" << result.crashes[1] << ", sent late " << result.sentLate[0]
+                                 << "/" << result.sentLate[1] << ", stopped for the first part "
+                                 << result.firstStopped << ", for rare parts " << result.rareStopped
+                                 << " of " << result.sound << " (" << result.wrong.size()
+                                 << " parts), records " << result.records);
+      BOOST_TEST(result.sentLate[0] <= 3U);
+      BOOST_TEST(result.sentLate[1] <= 3U);
+      BOOST_TEST(result.firstStopped * 20 <= result.sound);
+      BOOST_TEST(result.rareStopped * 20 <= result.sound);
+      BOOST_TEST(result.records <= PartQuarantineOptions().maxParts);
+    }
+  }
+}
+
+} // namespace
+
+// Guards against crashing parts that go on after five crashes (BUDGET), and against a quarantine of
+// what sound requests share with them (LOST).
+BOOST_AUTO_TEST_CASE(twoPartsOneAfterTheOther)
+{
+  check({});
+}
+
+BOOST_AUTO_TEST_CASE(twoPartsAtTheSameTime)
+{
+  Plan plan;
+  plan.deadlyFrom = { 10s, 10s };
+  check(plan);
+}
+
+BOOST_AUTO_TEST_CASE(besideHerdsOfKills)
+{
+  Plan plan;
+  plan.hasKills = true;
+  check(plan);
+}
+
+BOOST_AUTO_TEST_CASE(besideEndpointsThatReset)
+{
+  Plan plan;
+  plan.hasResets = true;
+  check(plan);
+}
+
+// With few sound requests, their shared part is seldom proved harmless between the crashes.
+BOOST_AUTO_TEST_CASE(fewSoundRequests)
+{
+  Plan plan;
+  plan.soundPerSecond = 3;
+  plan.deadlyPerSecond = 10;
+  check(plan);
+}
