--- a/libs/serving/include/serving/PartQuarantine.h
+++ b/libs/serving/include/serving/PartQuarantine.h
@@ -20,6 +20,9 @@
   /** Crashes of different endpoints after which a part is quarantined. Fewer may be coincidence:
    * endpoints also crash by chance, or many at once. */
   size_t crashes = 3;
+  /** The same for a part that was proved harmless within proofMemory and stands beside one whose
+   * last proof is older. With few sound requests none may come between the crashes. */
+  size_t crashesIfProved = 8;
   /** Different requests with the part that these crashes must have hit: a single one may just have
    * been resent to endpoints that crashed by chance. */
   size_t requests = 2;
@@ -31,7 +34,8 @@
   base::Milliseconds maxDuration{ 600000 };
   /** Time for which a proof keeps a part out of crash reports. */
   base::Milliseconds proofValidity{ 1500 };
-  /** Time for which a proof is remembered against the quarantine of another process. */
+  /** Time for which a proof is remembered: against the quarantine of another process, and to tell
+   * the parts of a request apart. */
   base::Milliseconds proofMemory{ 10000 };
   size_t maxParts = 8192; ///< Parts remembered.
 };
@@ -67,8 +71,9 @@
   bool adopt(const QuarantinedPart& aPart, base::TimePoint aNow);
 
   bool isQuarantined(std::span<const PromptPart> aParts, base::TimePoint aNow) const;
-  /** The parts in quarantine, at most aLimit. */
-  std::vector<QuarantinedPart> quarantined(size_t aLimit, base::TimePoint aNow) const;
+  /** The parts in quarantine, at most aLimit; further calls continue with the others, so that each
+   * part is told. */
+  std::vector<QuarantinedPart> quarantined(size_t aLimit, base::TimePoint aNow);
   size_t size() const { return mRecords.size(); }
 
 private:
@@ -89,13 +94,15 @@
   };
 
   Record& recordOf(PromptPart aPart, base::TimePoint aNow);
-  bool isConvicted(const Record& aRecord) const;
+  void addCrash(Record& aRecord, const Crash& aCrash) const;
+  bool isConvicted(const Record& aRecord, size_t aCrashes) const;
   void quarantine(Record& aRecord, base::TimePoint aSince, base::TimePoint aNow) const;
   bool isObsolete(const Record& aRecord, base::TimePoint aNow) const;
   void prune(base::TimePoint aNow);
 
   PartQuarantineOptions mOptions;
   base::TimePoint mPrunedAt;
+  PromptPart mListedLast = 0;
   std::map<PromptPart, Record> mRecords;
 };
 
--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -37,6 +37,7 @@
     std::erase_if(record.crashes, [&](const Crash& aCrash) { return aCrash.at <= aBegunAt; });
     if (aBegunAt >= record.suspectedSince) {
       record.quarantinedUntil = {};
+      record.quarantines = 0; // What the quarantine rested on was coincidence.
     }
   }
 }
@@ -44,6 +45,12 @@
 std::vector<PromptPart> PartQuarantine::recordCrash(const CrashEvidence& aEvidence,
                                                     base::TimePoint aNow)
 {
+  base::TimePoint earliestProof = base::TimePoint::max();
+  for (PromptPart part : aEvidence.parts) {
+    auto found = mRecords.find(part);
+    earliestProof =
+      std::min(earliestProof, found == mRecords.end() ? base::TimePoint() : found->second.provedAt);
+  }
   std::vector<PromptPart> convicted;
   for (PromptPart part : aEvidence.parts) {
     Record& record = recordOf(part, aNow);
@@ -51,15 +58,13 @@
     std::erase_if(record.crashes, [&](const Crash& aCrash) {
       return aNow - aCrash.at > base::Duration(mOptions.memory);
     });
-    bool isKnown =
-      std::any_of(record.crashes.begin(), record.crashes.end(), [&](const Crash& aCrash) {
-        return aCrash.endpoint == aEvidence.endpoint && aCrash.fingerprint == aEvidence.fingerprint;
-      });
-    bool isFull = record.crashes.size() >= 2 * (mOptions.crashes + mOptions.requests);
-    if (!isKnown && !isFull) {
-      record.crashes.push_back({ aEvidence.endpoint, aEvidence.fingerprint, aNow });
-    }
-    if (aNow >= record.quarantinedUntil && isConvicted(record)) {
+    addCrash(record, { aEvidence.endpoint, aEvidence.fingerprint, aNow });
+    // Requests with a crashing part prove neither it nor what it stands beside; sound ones prove
+    // the latter only.
+    bool isLessSuspect = record.provedAt > earliestProof &&
+                         aNow - record.provedAt <= base::Duration(mOptions.proofMemory);
+    size_t needed = isLessSuspect ? mOptions.crashesIfProved : mOptions.crashes;
+    if (aNow >= record.quarantinedUntil && isConvicted(record, needed)) {
       quarantine(record, record.crashes.front().at, aNow);
       convicted.push_back(part);
     }
@@ -67,7 +72,27 @@
   return convicted;
 }
 
-bool PartQuarantine::isConvicted(const Record& aRecord) const
+void PartQuarantine::addCrash(Record& aRecord, const Crash& aCrash) const
+{
+  auto isSameEndpoint = [&](const Crash& aOther) { return aOther.endpoint == aCrash.endpoint; };
+  auto& crashes = aRecord.crashes;
+  if (std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aOther) {
+        return isSameEndpoint(aOther) && aOther.fingerprint == aCrash.fingerprint;
+      })) {
+    return;
+  }
+  // Many requests may wait at one endpoint: they must leave room for crashes of others.
+  bool hasEnough = std::count_if(crashes.begin(), crashes.end(), isSameEndpoint) >=
+                   static_cast<ptrdiff_t>(mOptions.requests);
+  if (hasEnough) {
+    crashes.erase(std::find_if(crashes.begin(), crashes.end(), isSameEndpoint));
+  } else if (crashes.size() >= 2 * (mOptions.crashes + mOptions.requests)) {
+    crashes.erase(crashes.begin());
+  }
+  crashes.push_back(aCrash);
+}
+
+bool PartQuarantine::isConvicted(const Record& aRecord, size_t aCrashes) const
 {
   std::set<std::string_view> endpoints;
   std::set<uint64_t> requests;
@@ -76,7 +101,7 @@
     requests.insert(crash.fingerprint);
   }
   // A part that was quarantined before and crashes an endpoint again is suspected at once.
-  size_t needed = aRecord.quarantines > 0 ? 1 : mOptions.crashes;
+  size_t needed = aRecord.quarantines > 0 ? 1 : aCrashes;
   return endpoints.size() >= needed && requests.size() >= std::min(needed, mOptions.requests);
 }
 
@@ -118,11 +143,15 @@
   });
 }
 
-std::vector<QuarantinedPart> PartQuarantine::quarantined(size_t aLimit, base::TimePoint aNow) const
+std::vector<QuarantinedPart> PartQuarantine::quarantined(size_t aLimit, base::TimePoint aNow)
 {
   std::vector<QuarantinedPart> parts;
-  for (const auto& [part, record] : mRecords) {
-    if (aNow < record.quarantinedUntil && parts.size() < aLimit) {
+  auto next = mRecords.upper_bound(mListedLast);
+  for (size_t i = 0; i < mRecords.size() && parts.size() < aLimit; ++i, ++next) {
+    next = next == mRecords.end() ? mRecords.begin() : next;
+    const auto& [part, record] = *next;
+    if (aNow < record.quarantinedUntil) {
+      mListedLast = part;
       parts.push_back(
         { part,
           std::chrono::duration_cast<base::Milliseconds>(aNow - record.suspectedSince),
