Relay: an error answer is not written into a stream that has begun

Callers saw the head and text of an error within their stream: the first endpoint's stream broke off, and the one that was to resume it answered 302, 400, 404, 409, 413 or 429 (without stating that it had not run the request).

Cause: failureAnswered() delivered such an answer, whether or not the caller was reading a stream. Now it counts as a failed send: another endpoint resumes the stream, or the stream is cut.

BrokenStreamTest before: errorAnswerIsNotWrittenIntoAStream (302, 400, 404, 409, 413, 429): check headCount(aText) == 1U has failed [2 != 1] check aText.find("no such thing") == std::string::npos has failed streamResumesAfterAnErrorAnswer: check dataOf(text) == "t1 t2 " has failed [t1 != t1 t2 ] After: no errors. These held before as well and were not covered: 500 and 503, rejections with 421, 429 and 503, an answer of another content type, and answers without length or chunks (complete after an orderly close at a whole event, resumed after a close within an event or a reset, not passed on if reset).

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -519,6 +519,9 @@
       mAnsweredError.emplace(*mHead, mBody);
     }
     sendFailed({ Outcome::Failure, true, "answered_" + std::to_string(status) }, aNow);
+  } else if (mStreamBegan) {
+    // The caller is reading a stream, which only another stream can continue.
+    sendFailed({ Outcome::Success, true, "answered_" + std::to_string(status) }, aNow);
   } else {
     endSend(Outcome::Success, aNow);
     deliver(*mHead, mBody, aNow);
--- /dev/null
+++ b/libs/relay/tests/BrokenStreamTest.cpp
@@ -0,0 +1,208 @@
+#define BOOST_TEST_MODULE relay_broken_stream
+#include <boost/test/unit_test.hpp>
+
+#include <cerrno>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+#include "RelayFixture.h"
+
+using namespace boragepitch;
+using namespace boragepitch::relay;
+using namespace boragepitch::relay::test;
+
+namespace {
+
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+/** Head of a stream whose end is marked by the end of the connection. */
+std::string unboundedHead(const std::string& aId, const std::string& aType = "text/event-stream")
+{
+  return "HTTP/1.1 200 OK\r\nId: " + aId + "\r\nSigned: s\r\nContent-Type: " + aType + "\r\n\r\n";
+}
+
+std::string rejection(const std::string& aId, int aStatus)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) + " X\r\nId: " + aId +
+         "\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull";
+}
+
+size_t headCount(const std::string& aText)
+{
+  size_t count = 0;
+  for (size_t at = 0; (at = aText.find("HTTP/1.1 ", at)) != std::string::npos; ++at) {
+    ++count;
+  }
+  return count;
+}
+
+struct Received
+{
+  std::string text;
+  int error = 0; ///< Error of the last read; 0 after an orderly close.
+};
+
+Received readToEnd(int aSocket)
+{
+  Received received;
+  char buffer[4096];
+  ssize_t count = 0;
+  while ((count = ::recv(aSocket, buffer, sizeof(buffer), 0)) > 0) {
+    received.text.append(buffer, static_cast<size_t>(count));
+  }
+  received.error = count < 0 ? errno : 0;
+  return received;
+}
+
+/** Endpoints that answer the sends of one request in the order of their scripts. */
+struct ResumeFixture : Fixture
+{
+  using Step = std::function<std::string(const std::string& aId)>;
+
+  void play(std::vector<Step> aSteps)
+  {
+    steps = std::move(aSteps);
+    declare(serving::CallKind::Streaming, static_cast<int>(steps.size()));
+    for (size_t i = 0; i < steps.size(); ++i) {
+      endpoints.push_back(std::make_unique<FakeEndpoint>([this](const std::string& aRequest) {
+        size_t step = sends++;
+        return step < steps.size() ? steps[step](idOf(aRequest)) : std::string("CLOSE");
+      }));
+      list("e" + std::to_string(i), endpoints.back()->address());
+    }
+  }
+
+  Received callToEnd(const std::string& aRequest)
+  {
+    int socket = connectTo(callers);
+    sendAll(socket, aRequest);
+    Received received = readToEnd(socket);
+    ::close(socket);
+    return received;
+  }
+
+  std::string stream() { return callToEnd(get("1", "Connection: close\r\n")).text; }
+
+  static std::string brokenStream(const std::string& aId)
+  {
+    return streamHead(aId) + chunk(event(1)) + kPause.data() + "CLOSE";
+  }
+
+  std::vector<Step> steps;
+  std::atomic<size_t> sends{ 0 };
+  std::vector<std::unique_ptr<FakeEndpoint>> endpoints;
+};
+
+void checkIsCut(const std::string& aText)
+{
+  BOOST_TEST(dataOf(aText) == "t1 ");
+  BOOST_TEST(headCount(aText) == 1U);
+  BOOST_TEST(aText.find("no such thing") == std::string::npos);
+  BOOST_TEST(!aText.ends_with(kLastChunk));
+}
+
+} // namespace
+
+// Guards against an error's head and text within the stream that it was to resume.
+BOOST_DATA_TEST_CASE_F(ResumeFixture,
+                       errorAnswerIsNotWrittenIntoAStream,
+                       boost::unit_test::data::make({ 302, 400, 404, 409, 413, 429, 500, 503 }),
+                       status)
+{
+  play(
+    { brokenStream, [&](const std::string& aId) { return answer(aId, "no such thing", status); } });
+  checkIsCut(stream());
+  BOOST_TEST(sends == 2U);
+}
+
+// Guards against a stream that ends with an error although another endpoint could resume it.
+BOOST_FIXTURE_TEST_CASE(streamResumesAfterAnErrorAnswer, ResumeFixture)
+{
+  play({ brokenStream,
+         [](const std::string& aId) { return answer(aId, "no such thing", 404); },
+         [](const std::string& aId) { return streamHead(aId) + chunk(event(2)) + "0\r\n\r\n"; } });
+  std::string text = stream();
+  BOOST_TEST(dataOf(text) == "t1 t2 ");
+  BOOST_TEST(headCount(text) == 1U);
+  BOOST_TEST(text.ends_with(kLastChunk));
+}
+
+// Guards against a rejection within a stream that another endpoint can resume.
+BOOST_DATA_TEST_CASE_F(ResumeFixture,
+                       streamResumesAfterARejection,
+                       boost::unit_test::data::make({ 421, 429, 503 }),
+                       status)
+{
+  play({ brokenStream,
+         [&](const std::string& aId) { return rejection(aId, status); },
+         [](const std::string& aId) { return streamHead(aId) + chunk(event(2)) + "0\r\n\r\n"; } });
+  std::string text = stream();
+  BOOST_TEST(dataOf(text) == "t1 t2 ");
+  BOOST_TEST(headCount(text) == 1U);
+  BOOST_TEST(text.ends_with(kLastChunk));
+}
+
+// Guards against a rejection that is written into a stream which no other endpoint can resume.
+BOOST_DATA_TEST_CASE_F(ResumeFixture,
+                       rejectionIsNotWrittenIntoAStream,
+                       boost::unit_test::data::make({ 421, 429, 503 }),
+                       status)
+{
+  play({ brokenStream, [&](const std::string& aId) { return rejection(aId, status); } });
+  checkIsCut(stream());
+}
+
+// Guards against an answer of another content type within a stream.
+BOOST_FIXTURE_TEST_CASE(otherContentIsNotWrittenIntoAStream, ResumeFixture)
+{
+  play({ brokenStream, [](const std::string& aId) {
+          return unboundedHead(aId, "text/plain") + "no such thing" + "CLOSE";
+        } });
+  checkIsCut(stream());
+}
+
+// Guards against cutting or resuming a stream that ends with its connection after a whole event.
+BOOST_FIXTURE_TEST_CASE(streamWithoutLengthEndsWithItsConnection, ResumeFixture)
+{
+  play({ [](const std::string& aId) { return unboundedHead(aId) + event(1) + event(2) + "CLOSE"; },
+         brokenStream });
+  std::string text = stream();
+  BOOST_TEST(dataOf(text) == "t1 t2 ");
+  BOOST_TEST(text.ends_with(kLastChunk));
+  BOOST_TEST(sends == 1U);
+}
+
+// Guards against a stream without a length that ends as complete although it broke off.
+BOOST_DATA_TEST_CASE_F(
+  ResumeFixture,
+  brokenStreamWithoutLengthIsResumed,
+  boost::unit_test::data::make({ "id: 2\ndaCLOSE", "id: 2\ndata: t2\nCLOSE", "<pause>RESET" }),
+  rest)
+{
+  play({ [&](const std::string& aId) { return unboundedHead(aId) + event(1) + rest; },
+         [](const std::string& aId) { return unboundedHead(aId) + event(2) + "CLOSE"; } });
+  std::string text = stream();
+  BOOST_TEST(dataOf(text) == "t1 t2 ");
+  BOOST_TEST(headCount(text) == 1U);
+  BOOST_TEST(text.ends_with(kLastChunk));
+}
+
+// Guards against an answer without a length that is passed on as complete after a reset, or that is
+// not passed on after an orderly close.
+BOOST_FIXTURE_TEST_CASE(answerWithoutLengthIsCompleteOnlyAfterAnOrderlyClose, Fixture)
+{
+  std::atomic<int> sends{ 0 };
+  FakeEndpoint endpoint([&](const std::string& aRequest) {
+    std::string head = unboundedHead(idOf(aRequest), "text/plain");
+    return head + (sends++ == 0 ? "part<pause>RESET" : "wholeCLOSE");
+  });
+  declare(serving::CallKind::Idempotent, 1);
+  list("e", endpoint.address());
+  std::string broken = call(get("1"));
+  BOOST_TEST(broken.starts_with("HTTP/1.1 502"));
+  BOOST_TEST(broken.find("part") == std::string::npos);
+  std::string whole = call(get("2"));
+  BOOST_TEST(whole.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(whole.ends_with("\r\n\r\nwhole"));
+}
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -118,7 +118,7 @@
 {
 public:
   /** Returns the bytes of the answer, which may contain kPause and kEndless. If they end with
-   * "CLOSE", the connection is closed after them. */
+   * "CLOSE", the connection is closed after them; if they end with "RESET", it is reset. */
   using Script = std::function<std::string(const std::string& aRequest)>;
 
   explicit FakeEndpoint(Script aScript)
@@ -178,7 +178,8 @@
         sendEndless(aSocket, answer.substr(0, at), answer.substr(at + kEndless.size()));
         break;
       }
-      bool close = answer.ends_with("CLOSE");
+      bool reset = answer.ends_with("RESET");
+      bool close = reset || answer.ends_with("CLOSE");
       if (close) {
         answer.resize(answer.size() - 5);
       }
@@ -191,6 +192,14 @@
           std::this_thread::sleep_for(30ms);
         }
       }
+      if (reset) {
+        linger drop{ .l_onoff = 1, .l_linger = 0 };
+        setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &drop, sizeof(drop));
+        std::lock_guard lock(mMutex);
+        std::erase(mSockets, aSocket);
+        ::close(aSocket);
+        return;
+      }
       if (close) {
         break;
       }
