Relay: a resumed stream without a new event does not complete the answer

Callers saw a stream that had broken off end as if it were complete, when the endpoint that was to resume it answered with an empty stream or only with events that the caller had already.

Cause: completed() ended the answer after any resumed stream that was complete. Now one without a new event counts as a failed send: another endpoint is tried, or the stream is cut and the caller may ask for the rest itself. This also cuts streams that broke off between their last event and their end. An answer that is no stream is now recorded as broken, as its reason says; it was recorded as a success before.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -482,14 +482,20 @@
 
 void Call::completed(base::TimePoint aNow)
 {
-  endSend(Outcome::Success, aNow);
-  mCore.suspects.clear(mFingerprint);
-  mCore.quarantine.recordProof(mFacts.sharedParts, mSendEvents > 0 ? mSendBegunAt : mSentAt);
   if (!mIsStream && mStreamBegan) {
     // A resumed stream cannot continue with an answer that is not a stream.
     sendFailed({ Outcome::Broken, true, "not_a_stream" }, aNow);
     return;
   }
+  if (mStreamBegan && !mSendHadEvent) {
+    // It is unknown whether the stream had events left when it broke off. A cut lets the caller ask
+    // for them.
+    sendFailed({ Outcome::Success, true, "no_new_event" }, aNow);
+    return;
+  }
+  endSend(Outcome::Success, aNow);
+  mCore.suspects.clear(mFingerprint);
+  mCore.quarantine.recordProof(mFacts.sharedParts, mSendEvents > 0 ? mSendBegunAt : mSentAt);
   if (!mIsStream) {
     mCore.metrics.firstByte.record(aNow - mRequest.received);
     deliver(*mHead, mBody, aNow);
--- a/libs/relay/tests/BrokenStreamTest.cpp
+++ b/libs/relay/tests/BrokenStreamTest.cpp
@@ -162,6 +162,21 @@
   checkIsCut(stream());
 }
 
+// Guards against a broken stream that ends as complete because the resumed one has no events.
+BOOST_FIXTURE_TEST_CASE(emptyResumedStreamDoesNotCompleteTheAnswer, ResumeFixture)
+{
+  play({ brokenStream, [](const std::string& aId) { return streamHead(aId) + "0\r\n\r\n"; } });
+  checkIsCut(stream());
+}
+
+// Guards against a broken stream that ends as complete because the resumed one has old events only.
+BOOST_FIXTURE_TEST_CASE(repeatedEventsDoNotCompleteTheAnswer, ResumeFixture)
+{
+  play({ brokenStream,
+         [](const std::string& aId) { return streamHead(aId) + chunk(event(1)) + "0\r\n\r\n"; } });
+  checkIsCut(stream());
+}
+
 // Guards against cutting or resuming a stream that ends with its connection after a whole event.
 BOOST_FIXTURE_TEST_CASE(streamWithoutLengthEndsWithItsConnection, ResumeFixture)
 {
