Relay: an event without id does not resume a stream

Callers saw text in the middle of their stream that was no part of it: the endpoint that was to resume the stream answered with an event that has no id, such as the text of an error, and the stream ended as if it were complete.

Cause: handleEvent() checks the order of events by their ids only, and passed on those without one. Now such an event at the begin of a resumed stream counts as a failed send. After an event with the next id others pass as before.

BrokenStreamTest before: eventWithoutIdDoesNotResumeAStream: check dataOf(aText) == "t1 " has failed [t1 no such thing != t1 ] check !aText.ends_with(kLastChunk) has failed After: no errors in 24 cases.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -386,6 +386,11 @@
     abortSend({ Outcome::Broken, true, "event_repeated" }, aNow);
     return;
   }
+  if (!aEvent.id && mStreamBegan && !mSendHadEvent) {
+    // Its place in the stream is unknown: it may be an old event or an error's text.
+    abortSend({ Outcome::Broken, true, "event_without_id" }, aNow);
+    return;
+  }
   mSendLastEvent = aEvent.id ? aEvent.id : mSendLastEvent;
   if (++mSendEvents == 1) {
     mSendBegunAt = aNow;
--- a/libs/relay/tests/BrokenStreamTest.cpp
+++ b/libs/relay/tests/BrokenStreamTest.cpp
@@ -177,6 +177,15 @@
   checkIsCut(stream());
 }
 
+// Guards against an event within a stream whose place in it is unknown, such as an error's text.
+BOOST_FIXTURE_TEST_CASE(eventWithoutIdDoesNotResumeAStream, ResumeFixture)
+{
+  play({ brokenStream, [](const std::string& aId) {
+          return streamHead(aId) + chunk("data: no such thing\n\n") + "0\r\n\r\n";
+        } });
+  checkIsCut(stream());
+}
+
 // Guards against cutting or resuming a stream that ends with its connection after a whole event.
 BOOST_FIXTURE_TEST_CASE(streamWithoutLengthEndsWithItsConnection, ResumeFixture)
 {
