--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -386,6 +386,11 @@
     abortSend({ Outcome::Broken, true, "event_repeated" }, aNow);
     return;
   }
+  if (!aEvent.id && mStreamBegan && !mSendHadEvent) {
+    // Its place in the stream is unknown: it may be an old event or an error's text.
+    abortSend({ Outcome::Broken, true, "event_without_id" }, aNow);
+    return;
+  }
   mSendLastEvent = aEvent.id ? aEvent.id : mSendLastEvent;
   if (++mSendEvents == 1) {
     mSendBegunAt = aNow;
@@ -482,14 +487,20 @@
 
 void Call::completed(base::TimePoint aNow)
 {
-  endSend(Outcome::Success, aNow);
-  mCore.suspects.clear(mFingerprint);
-  mCore.quarantine.recordProof(mFacts.sharedParts, mSendEvents > 0 ? mSendBegunAt : mSentAt);
   if (!mIsStream && mStreamBegan) {
     // A resumed stream cannot continue with an answer that is not a stream.
     sendFailed({ Outcome::Broken, true, "not_a_stream" }, aNow);
     return;
   }
+  if (mStreamBegan && !mSendHadEvent) {
+    // It is unknown whether the stream had events left when it broke off. A cut lets the caller ask
+    // for them.
+    sendFailed({ Outcome::Success, true, "no_new_event" }, aNow);
+    return;
+  }
+  endSend(Outcome::Success, aNow);
+  mCore.suspects.clear(mFingerprint);
+  mCore.quarantine.recordProof(mFacts.sharedParts, mSendEvents > 0 ? mSendBegunAt : mSentAt);
   if (!mIsStream) {
     mCore.metrics.firstByte.record(aNow - mRequest.received);
     deliver(*mHead, mBody, aNow);
@@ -519,6 +530,9 @@
       mAnsweredError.emplace(*mHead, mBody);
     }
     sendFailed({ Outcome::Failure, true, "answered_" + std::to_string(status) }, aNow);
+  } else if (mStreamBegan) {
+    // The caller is reading a stream, which only another stream can continue.
+    sendFailed({ Outcome::Success, true, "answered_" + std::to_string(status) }, aNow);
   } else {
     endSend(Outcome::Success, aNow);
     deliver(*mHead, mBody, aNow);
