Believe answers without an id only on unused connections

Callers see: 503 or 429 ("not run, try again") for a request that the endpoint runs, the same request run at a second endpoint, or the success of another request.

Cause: an answer without an attempt id was taken for the answer to the current request, also on a kept connection on which a faulty endpoint writes an earlier refusal once more.

Change: on a connection that an earlier request used, or on which a late answer was skipped, an answer without an id ends the exchange as "may have run". Requests without an id get a new connection, since nothing could tell the answers apart there. On a connection without earlier requests an answer without an id still belongs to the request.

--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -131,8 +131,12 @@
 void Exchange::start(std::string aMessage, base::TimePoint aNow)
 {
   mMessage = std::move(aMessage);
-  mConnection = mPool.take(mRequest.endpoint, mRequest.maxIdle, aNow);
+  // On a used connection only the id distinguishes the answer from one to an earlier request.
+  if (!mRequest.attemptId.empty()) {
+    mConnection = mPool.take(mRequest.endpoint, mRequest.maxIdle, aNow);
+  }
   if (mConnection) {
+    mMayBeLate = true;
     mState = State::Exchanging;
     send();
   } else {
@@ -315,11 +319,17 @@
       return false;
     }
     mSkipping = true;
+    mMayBeLate = true;
     if (auto handler = mHandler.lock()) {
       handler->onLateHead(head);
     }
     return mState == State::Exchanging;
   }
+  if (head.facts.attemptId.empty() && mMayBeLate) {
+    // It may repeat an answer to an earlier request, so it does not tell whether this one ran.
+    finish(ExchangeEnd::NotAnAnswer);
+    return false;
+  }
   mKeepAlive = head.facts.keepAlive;
   if (auto handler = mHandler.lock()) {
     handler->onHead(head);
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -126,7 +126,8 @@
 
 /**
  * One request on one connection to an endpoint. Skips late answers to earlier requests, which it
- * recognizes by their attempt id. Used by one thread.
+ * recognizes by their attempt id. An answer without an id is accepted only on a connection that no
+ * other request has used. Used by one thread.
  */
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
@@ -182,6 +183,7 @@
   bool mSkipping = false;  ///< The answer being read is to another request and is discarded.
   uint64_t mBodyBytes = 0; ///< Body bytes received of the answer being read.
   int mSkippedAnswers = 0;
+  bool mMayBeLate = false; ///< Answers to other requests may arrive on the connection.
   bool mPaused = false;
   bool mReading = false;
   bool mKeepOpen = false;
--- /dev/null
+++ b/libs/relay/tests/RepeatedRefusalTest.cpp
@@ -0,0 +1,118 @@
+#define BOOST_TEST_MODULE relay_repeated_refusal
+#include <boost/test/unit_test.hpp>
+
+#include "RelayFixture.h"
+
+using namespace boragepitch;
+using namespace boragepitch::relay;
+using namespace boragepitch::relay::test;
+
+namespace {
+
+const std::string kNoBody = "Content-Length: 0\r\n\r\n";
+const std::string kChunkedBody = "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n";
+
+/** Forms in which a refusal may be repeated. The id line may be empty. */
+std::vector<std::string> refusals(const std::string& aIdLine)
+{
+  return {
+    "HTTP/1.1 503 X\r\nNot-Run: 1\r\n" + aIdLine + kNoBody,
+    "HTTP/1.1 503 X\r\nNot-Run: 1\r\n" + aIdLine + "Content-Length: 4\r\n\r\nfull",
+    "HTTP/1.1 503 X\r\nNot-Run: 1\r\n" + aIdLine + kChunkedBody,
+    "HTTP/1.1 503 X\r\nNot<pause>-Run: 1\r\n" + aIdLine + "<pause>" + kNoBody + "<pause>",
+    "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 503 X\r\nNot-Run: 1\r\n" + aIdLine + kNoBody,
+    "HTTP/1.1 429 X\r\nNot-Run: 1\r\n" + aIdLine + kNoBody,
+    "HTTP/1.1 421 X\r\nNot-Run: 1\r\n" + aIdLine + kNoBody,
+    "HTTP/1.1 421 X\r\n" + aIdLine + kNoBody,
+    "HTTP/1.1 429 X\r\n" + aIdLine + kNoBody,
+    "HTTP/1.1 503 X\r\n" + aIdLine + kNoBody,
+    "HTTP/1.1 503 X\r\nSigned: s\r\n" + aIdLine + kNoBody,
+  };
+}
+
+struct RefusalFixture : Fixture
+{
+  /** Calls an endpoint that answers "n0" and then writes the bytes before its answer to "n1" on the
+   * same connection. Returns the answer that the caller of "n1" receives. */
+  std::string callAfter(const std::string& aExtra)
+  {
+    declare(serving::CallKind::Mutating, 3);
+    FakeEndpoint endpoint([&](const std::string& aRequest) {
+      std::string id = idOf(aRequest);
+      return (id == "n1" ? aExtra : "") + answer(id, "ran");
+    });
+    std::string name = "e" + std::to_string(++count);
+    list(name, endpoint.address());
+    BOOST_TEST(call(get("n0")).ends_with("ran"));
+    std::string text = call(get("n1"));
+    BOOST_TEST(endpoint.requests().size() == 2U);
+    unlist(name);
+    return text;
+  }
+  int count = 0;
+};
+
+} // namespace
+
+// Guards against passing on a repeated refusal with the id of an earlier attempt.
+BOOST_FIXTURE_TEST_CASE(skipsARefusalOfAnEarlierAttempt, RefusalFixture)
+{
+  for (const std::string& refusal : refusals("Id: n0\r\n")) {
+    BOOST_TEST(callAfter(refusal).ends_with("ran"), refusal);
+  }
+  BOOST_TEST(
+    callAfter("HTTP/1.1 503 X\r\nNot-Run: 1\r\nId: n0\r\n\r\n").starts_with("HTTP/1.1 502"));
+}
+
+// Guards against a refusal without an id that is taken for the answer to a request that runs.
+BOOST_FIXTURE_TEST_CASE(refusalWithoutIdOnAKeptConnectionPromisesNothing, RefusalFixture)
+{
+  for (const std::string& refusal : refusals("")) {
+    std::string text = callAfter(refusal);
+    BOOST_TEST(text.starts_with("HTTP/1.1 502"), refusal + " -> " + text);
+  }
+  BOOST_TEST(callAfter("HTTP/1.1 503 X\r\nNot-Run: 1\r\n\r\nCLOSE").starts_with("HTTP/1.1 502"));
+}
+
+// Guards against a success without an id that is passed on as the answer to a later request.
+BOOST_FIXTURE_TEST_CASE(successWithoutIdOnAKeptConnectionIsNotPassedOn, RefusalFixture)
+{
+  std::string text = callAfter("HTTP/1.1 200 X\r\nSigned: s\r\nContent-Length: 5\r\n\r\nwrong");
+  BOOST_TEST(text.starts_with("HTTP/1.1 502"), text);
+}
+
+// Guards against a request that runs at a second endpoint after a repeated refusal without an id.
+BOOST_FIXTURE_TEST_CASE(refusalWithoutIdOnAKeptConnectionIsNotRetried, RefusalFixture)
+{
+  auto script = [](const std::string& aRequest) {
+    std::string id = idOf(aRequest);
+    return (id == "once" ? "HTTP/1.1 503 X\r\nNot-Run: 1\r\n" + kNoBody : "") + answer(id, "ran");
+  };
+  FakeEndpoint first(script);
+  FakeEndpoint second(script);
+  declare(serving::CallKind::Mutating, 3);
+  list("a", first.address());
+  list("b", second.address());
+  for (int i = 0; i < 100 && (first.requests().empty() || second.requests().empty()); ++i) {
+    static_cast<void>(call(get("n" + std::to_string(i))));
+  }
+  size_t before = first.requests().size() + second.requests().size();
+  BOOST_TEST(call(get("once")).starts_with("HTTP/1.1 502"));
+  BOOST_TEST(first.requests().size() + second.requests().size() == before + 1);
+}
+
+// Guards against a refusal that arrives on an idle connection and is taken for the next answer,
+// whether the next request is sent before or after the refusal arrives.
+BOOST_FIXTURE_TEST_CASE(refusalOnAnIdleConnectionPromisesNothing, RefusalFixture)
+{
+  FakeEndpoint endpoint([](const std::string& aRequest) {
+    return answer(idOf(aRequest), "ran") + "<pause>HTTP/1.1 503 X\r\nNot-Run: 1\r\n" + kNoBody;
+  });
+  declare(serving::CallKind::Mutating, 3);
+  list("e", endpoint.address());
+  BOOST_TEST(call(get("n0")).ends_with("ran"));
+  std::this_thread::sleep_for(100ms);
+  BOOST_TEST(call(get("n1")).ends_with("ran"));
+  std::string text = call(get("n2"));
+  BOOST_TEST(text.starts_with("HTTP/1.1 502"), text);
+}
