--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -126,7 +126,8 @@
 
 /**
  * One request on one connection to an endpoint. Skips late answers to earlier requests, which it
- * recognizes by their attempt id. Used by one thread.
+ * recognizes by their attempt id. An answer without an id is accepted only on a connection that no
+ * other request has used. Used by one thread.
  */
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
@@ -186,6 +187,7 @@
   std::function<void(uint64_t, beast::string_view, ErrorCode&)> mOnChunk =
     [this](uint64_t, beast::string_view, ErrorCode&) { ++mChunks; };
   int mSkippedAnswers = 0;
+  bool mMayBeLate = false; ///< Answers to other requests may arrive on the connection.
   bool mPaused = false;
   bool mReading = false;
   bool mKeepOpen = false;
