Relay: a cut stream ends with a reset for callers without chunks

Callers saw a broken stream end as if it were complete, if they speak HTTP/1.0: without chunks the orderly end of the connection marks the end of the body.

Cause: the connection was set to be reset on close, but was first shut down in an orderly way. At the end of the process Asio cleared the setting when it destroyed the socket.

Change: a cut stream is closed without the shutdown; the setting is made from the begin of such a stream and where Asio does not clear it.

--- a/libs/relay/src/CallerSession.cpp
+++ b/libs/relay/src/CallerSession.cpp
@@ -1,5 +1,7 @@
 #include "CallerSession.h"
 
+#include <sys/socket.h>
+
 #include <boost/algorithm/string/predicate.hpp>
 
 #include "Call.h"
@@ -242,6 +244,7 @@
   mIsHead = message.method() == http::verb::head;
   mIsStreaming = false;
   mIsAnswerComplete = false;
+  mIsCut = false;
   mPhase = Phase::Serving;
   mPhaseStart = request.received;
   mCall = std::make_shared<Call>(mCore, *this, std::move(request));
@@ -305,6 +308,7 @@
   mIsStreaming = true;
   if (!mIsChunked) {
     mKeepAlive = false;
+    resetOnClose(true);
   }
   mQueued += headText(aStatus, aHeaders);
   if (mIsChunked) {
@@ -334,22 +338,29 @@
 {
   if (!aComplete) {
     mCall.reset();
-    // Without chunks an orderly close would mark the end of the body: reset the connection.
-    if (!mIsChunked) {
-      ErrorCode ignored;
-      mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
-    }
     mKeepAlive = false;
+    mIsCut = true;
     mIsAnswerComplete = true;
     flush();
     return;
   }
-  if (mIsChunked && !mIsHead) {
+  if (!mIsChunked) {
+    resetOnClose(false);
+  } else if (!mIsHead) {
     mQueued += "0\r\n\r\n";
   }
   finishAnswer();
 }
 
+void CallerSession::resetOnClose(bool aReset)
+{
+  // Not by set_option(): Asio clears a lingering that it knows of when it destroys the socket.
+  // Fails only on a broken connection, which has no orderly close either.
+  linger option{ .l_onoff = aReset ? 1 : 0, .l_linger = 0 };
+  static_cast<void>(
+    ::setsockopt(mSocket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option)));
+}
+
 void CallerSession::finishAnswer()
 {
   mCall.reset();
@@ -401,6 +412,10 @@
     awaitRequest();
     return;
   }
+  if (mIsCut && !mIsChunked) {
+    close(); // Without the shutdown below, which would mark the end of the body.
+    return;
+  }
   // Closing with unread bytes would reset the connection and could discard the answer before the
   // caller reads it.
   mPhase = Phase::Closing;
--- a/libs/relay/src/CallerSession.h
+++ b/libs/relay/src/CallerSession.h
@@ -72,6 +72,9 @@
   void reject(int aStatus);
   void awaitReadable();
   void finishAnswer();
+  /** Whether the end of the connection, also by the end of the process, shall be a reset. Without
+   * chunks an orderly close marks the end of the body. */
+  void resetOnClose(bool aReset);
   void flush();
   void onWritten(ErrorCode aError);
   void callerLeft();
@@ -90,6 +93,7 @@
   bool mIsChunked = false;        ///< The caller supports chunked answers (HTTP/1.1).
   bool mIsHead = false;           ///< The request's method is HEAD.
   bool mIsAnswerComplete = false; ///< The whole answer is in mQueued or mWriting, or was written.
+  bool mIsCut = false;            ///< The answer is a stream that ends incomplete.
   std::string mQueued;            ///< Bytes to write after mWriting.
   std::string mWriting;           ///< Bytes of the outstanding write.
   base::TimePoint mPhaseStart;    ///< Start of the phase.
--- a/libs/relay/tests/BrokenStreamTest.cpp
+++ b/libs/relay/tests/BrokenStreamTest.cpp
@@ -60,10 +60,10 @@
 {
   using Step = std::function<std::string(const std::string& aId)>;
 
-  void play(std::vector<Step> aSteps)
+  void play(std::vector<Step> aSteps, base::Milliseconds aTimeout = 3000ms)
   {
     steps = std::move(aSteps);
-    declare(serving::CallKind::Streaming, static_cast<int>(steps.size()));
+    declare(serving::CallKind::Streaming, static_cast<int>(steps.size()), aTimeout);
     for (size_t i = 0; i < steps.size(); ++i) {
       endpoints.push_back(std::make_unique<FakeEndpoint>([this](const std::string& aRequest) {
         size_t step = sends++;
@@ -186,6 +186,25 @@
   checkIsCut(stream());
 }
 
+// Guards against a cut stream that looks complete to a caller without chunks, for whom an orderly
+// close is the end of the body.
+BOOST_FIXTURE_TEST_CASE(cutStreamIsResetForCallersWithoutChunks, ResumeFixture)
+{
+  play({ brokenStream });
+  Received received = callToEnd("GET /x/a HTTP/1.0\r\nHost: a.example\r\nId: 1\r\n\r\n");
+  BOOST_TEST(dataOf(received.text) == "t1 ");
+  BOOST_TEST(received.error == ECONNRESET);
+}
+
+// Guards against a reset of a complete stream to a caller without chunks.
+BOOST_FIXTURE_TEST_CASE(completeStreamIsClosedForCallersWithoutChunks, ResumeFixture)
+{
+  play({ [](const std::string& aId) { return streamHead(aId) + chunk(event(1)) + "0\r\n\r\n"; } });
+  Received received = callToEnd("GET /x/a HTTP/1.0\r\nHost: a.example\r\nId: 1\r\n\r\n");
+  BOOST_TEST(received.text.ends_with(event(1)));
+  BOOST_TEST(received.error == 0);
+}
+
 // Guards against cutting or resuming a stream that ends with its connection after a whole event.
 BOOST_FIXTURE_TEST_CASE(streamWithoutLengthEndsWithItsConnection, ResumeFixture)
 {
@@ -230,3 +249,22 @@
   BOOST_TEST(whole.starts_with("HTTP/1.1 200"));
   BOOST_TEST(whole.ends_with("\r\n\r\nwhole"));
 }
+
+// Guards against a stream that looks complete to a caller without chunks because the relay stopped.
+BOOST_FIXTURE_TEST_CASE(stopResetsUnfinishedStreamsOfCallersWithoutChunks, ResumeFixture)
+{
+  play({ [](const std::string& aId) { return streamHead(aId) + chunk(event(1)); } }, 20000ms);
+  int socket = connectTo(callers);
+  sendAll(socket, "GET /x/a HTTP/1.0\r\nHost: a.example\r\nId: 1\r\n\r\n");
+  char buffer[4096];
+  BOOST_REQUIRE(::recv(socket, buffer, sizeof(buffer), 0) > 0);
+  // The leave limit is as long as connectTo() lets a read wait.
+  timeval limit{ .tv_sec = 10, .tv_usec = 0 };
+  setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  relay->startLeaving();
+  thread.join();
+  relay.reset();
+  Received received = readToEnd(socket);
+  ::close(socket);
+  BOOST_TEST(received.error == ECONNRESET);
+}
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -296,8 +296,10 @@
 
   ~Fixture()
   {
-    relay->startLeaving();
-    thread.join();
+    if (thread.joinable()) {
+      relay->startLeaving();
+      thread.join();
+    }
   }
 
   void declare(serving::CallKind aKind, int aMaxAttempts = 2, base::Milliseconds aTimeout = 3000ms)
