Reject odd rows and answers instead of throwing

What callers would see: no answers. One odd row that another writer leaves among those of the endpoints ends every entry that reads the list, again after each restart.

Cause: jsoncpp throws where a member of a value is read that is no object. The readers of endpoint rows, configurations, pages of the store, engine reports and manifests checked the members that they need, but not the elements of lists and the objects around members. Numbers were converted without a range: chunkCount from -1, headerBytes.

Change: lists and objects are checked before they are read. A row with an odd field names no endpoint; rows without a key are left out of their page, the others hold.

Held before and not covered: datagrams, rows of entries, loaders and weights, manifests of our own.

--- a/tools/router/tests/EndpointListenerTest.cpp
+++ b/tools/router/tests/EndpointListenerTest.cpp
@@ -6,6 +6,7 @@
 
 #include "EndpointListener.h"
 #include "RecordingRelay.h"
+#include "support/OddJson.h"
 
 using namespace boragepitch;
 using namespace boragepitch::test;
@@ -132,3 +133,33 @@
   BOOST_TEST(!relay.listed.contains(name(2)));
   BOOST_TEST(relay.listed.contains(name(3)));
 }
+
+// Guards against an odd row of a foreign writer that ends the process or disturbs other endpoints.
+BOOST_FIXTURE_TEST_CASE(oddRowsTakeOutTheirEndpointOnly, Fixture)
+{
+  stores::RowChange sound = row(0);
+  sound.value.insert(sound.value.size() - 1,
+                     R"(,"model_list":[{"name":"m","version":3}],"layers":[{"version":3}])");
+  for (const test::OddText& text : test::oddTexts(sound.value)) {
+    bool isOdd = text.odd == "true" || text.odd == "[5]" || text.odd == "[[5]]" ||
+                 text.odd == "-1" || text.odd.starts_with("[[[") ||
+                 text.odd == "99999999999999999999999" || text.path == "address";
+    if (!isOdd || text.path == "model_list[0].name") {
+      continue;
+    }
+    BOOST_TEST_CONTEXT(text.path << " = " << text.odd)
+    {
+      listener.onChanges({ sound, removal(2) }, now);
+      BOOST_TEST(relay.listed.contains(name(0)));
+      BOOST_CHECK_NO_THROW(
+        listener.onChanges({ row(1), { name(0), text.text, false }, row(2) }, now));
+      BOOST_TEST(!relay.listed.contains(name(0)));
+      BOOST_TEST(relay.listed.size() == static_cast<size_t>(kEndpoints - 1));
+      BOOST_TEST(relay.lapsed.empty());
+      all[0].value = text.text;
+      BOOST_CHECK_NO_THROW(listener.onSnapshot(all, now));
+      BOOST_TEST(!relay.listed.contains(name(0)));
+      BOOST_TEST(relay.listed.size() == static_cast<size_t>(kEndpoints - 1));
+    }
+  }
+}
