Relay: a status promises 'not run' only if the endpoint stated it

Callers saw 408, 429 or 503 for requests that an endpoint may have run, or, if a caller repeats an attempt id, the refusal of its earlier request for a request that runs.

Cause: a status of the endpoint without its statement was passed on, or returned at the end as the endpoint's error; an earlier refusal with the same id, written once more on the same connection, was taken for the answer.

Change: such statuses count as 'may have run' and end as 502. A connection remembers its last eight attempt ids and carries none of them again. 421 with the request's own id still counts: it says that another endpoint was expected.

Test: relay.RepeatedRefusalTest/statusAlonePromisesNothing ('429 -> HTTP/1.1 429 Too Many Requests' before), refusalOfAnEarlierRequestWithTheSameIdPromisesNothing ('HTTP/1.1 503 Service Unavailable' before).

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -73,6 +73,13 @@
   return aHost.substr(0, aHost.rfind(':'));
 }
 
+/** Whether the status tells a caller that its request did not run. An endpoint that has not stated
+ * so may have run it. */
+bool promisesNotRun(int aStatus)
+{
+  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
+}
+
 bool isHopByHop(std::string_view aName)
 {
   for (std::string_view name : { "connection",
@@ -525,8 +532,8 @@
     sendFailed({ Outcome::Misdirected, false, "misdirected" }, aNow);
   } else if (notRun) {
     sendFailed({ Outcome::Rejected, false, "rejected_" + std::to_string(status) }, aNow);
-  } else if (status >= 500) {
-    if (mHead->facts.isSigned) {
+  } else if (status >= 500 || promisesNotRun(status)) {
+    if (mHead->facts.isSigned && !promisesNotRun(status)) {
       mAnsweredError.emplace(*mHead, mBody);
     }
     sendFailed({ Outcome::Failure, true, "answered_" + std::to_string(status) }, aNow);
--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -62,7 +62,18 @@
   return "cut_short";
 }
 
+bool Connection::hasCarried(std::string_view aAttemptId) const
+{
+  return std::ranges::find(mCarriedIds, aAttemptId) != mCarriedIds.end();
+}
+
+void Connection::recordCarried(std::string aAttemptId)
+{
+  mCarriedIds[mCarriedCount++ % mCarriedIds.size()] = std::move(aAttemptId);
+}
+
 std::unique_ptr<Connection> ConnectionPool::take(const std::string& aEndpoint,
+                                                 std::string_view aAttemptId,
                                                  base::Duration aMaxIdle,
                                                  base::TimePoint aNow)
 {
@@ -75,7 +86,7 @@
     auto connection = std::move(idle.back());
     idle.pop_back();
     if (aNow < connection->usableUntil && aNow - connection->idleSince <= aMaxIdle &&
-        !isUnusable(connection->socket)) {
+        !connection->hasCarried(aAttemptId) && !isUnusable(connection->socket)) {
       return connection;
     }
   }
@@ -136,7 +147,7 @@
   mMessage = std::move(aMessage);
   // On a used connection only the id distinguishes the answer from one to an earlier request.
   if (!mRequest.attemptId.empty()) {
-    mConnection = mPool.take(mRequest.endpoint, mRequest.maxIdle, aNow);
+    mConnection = mPool.take(mRequest.endpoint, mRequest.attemptId, mRequest.maxIdle, aNow);
   }
   if (mConnection) {
     mMayBeLate = true;
@@ -349,6 +360,7 @@
   }
   mState = State::Ended;
   if (aEnd == ExchangeEnd::Complete && mKeepOpen) {
+    mConnection->recordCarried(mRequest.attemptId);
     returnConnection();
   }
   mConnection.reset();
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -26,6 +27,15 @@
   beast::flat_buffer buffer;
   base::TimePoint usableUntil; ///< While idle: the endpoint may close the connection after this.
   base::TimePoint idleSince;
+
+  /** True when a recent request on this connection had this attempt id. A repeated answer to it
+   * would be taken for the answer to a new request with the same id. */
+  bool hasCarried(std::string_view aAttemptId) const;
+  void recordCarried(std::string aAttemptId);
+
+private:
+  std::array<std::string, 8> mCarriedIds; ///< Ring of the attempt ids of the latest requests.
+  size_t mCarriedCount = 0;
 };
 
 /** Idle connections by endpoint. Not thread-safe. */
@@ -33,8 +43,10 @@
 {
 public:
   /** Takes an idle connection that is still open; null when there is none.
+   * @param aAttemptId connections that recently carried this attempt id are not used.
    * @param aMaxIdle connections that were idle for longer are not used. */
   std::unique_ptr<Connection> take(const std::string& aEndpoint,
+                                   std::string_view aAttemptId,
                                    base::Duration aMaxIdle,
                                    base::TimePoint aNow);
   /** Returns a connection to the pool.
--- a/libs/relay/tests/RepeatedRefusalTest.cpp
+++ b/libs/relay/tests/RepeatedRefusalTest.cpp
@@ -1,4 +1,6 @@
 #define BOOST_TEST_MODULE relay_repeated_refusal
+#include <utility>
+
 #include <boost/test/unit_test.hpp>
 
 #include "RelayFixture.h"
@@ -116,3 +118,51 @@
   std::string text = call(get("n2"));
   BOOST_TEST(text.starts_with("HTTP/1.1 502"), text);
 }
+
+// Guards against a repeated refusal that is believed because the caller uses an id again.
+BOOST_FIXTURE_TEST_CASE(refusalOfAnEarlierRequestWithTheSameIdPromisesNothing, RefusalFixture)
+{
+  std::atomic<int> sends{ 0 };
+  FakeEndpoint endpoint([&](const std::string& aRequest) {
+    thread_local std::string earlier; // Each connection has its own thread.
+    std::string refusal = "HTTP/1.1 503 X\r\nNot-Run: 1\r\nId: n0\r\n" + kNoBody;
+    std::string current = sends++ == 0 ? refusal : answer(idOf(aRequest), "ran");
+    return std::exchange(earlier, current) + current;
+  });
+  declare(serving::CallKind::Mutating, 3);
+  list("e", endpoint.address());
+  BOOST_TEST(call(get("n0")).starts_with("HTTP/1.1 503"));
+  std::this_thread::sleep_for(200ms); // The endpoint is avoided for a moment after a refusal.
+  std::string text = call(get("n0"));
+  BOOST_TEST(endpoint.requests().size() == 2U);
+  BOOST_TEST(text.ends_with("ran"), text);
+}
+
+// Guards against a repeated refusal that is believed because the next request has no id.
+BOOST_FIXTURE_TEST_CASE(refusalBeforeARequestWithoutIdPromisesNothing, RefusalFixture)
+{
+  FakeEndpoint endpoint([](const std::string& aRequest) {
+    thread_local int count = 0; // Each connection has its own thread.
+    return (count++ > 0 ? "HTTP/1.1 503 X\r\nNot-Run: 1\r\n" + kNoBody : "") +
+           answer(idOf(aRequest), "ran");
+  });
+  declare(serving::CallKind::Mutating, 3);
+  list("e", endpoint.address());
+  BOOST_TEST(call(get("n0")).ends_with("ran"));
+  std::string text = call(get(""));
+  BOOST_TEST(text.ends_with("ran"), text);
+}
+
+// Guards against passing on a status that promises "not run" when the endpoint did not state it.
+// With 421 and the request's own id it did: another endpoint than the one expected answers.
+BOOST_FIXTURE_TEST_CASE(statusAlonePromisesNothing, RefusalFixture)
+{
+  for (const char* status : { "408", "429", "503" }) {
+    for (const char* signature : { "", "Signed: s\r\n" }) {
+      std::string text =
+        callAfter(std::string("HTTP/1.1 ") + status + " X\r\nId: n1\r\n" + signature + kNoBody);
+      BOOST_TEST(text.starts_with("HTTP/1.1 502"), status + (" -> " + text));
+      BOOST_TEST(text.find("Signed") == std::string::npos);
+    }
+  }
+}
