Tell an entry that starts at once which parts are in quarantine

Callers would see: BUDGET, if entries start while requests with a crashing part come: each sends some on before it hears of the quarantine.

Cause: quarantines were told in rounds of a second only.

Change: an entry that learns of the first other entries asks a few of them; they answer with what they hold. Also: evidence of other entries does not count against parts that this entry has just proved harmless; an empty stream proves nothing; a part keeps crashes of as many endpoints as its conviction may need; withdrawn requests are counted.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -49,6 +49,8 @@
 constexpr int kEventsPastBeginning = 3;
 constexpr int kHighestPriority = 0;
 constexpr int kLowestPriority = 9;
+/** Reason of failures, in log lines. */
+constexpr std::string_view kQuarantined = "quarantined";
 constexpr std::string_view kEventStream = "text/event-stream";
 
 std::string seconds(base::Milliseconds aTime)
@@ -154,7 +156,7 @@
   mFingerprint = serving::requestFingerprint(mRequest.target, mFacts.key, mRequest.body);
   if (isQuarantined(aNow)) {
     mCore.metrics.quarantined.add();
-    fail(500, "quarantined", aNow);
+    fail(500, kQuarantined, aNow);
     return false;
   }
   return true;
@@ -507,7 +509,9 @@
   }
   endSend(Outcome::Success, aNow);
   mCore.suspects.clear(mFingerprint);
-  mCore.quarantine.recordProof(mFacts.sharedParts, mSendEvents > 0 ? mSendBegunAt : mSentAt);
+  if (!mIsStream || mSendEvents > 0) {
+    mCore.quarantine.recordProof(mFacts.sharedParts, mIsStream ? mSendBegunAt : mSentAt);
+  }
   if (!mIsStream) {
     mCore.metrics.firstByte.record(aNow - mRequest.received);
     deliver(*mHead, mBody, aNow);
@@ -570,6 +574,9 @@
   }
   std::string_view obstacle = obstacleToRetry(aNow);
   bool isRetried = obstacle.empty();
+  if (obstacle == kQuarantined) {
+    mCore.metrics.quarantined.add();
+  }
   mCore.log.write(
     telemetry::EventClass::Refused,
     "send_failed",
@@ -608,7 +615,7 @@
     return "no_event_ids"; // Without an event id the stream cannot be resumed.
   }
   if (isQuarantined(aNow)) {
-    return "quarantined";
+    return kQuarantined;
   }
   if (!choose(aNow).endpoint) {
     return "no_endpoint";
@@ -654,7 +661,7 @@
   }
   if (!mSendHadEvent && mCore.quarantine.isQuarantined(mFacts.sharedParts, aNow)) {
     // The endpoint may not have begun the request yet.
-    abortSend({ Outcome::Abandoned, true, "quarantined" }, aNow);
+    abortSend({ Outcome::Abandoned, true, std::string(kQuarantined) }, aNow);
     return;
   }
   if (isStartOverdue(aNow)) {
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -126,7 +126,19 @@
   if (parts.empty() || peers.empty()) {
     return;
   }
-  std::string text = serving::encode(serving::PartNotice{ parts, {} });
+  sendToSome(serving::PartNotice{ parts, {} });
+}
+
+void Core::askForQuarantine()
+{
+  if (!peers.empty()) {
+    sendToSome(serving::PartNotice{});
+  }
+}
+
+void Core::sendToSome(const serving::PeerMessage& aMessage)
+{
+  std::string text = serving::encode(aMessage);
   for (size_t i = 0; i < std::min(kQuarantineFanOut, peers.size()); ++i) {
     ErrorCode ignored; // The next round tells other entries.
     peerSocket.send_to(
@@ -134,8 +146,19 @@
   }
 }
 
-void Core::applyNotice(const serving::PartNotice& aNotice, base::TimePoint aNow)
+void Core::applyNotice(const serving::PartNotice& aNotice,
+                       const asio::ip::udp::endpoint& aSender,
+                       base::TimePoint aNow)
 {
+  if (aNotice.quarantined.empty() && aNotice.proved.empty()) {
+    auto parts = quarantine.quarantined(kQuarantinedPartsPerNotice, aNow);
+    if (!parts.empty()) {
+      ErrorCode ignored; // The notices of the next rounds reach the entry as well.
+      peerSocket.send_to(
+        asio::buffer(serving::encode(serving::PartNotice{ parts, {} })), aSender, 0, ignored);
+    }
+    return;
+  }
   quarantine.recordProof(aNotice.proved, aNow);
   serving::PartNotice answer;
   for (const serving::QuarantinedPart& part : aNotice.quarantined) {
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -70,8 +70,14 @@
   bool recordCrash(const serving::CrashEvidence& aEvidence, base::TimePoint aNow);
   /** Tells a few other entries which parts of prompts are in quarantine. */
   void spreadQuarantine(base::TimePoint aNow);
-  /** Applies the notice of another entry. */
-  void applyNotice(const serving::PartNotice& aNotice, base::TimePoint aNow);
+  /** Asks a few other entries which parts of prompts they hold in quarantine. */
+  void askForQuarantine();
+  /** Applies the notice of another entry, or answers its question. */
+  void applyNotice(const serving::PartNotice& aNotice,
+                   const asio::ip::udp::endpoint& aSender,
+                   base::TimePoint aNow);
+  /** Sends to a few other entries, chosen at random. */
+  void sendToSome(const serving::PeerMessage& aMessage);
   /** Sends to the other entries, several times, since a datagram may be lost. */
   void broadcast(const serving::PeerMessage& aMessage);
   bool isReady() const { return !leaving && deployment != nullptr && listConfirmedAt; }
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -210,6 +210,9 @@
       int entries = static_cast<int>(peers.size()) + 1;
       mCore.endpoints.setOtherEntries(identities);
       mCore.retryBudget.setProcessCount(entries);
+      if (!std::exchange(mHasAskedPeers, !peers.empty())) {
+        mCore.askForQuarantine();
+      }
       logState("entries", { { "count", std::to_string(entries) } });
     });
   }
@@ -338,7 +341,7 @@
     } else if (auto* evidence = std::get_if<serving::CrashEvidence>(&*message)) {
       mCore.recordCrash(*evidence, now);
     } else if (auto* notice = std::get_if<serving::PartNotice>(&*message)) {
-      mCore.applyNotice(*notice, now);
+      mCore.applyNotice(*notice, mSender, now);
     }
   }
 
@@ -401,6 +404,7 @@
   base::TimePoint mHousekeepingAt;
   std::array<char, kMaxDatagramBytes> mDatagram{};
   asio::ip::udp::endpoint mSender;
+  bool mHasAskedPeers = false; ///< Other entries were asked for their quarantine after the start.
   const StatusSession::Answer mReadinessAnswer = [this](std::string_view aTarget) {
     bool known = aTarget == mCore.options.readinessPath;
     return std::pair{ !known ? 404 : mCore.isReady() ? 200 : 503, std::string() };
--- a/libs/serving/include/serving/PeerMessage.h
+++ b/libs/serving/include/serving/PeerMessage.h
@@ -25,7 +25,8 @@
 };
 
 /** An entry tells others which parts of prompts it holds in quarantine, and which it knows to be
- * harmless although another entry holds them in quarantine. */
+ * harmless although another entry holds them in quarantine. With neither it asks for the receiver's
+ * quarantine. */
 struct PartNotice
 {
   std::vector<QuarantinedPart> quarantined;
--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -52,7 +52,8 @@
       std::min(earliestProof, found == mRecords.end() ? base::TimePoint() : found->second.provedAt);
   }
   std::vector<PromptPart> convicted;
-  for (PromptPart part : aEvidence.parts) {
+  // The process that saw the crash may not know what this one has proved.
+  for (PromptPart part : unproved(aEvidence.parts, aNow)) {
     Record& record = recordOf(part, aNow);
     record.updatedAt = aNow;
     std::erase_if(record.crashes, [&](const Crash& aCrash) {
@@ -86,7 +87,8 @@
                    static_cast<ptrdiff_t>(mOptions.requests);
   if (hasEnough) {
     crashes.erase(std::find_if(crashes.begin(), crashes.end(), isSameEndpoint));
-  } else if (crashes.size() >= 2 * (mOptions.crashes + mOptions.requests)) {
+  } else if (crashes.size() >=
+             mOptions.requests * std::max(mOptions.crashes, mOptions.crashesIfProved)) {
     crashes.erase(crashes.begin());
   }
   crashes.push_back(aCrash);
--- a/libs/serving/tests/PartQuarantineFleetTest.cpp
+++ b/libs/serving/tests/PartQuarantineFleetTest.cpp
@@ -73,7 +73,7 @@
       schedule(kStart + at, [this] { killMany(); });
     }
     for (auto at = 12s; mPlan.hasRestarts && at < mPlan.duration; at += 3s) {
-      schedule(kStart + at, [this] { mEntries[below(kEntries)] = Entry(); });
+      schedule(kStart + at, [this] { restart(below(kEntries)); });
     }
     while (!mEvents.empty()) {
       auto event = mEvents.top();
@@ -85,6 +85,16 @@
   }
 
 private:
+  /** The entry knows nothing and asks another one for its quarantine. */
+  void restart(size_t aEntry)
+  {
+    mEntries[aEntry] = Entry();
+    auto told = mEntries[(aEntry + 1) % kEntries].quarantine.quarantined(kEntries, mNow);
+    for (const QuarantinedPart& part : told) {
+      mEntries[aEntry].quarantine.adopt(part, mNow);
+    }
+  }
+
   struct Entry
   {
     CrashSuspects suspects;
@@ -360,6 +370,20 @@
   check(plan);
 }
 
+BOOST_AUTO_TEST_CASE(entriesThatStartInTheMiddle)
+{
+  Plan plan;
+  plan.hasRestarts = true;
+  check(plan);
+}
+
+BOOST_AUTO_TEST_CASE(allAtOnce)
+{
+  Plan plan;
+  plan.hasKills = plan.hasResets = plan.hasRestarts = true;
+  check(plan);
+}
+
 // With few sound requests, their shared part is seldom proved harmless between the crashes.
 BOOST_AUTO_TEST_CASE(fewSoundRequests)
 {
