--- a/libs/relay/tests/RepeatedRefusalTest.cpp
+++ b/libs/relay/tests/RepeatedRefusalTest.cpp
@@ -71,7 +71,7 @@
 {
   for (const std::string& refusal : refusals("")) {
     std::string text = callAfter(refusal);
-    BOOST_TEST(text.starts_with("HTTP/1.1 502"), refusal + " -> " + text);
+    BOOST_TEST(text.starts_with("HTTP/1.1 502"), refusal << " -> " << text);
   }
   BOOST_TEST(callAfter("HTTP/1.1 503 X\r\nNot-Run: 1\r\n\r\nCLOSE").starts_with("HTTP/1.1 502"));
 }
@@ -161,7 +161,7 @@
     for (const char* signature : { "", "Signed: s\r\n" }) {
       std::string text =
         callAfter(std::string("HTTP/1.1 ") + status + " X\r\nId: n1\r\n" + signature + kNoBody);
-      BOOST_TEST(text.starts_with("HTTP/1.1 502"), status + (" -> " + text));
+      BOOST_TEST(text.starts_with("HTTP/1.1 502"), status << " -> " << text);
       BOOST_TEST(text.find("Signed") == std::string::npos);
     }
   }
