--- a/libs/serving/tests/PartQuarantineTest.cpp
+++ b/libs/serving/tests/PartQuarantineTest.cpp
@@ -134,6 +134,20 @@
   BOOST_TEST(quarantine.holds(kDeadly, kStart + 2s));
 }
 
+// Guards against records that cannot hold crashes of as many endpoints as the conviction of a part
+// needs that sound requests contained shortly before.
+BOOST_AUTO_TEST_CASE(aPartThatTurnsHarmfulIsFoundBesidePartsWithoutProof)
+{
+  Quarantine quarantine;
+  quarantine.prove(kDeadly, kStart);
+  auto now = kStart + 2s;
+  for (uint64_t i = 0; i < 16; ++i) {
+    // Two requests at each endpoint; each has another part that no request proved.
+    quarantine.crash(i, "e" + std::to_string(i / 2), { kDeadly, 1000 + i }, now);
+  }
+  BOOST_TEST(quarantine.holds(kDeadly, now));
+}
+
 // Guards against entries that start later, or that the evidence did not reach.
 BOOST_AUTO_TEST_CASE(otherProcessesTakeOverAQuarantine)
 {
