RelayFixture: let connectTo throw instead of using Boost.Test in threads

relay.CrashingPartAtOnceTest ended once in 60 runs with std::length_error: its 24 callers are threads, and connectTo used BOOST_REQUIRE, which is not thread-safe (the message's last checkpoint was being written by several threads).

--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <system_error>
 #include <thread>
 
 #include <sys/socket.h>
@@ -68,6 +69,7 @@
 /** Marks that the bytes after it are sent repeatedly until the other side closes. */
 inline constexpr std::string_view kEndless = "<endless>";
 
+/** Throws if the connection fails. May be called by threads, unlike the checks of Boost.Test. */
 inline int connectTo(const net::Address& aAddress)
 {
   int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -75,7 +77,9 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<uint16_t>(aAddress.port));
   inet_pton(AF_INET, aAddress.host.c_str(), &address.sin_addr);
-  BOOST_REQUIRE(::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  if (::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+    throw std::system_error(errno, std::generic_category(), "connect to " + aAddress.toString());
+  }
   timeval limit{ .tv_sec = 5, .tv_usec = 0 };
   setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
   return socket;
