PartQuarantine: quarantine parts of the same crashes together

Cause: each part collected crashes for itself. Parts that stand in the same crashed requests were convicted one by one, although the evidence cannot tell them apart.

Change: the parts that one crash convicts form one quarantine, which stops only requests that contain all of them. A proof takes a part out of it; crashes without the other parts convict a part alone, after three more endpoints. Crashes of requests that were underway when their parts were quarantined are not counted against their other parts. Processes tell each other whole quarantines; parts that the receiver has proved are left out.

--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -14,8 +14,6 @@
 /** Other entries that are told of the quarantine in one round: what an entry sends must not grow
  * with their number. One that has just started hears of it from three others a round on average. */
 constexpr size_t kQuarantineFanOut = 3;
-/** Parts told in one round. */
-constexpr size_t kQuarantinedPartsPerNotice = 12;
 
 std::string listOf(std::span<const serving::PromptPart> aParts)
 {
@@ -122,7 +120,7 @@
 
 void Core::spreadQuarantine(base::TimePoint aNow)
 {
-  auto parts = quarantine.quarantined(kQuarantinedPartsPerNotice, aNow);
+  auto parts = quarantine.quarantined(serving::kMaxQuarantinedPartsOfNotice, aNow);
   if (parts.empty() || peers.empty()) {
     return;
   }
@@ -151,7 +149,7 @@
                        base::TimePoint aNow)
 {
   if (aNotice.quarantined.empty() && aNotice.proved.empty()) {
-    auto parts = quarantine.quarantined(kQuarantinedPartsPerNotice, aNow);
+    auto parts = quarantine.quarantined(serving::kMaxQuarantinedPartsOfNotice, aNow);
     if (!parts.empty()) {
       ErrorCode ignored; // The notices of the next rounds reach the entry as well.
       peerSocket.send_to(
@@ -161,15 +159,16 @@
   }
   quarantine.recordProof(aNotice.proved, aNow);
   serving::PartNotice answer;
-  for (const serving::QuarantinedPart& part : aNotice.quarantined) {
-    bool wasQuarantined = quarantine.isQuarantined({ &part.part, 1 }, aNow);
-    if (!quarantine.adopt(part, aNow)) {
-      answer.proved.push_back(part.part);
-    } else if (!wasQuarantined && quarantine.isQuarantined({ &part.part, 1 }, aNow)) {
+  for (const serving::QuarantinedParts& told : aNotice.quarantined) {
+    bool wasQuarantined = quarantine.isQuarantined(told.parts, aNow);
+    auto contradicted = quarantine.adopt(told, aNow);
+    answer.proved.insert(answer.proved.end(), contradicted.begin(), contradicted.end());
+    if (!wasQuarantined && quarantine.isQuarantined(told.parts, aNow)) {
       log.write(telemetry::EventClass::Critical,
                 "parts_quarantined",
-                { { "parts", listOf({ &part.part, 1 }) },
-                  { "evidence_ms", std::to_string(part.evidenceAge.count()) },
+                { { "parts", listOf(told.parts) },
+                  { "harmless", listOf(contradicted) },
+                  { "evidence_ms", std::to_string(told.evidenceAge.count()) },
                   { "from", "peer" } },
                 aNow);
     }
--- a/libs/relay/tests/CrashingPartPeersTest.cpp
+++ b/libs/relay/tests/CrashingPartPeersTest.cpp
@@ -69,7 +69,7 @@
     std::this_thread::sleep_for(5ms);
   }
   // Another entry tells of the part while the request waits.
-  std::string text = serving::encode(serving::PartNotice{ { { 'd', 1000ms, 50000ms } }, {} });
+  std::string text = serving::encode(serving::PartNotice{ { { { 'd' }, 1000ms, 50000ms } }, {} });
   int socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
--- a/libs/relay/tests/CrashingPartTest.cpp
+++ b/libs/relay/tests/CrashingPartTest.cpp
@@ -110,7 +110,7 @@
 // Guards against an entry that starts later and learns of the part only by further crashes.
 BOOST_FIXTURE_TEST_CASE(quarantinesOfOtherEntriesAreTakenOver, CrashFixture)
 {
-  serving::PartNotice notice{ { { 'd', 5000ms, 50000ms } }, {} };
+  serving::PartNotice notice{ { { { 'd' }, 5000ms, 50000ms } }, {} };
   std::string text = serving::encode(notice);
   int socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
--- a/libs/serving/include/serving/PartQuarantine.h
+++ b/libs/serving/include/serving/PartQuarantine.h
@@ -37,13 +37,17 @@
   /** Time for which a proof is remembered: against the quarantine of another process, and to tell
    * the parts of a request apart. */
   base::Milliseconds proofMemory{ 10000 };
-  size_t maxParts = 8192; ///< Parts remembered.
+  size_t maxParts = 8192;      ///< Parts whose crashes and proofs are remembered.
+  size_t maxQuarantines = 512; ///< Quarantines remembered.
 };
 
-/** A part in quarantine, as processes tell each other. */
-struct QuarantinedPart
+/** Parts of one quarantine at most, so that it fits into a datagram. */
+inline constexpr size_t kMaxQuarantinedTogether = 8;
+
+/** A quarantine, as processes tell each other. It stops the requests that contain all its parts. */
+struct QuarantinedParts
 {
-  PromptPart part = 0;
+  std::vector<PromptPart> parts;
   base::Milliseconds evidenceAge{ 0 }; ///< Time since the first crash that counted.
   base::Milliseconds left{ 0 };        ///< Time until the quarantine ends.
 };
@@ -53,7 +57,9 @@
  * whatever else the request holds, and keeps such requests from further endpoints. A part is
  * quarantined after several crashes with no request that contains it and got past its beginning.
  * Parts that sound requests share are proved harmless all the time, so they do not come under
- * suspicion. Records are bounded by count and age. Not thread-safe.
+ * suspicion. Parts that the same crashes convict cannot be told apart: only requests that contain
+ * all of them are stopped, until one of them is proved harmless or crashes endpoints without the
+ * others. Records are bounded by count and age. Not thread-safe.
  */
 class PartQuarantine
 {
@@ -64,16 +70,17 @@
   std::vector<PromptPart> unproved(std::span<const PromptPart> aParts, base::TimePoint aNow) const;
   /** Records that a request with these parts began at aBegunAt and got past its beginning. */
   void recordProof(std::span<const PromptPart> aParts, base::TimePoint aBegunAt);
-  /** Records a crash. Returns the parts that it puts into quarantine. */
+  /** Records a crash. Returns the parts that it puts into quarantine together. */
   std::vector<PromptPart> recordCrash(const CrashEvidence& aEvidence, base::TimePoint aNow);
-  /** Takes over the quarantine of another process. Returns false if a proof of this process, which
-   * is newer than the evidence, contradicts it. */
-  bool adopt(const QuarantinedPart& aPart, base::TimePoint aNow);
+  /** Takes over the quarantine of another process without the parts that newer proofs of this
+   * process contradict, and returns those. */
+  std::vector<PromptPart> adopt(const QuarantinedParts& aTold, base::TimePoint aNow);
 
+  /** Returns true if a request with these parts is to be stopped. */
   bool isQuarantined(std::span<const PromptPart> aParts, base::TimePoint aNow) const;
-  /** The parts in quarantine, at most aLimit; further calls continue with the others, so that each
-   * part is told. */
-  std::vector<QuarantinedPart> quarantined(size_t aLimit, base::TimePoint aNow);
+  /** The quarantines in force, with at most aMaxParts parts in all; further calls continue with the
+   * others, so that each is told. */
+  std::vector<QuarantinedParts> quarantined(size_t aMaxParts, base::TimePoint aNow);
   size_t size() const { return mRecords.size(); }
 
 private:
@@ -85,25 +92,36 @@
   };
   struct Record
   {
-    base::TimePoint provedAt;       ///< Begin of the latest request that got past its beginning.
-    base::TimePoint updatedAt;      ///< Last proof or crash.
-    std::vector<Crash> crashes;     ///< Since the latest proof.
-    base::TimePoint suspectedSince; ///< First crash that counted for the present quarantine.
-    base::TimePoint quarantinedUntil;
-    uint32_t quarantines = 0; ///< Number of quarantines so far.
+    base::TimePoint provedAt;   ///< Begin of the latest request that got past its beginning.
+    base::TimePoint updatedAt;  ///< Last proof or crash.
+    std::vector<Crash> crashes; ///< Since the latest proof.
+  };
+  struct Quarantine
+  {
+    std::vector<PromptPart> parts; ///< Sorted; not empty.
+    base::TimePoint since;         ///< First crash that counted.
+    base::TimePoint until;
+    uint32_t count = 1; ///< Number of quarantines of these parts so far.
   };
 
   Record& recordOf(PromptPart aPart, base::TimePoint aNow);
+  base::TimePoint provedAt(PromptPart aPart) const;
   void addCrash(Record& aRecord, const Crash& aCrash) const;
   bool isConvicted(const Record& aRecord, size_t aCrashes) const;
-  void quarantine(Record& aRecord, base::TimePoint aSince, base::TimePoint aNow) const;
-  bool isObsolete(const Record& aRecord, base::TimePoint aNow) const;
+  /** Counts the crash for each part and returns those with enough evidence. */
+  std::vector<PromptPart> convict(const CrashEvidence& aEvidence, base::TimePoint aNow);
+  void quarantineTogether(std::span<const PromptPart> aParts, base::TimePoint aNow);
+  void renew(Quarantine& aQuarantine, base::TimePoint aNow) const;
+  /** Takes a part that is proved harmless out of the quarantines that rest on earlier crashes. */
+  void exculpate(PromptPart aPart, base::TimePoint aBegunAt);
+  void add(Quarantine aQuarantine);
   void prune(base::TimePoint aNow);
 
   PartQuarantineOptions mOptions;
   base::TimePoint mPrunedAt;
-  PromptPart mListedLast = 0;
   std::map<PromptPart, Record> mRecords;
+  std::vector<Quarantine> mQuarantines; ///< In force, and past ones that make parts suspect.
+  size_t mNextTold = 0;                 ///< Index into mQuarantines.
 };
 
 } // namespace boragepitch::serving
--- a/libs/serving/include/serving/PeerMessage.h
+++ b/libs/serving/include/serving/PeerMessage.h
@@ -29,10 +29,13 @@
  * quarantine. */
 struct PartNotice
 {
-  std::vector<QuarantinedPart> quarantined;
+  std::vector<QuarantinedParts> quarantined;
   std::vector<PromptPart> proved;
 };
 
+/** Parts in quarantine that fit into a notice. */
+inline constexpr size_t kMaxQuarantinedPartsOfNotice = 20;
+
 /** Payload of one datagram between processes. A lost load report is superseded by the next one;
  * crash evidence and notices are sent more than once. A list that would not fit into a datagram is
  * cut. */
--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -6,7 +6,23 @@
 namespace boragepitch::serving {
 
 namespace {
+
 constexpr base::Milliseconds kPruneInterval{ 1000 };
+
+std::vector<PromptPart> sorted(std::span<const PromptPart> aParts)
+{
+  std::vector<PromptPart> parts(aParts.begin(), aParts.end());
+  std::sort(parts.begin(), parts.end());
+  parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+  return parts;
+}
+
+/** Both sorted. */
+bool containsAll(std::span<const PromptPart> aParts, std::span<const PromptPart> aContained)
+{
+  return std::includes(aParts.begin(), aParts.end(), aContained.begin(), aContained.end());
+}
+
 } // namespace
 
 PartQuarantine::PartQuarantine(PartQuarantineOptions aOptions)
@@ -35,24 +51,61 @@
     record.provedAt = std::max(record.provedAt, aBegunAt);
     record.updatedAt = std::max(record.updatedAt, aBegunAt);
     std::erase_if(record.crashes, [&](const Crash& aCrash) { return aCrash.at <= aBegunAt; });
-    if (aBegunAt >= record.suspectedSince) {
-      record.quarantinedUntil = {};
-      record.quarantines = 0; // What the quarantine rested on was coincidence.
+    exculpate(part, aBegunAt);
+  }
+}
+
+void PartQuarantine::exculpate(PromptPart aPart, base::TimePoint aBegunAt)
+{
+  bool isChanged = false;
+  for (Quarantine& quarantine : mQuarantines) {
+    if (aBegunAt >= quarantine.since) {
+      isChanged = std::erase(quarantine.parts, aPart) > 0 || isChanged;
+    }
+  }
+  if (!isChanged) {
+    return;
+  }
+  std::vector<Quarantine> quarantines;
+  std::swap(quarantines, mQuarantines);
+  for (Quarantine& quarantine : quarantines) {
+    // Without parts left, what the quarantine rested on was coincidence.
+    if (!quarantine.parts.empty()) {
+      add(std::move(quarantine));
     }
   }
 }
 
 std::vector<PromptPart> PartQuarantine::recordCrash(const CrashEvidence& aEvidence,
                                                     base::TimePoint aNow)
+{
+  // The process that saw the crash may not know what this one has proved.
+  auto suspects = sorted(unproved(aEvidence.parts, aNow));
+  if (isQuarantined(suspects, aNow)) {
+    return {}; // The request was underway; its other parts are no more suspect than before.
+  }
+  for (Quarantine& quarantine : mQuarantines) {
+    // Parts that were quarantined before and crash an endpoint again are suspected at once.
+    if (containsAll(suspects, quarantine.parts)) {
+      renew(quarantine, aNow);
+      return quarantine.parts;
+    }
+  }
+  auto convicted = convict(aEvidence, aNow);
+  if (!convicted.empty()) {
+    quarantineTogether(convicted, aNow);
+  }
+  return convicted;
+}
+
+std::vector<PromptPart> PartQuarantine::convict(const CrashEvidence& aEvidence,
+                                                base::TimePoint aNow)
 {
   base::TimePoint earliestProof = base::TimePoint::max();
   for (PromptPart part : aEvidence.parts) {
-    auto found = mRecords.find(part);
-    earliestProof =
-      std::min(earliestProof, found == mRecords.end() ? base::TimePoint() : found->second.provedAt);
+    earliestProof = std::min(earliestProof, provedAt(part));
   }
   std::vector<PromptPart> convicted;
-  // The process that saw the crash may not know what this one has proved.
   for (PromptPart part : unproved(aEvidence.parts, aNow)) {
     Record& record = recordOf(part, aNow);
     record.updatedAt = aNow;
@@ -65,11 +118,15 @@
     bool isLessSuspect = record.provedAt > earliestProof &&
                          aNow - record.provedAt <= base::Duration(mOptions.proofMemory);
     size_t needed = isLessSuspect ? mOptions.crashesIfProved : mOptions.crashes;
-    if (aNow >= record.quarantinedUntil && isConvicted(record, needed)) {
-      quarantine(record, record.crashes.front().at, aNow);
+    if (isConvicted(record, needed)) {
       convicted.push_back(part);
     }
   }
+  // Requests share their first parts most.
+  if (convicted.size() > kMaxQuarantinedTogether) {
+    convicted.erase(convicted.begin(),
+                    convicted.end() - static_cast<ptrdiff_t>(kMaxQuarantinedTogether));
+  }
   return convicted;
 }
 
@@ -102,65 +159,119 @@
     endpoints.insert(crash.endpoint);
     requests.insert(crash.fingerprint);
   }
-  // A part that was quarantined before and crashes an endpoint again is suspected at once.
-  size_t needed = aRecord.quarantines > 0 ? 1 : aCrashes;
-  return endpoints.size() >= needed && requests.size() >= std::min(needed, mOptions.requests);
+  return endpoints.size() >= aCrashes && requests.size() >= std::min(aCrashes, mOptions.requests);
 }
 
-void PartQuarantine::quarantine(Record& aRecord, base::TimePoint aSince, base::TimePoint aNow) const
+void PartQuarantine::quarantineTogether(std::span<const PromptPart> aParts, base::TimePoint aNow)
+{
+  base::TimePoint since = aNow;
+  for (PromptPart part : aParts) {
+    auto& crashes = recordOf(part, aNow).crashes;
+    if (!crashes.empty()) {
+      since = std::min(since, crashes.front().at);
+      crashes.clear();
+    }
+  }
+  add({ sorted(aParts), since, aNow + base::Duration(mOptions.duration) });
+}
+
+void PartQuarantine::renew(Quarantine& aQuarantine, base::TimePoint aNow) const
 {
   auto duration = mOptions.duration;
-  for (uint32_t i = 0; i < aRecord.quarantines && duration < mOptions.maxDuration; ++i) {
+  for (uint32_t i = 0; i < aQuarantine.count && duration < mOptions.maxDuration; ++i) {
     duration *= 2;
   }
-  ++aRecord.quarantines;
-  aRecord.suspectedSince = aSince;
-  aRecord.quarantinedUntil = aNow + base::Duration(std::min(duration, mOptions.maxDuration));
-  aRecord.crashes.clear();
+  ++aQuarantine.count;
+  aQuarantine.since = aNow;
+  aQuarantine.until = aNow + base::Duration(std::min(duration, mOptions.maxDuration));
 }
 
-bool PartQuarantine::adopt(const QuarantinedPart& aPart, base::TimePoint aNow)
+void PartQuarantine::add(Quarantine aQuarantine)
 {
-  auto since = aNow - base::Duration(aPart.evidenceAge);
-  Record& record = recordOf(aPart.part, aNow);
-  if (record.provedAt > since) {
-    return false;
+  auto same = std::find_if(mQuarantines.begin(), mQuarantines.end(), [&](const auto& aOther) {
+    return aOther.parts == aQuarantine.parts;
+  });
+  if (same != mQuarantines.end()) {
+    same->since = std::min(same->since, aQuarantine.since);
+    same->until = std::max(same->until, aQuarantine.until);
+    same->count = std::max(same->count, aQuarantine.count);
+    return;
   }
-  auto left = std::min(aPart.left, mOptions.maxDuration);
-  if (aNow >= record.quarantinedUntil && left.count() > 0) {
-    ++record.quarantines;
-    record.suspectedSince = since;
-    record.updatedAt = aNow;
-    record.quarantinedUntil = aNow + base::Duration(left);
-    record.crashes.clear();
+  if (mQuarantines.size() >= mOptions.maxQuarantines) {
+    mQuarantines.erase(std::min_element(
+      mQuarantines.begin(), mQuarantines.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.until < aRight.until;
+      }));
   }
-  return true;
+  mQuarantines.push_back(std::move(aQuarantine));
+}
+
+std::vector<PromptPart> PartQuarantine::adopt(const QuarantinedParts& aTold, base::TimePoint aNow)
+{
+  auto since = aNow - base::Duration(aTold.evidenceAge);
+  std::vector<PromptPart> contradicted;
+  Quarantine told{ sorted(aTold.parts),
+                   since,
+                   aNow + base::Duration(std::min(aTold.left, mOptions.maxDuration)) };
+  std::erase_if(told.parts, [&](PromptPart aPart) {
+    bool isProved = provedAt(aPart) > since;
+    if (isProved) {
+      contradicted.push_back(aPart);
+    }
+    return isProved;
+  });
+  if (told.parts.empty() || aNow >= told.until) {
+    return contradicted;
+  }
+  if (isQuarantined(told.parts, aNow)) {
+    return contradicted; // These requests are stopped already.
+  }
+  auto past = std::find_if(mQuarantines.begin(), mQuarantines.end(), [&](const auto& aOther) {
+    return aOther.parts == told.parts;
+  });
+  if (past != mQuarantines.end()) {
+    told.count = past->count + 1;
+    mQuarantines.erase(past);
+  }
+  add(std::move(told));
+  return contradicted;
 }
 
 bool PartQuarantine::isQuarantined(std::span<const PromptPart> aParts, base::TimePoint aNow) const
 {
-  return std::any_of(aParts.begin(), aParts.end(), [&](PromptPart aPart) {
-    auto found = mRecords.find(aPart);
-    return found != mRecords.end() && aNow < found->second.quarantinedUntil;
+  return std::any_of(mQuarantines.begin(), mQuarantines.end(), [&](const Quarantine& aQuarantine) {
+    return aNow < aQuarantine.until &&
+           std::all_of(aQuarantine.parts.begin(), aQuarantine.parts.end(), [&](PromptPart aPart) {
+             return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
+           });
   });
 }
 
-std::vector<QuarantinedPart> PartQuarantine::quarantined(size_t aLimit, base::TimePoint aNow)
+std::vector<QuarantinedParts> PartQuarantine::quarantined(size_t aMaxParts, base::TimePoint aNow)
 {
-  std::vector<QuarantinedPart> parts;
-  auto next = mRecords.upper_bound(mListedLast);
-  for (size_t i = 0; i < mRecords.size() && parts.size() < aLimit; ++i, ++next) {
-    next = next == mRecords.end() ? mRecords.begin() : next;
-    const auto& [part, record] = *next;
-    if (aNow < record.quarantinedUntil) {
-      mListedLast = part;
-      parts.push_back(
-        { part,
-          std::chrono::duration_cast<base::Milliseconds>(aNow - record.suspectedSince),
-          std::chrono::duration_cast<base::Milliseconds>(record.quarantinedUntil - aNow) });
+  std::vector<QuarantinedParts> list;
+  size_t parts = 0;
+  for (size_t i = 0; i < mQuarantines.size(); ++i, ++mNextTold) {
+    mNextTold = mNextTold < mQuarantines.size() ? mNextTold : 0;
+    const Quarantine& quarantine = mQuarantines[mNextTold];
+    if (aNow >= quarantine.until) {
+      continue;
     }
+    if (parts + quarantine.parts.size() > aMaxParts) {
+      break;
+    }
+    parts += quarantine.parts.size();
+    list.push_back({ quarantine.parts,
+                     std::chrono::duration_cast<base::Milliseconds>(aNow - quarantine.since),
+                     std::chrono::duration_cast<base::Milliseconds>(quarantine.until - aNow) });
   }
-  return parts;
+  return list;
+}
+
+base::TimePoint PartQuarantine::provedAt(PromptPart aPart) const
+{
+  auto found = mRecords.find(aPart);
+  return found == mRecords.end() ? base::TimePoint() : found->second.provedAt;
 }
 
 PartQuarantine::Record& PartQuarantine::recordOf(PromptPart aPart, base::TimePoint aNow)
@@ -175,34 +286,28 @@
   return mRecords[aPart];
 }
 
-bool PartQuarantine::isObsolete(const Record& aRecord, base::TimePoint aNow) const
-{
-  if (aRecord.quarantines > 0) {
-    // The next quarantine of the part is to be longer.
-    return aNow >= aRecord.quarantinedUntil + base::Duration(mOptions.maxDuration);
-  }
-  auto memory = aRecord.crashes.empty() ? mOptions.proofMemory : mOptions.memory;
-  return aNow - aRecord.updatedAt > base::Duration(memory);
-}
-
 void PartQuarantine::prune(base::TimePoint aNow)
 {
   mPrunedAt = aNow;
-  std::erase_if(mRecords, [&](const auto& aEntry) { return isObsolete(aEntry.second, aNow); });
+  // The next quarantine of the same parts is to be longer.
+  std::erase_if(mQuarantines, [&](const Quarantine& aQuarantine) {
+    return aNow >= aQuarantine.until + base::Duration(mOptions.maxDuration);
+  });
+  std::erase_if(mRecords, [&](const auto& aEntry) {
+    const Record& record = aEntry.second;
+    auto memory = record.crashes.empty() ? mOptions.proofMemory : mOptions.memory;
+    return aNow - record.updatedAt > base::Duration(memory);
+  });
   if (mRecords.size() < mOptions.maxParts) {
     return;
   }
-  // Drops the older half, but parts in quarantine last.
-  auto ageKey = [](const Record& aRecord) {
-    return std::pair(aRecord.quarantinedUntil, aRecord.updatedAt);
-  };
-  std::vector<std::pair<base::TimePoint, base::TimePoint>> keys;
+  std::vector<base::TimePoint> ages;
   for (const auto& [part, record] : mRecords) {
-    keys.push_back(ageKey(record));
+    ages.push_back(record.updatedAt);
   }
-  auto middle = keys.begin() + static_cast<ptrdiff_t>(keys.size() / 2);
-  std::nth_element(keys.begin(), middle, keys.end());
-  std::erase_if(mRecords, [&](const auto& aEntry) { return ageKey(aEntry.second) <= *middle; });
+  auto middle = ages.begin() + static_cast<ptrdiff_t>(ages.size() / 2);
+  std::nth_element(ages.begin(), middle, ages.end());
+  std::erase_if(mRecords, [&](const auto& aEntry) { return aEntry.second.updatedAt <= *middle; });
 }
 
 } // namespace boragepitch::serving
--- a/libs/serving/src/PeerMessage.cpp
+++ b/libs/serving/src/PeerMessage.cpp
@@ -10,8 +10,10 @@
 
 constexpr size_t kMaxMessageBytes = 2048;
 constexpr int64_t kMaxCount = 1'000'000;
-/** Entries of a list of parts; a part takes up to 24 bytes, one in quarantine up to 80. */
+/** Entries of a list of parts; a part takes up to 24 bytes. */
 constexpr Json::ArrayIndex kMaxParts = 12;
+/** Quarantines of a notice; one takes up to 50 bytes beside its parts. */
+constexpr size_t kMaxQuarantines = kMaxQuarantinedPartsOfNotice;
 constexpr int64_t kMaxPartAgeMs = 86'400'000;
 
 Json::Value toJson(const std::vector<PromptPart>& aParts)
@@ -57,14 +59,17 @@
   Json::Value json;
   json["kind"] = "parts";
   json["quarantined"] = Json::Value(Json::arrayValue);
-  for (const QuarantinedPart& part : aNotice.quarantined) {
-    if (json["quarantined"].size() < kMaxParts) {
-      Json::Value row;
-      row["part"] = std::to_string(part.part);
-      row["age"] = Json::Int64{ part.evidenceAge.count() };
-      row["left"] = Json::Int64{ part.left.count() };
-      json["quarantined"].append(std::move(row));
+  size_t parts = 0;
+  for (const QuarantinedParts& quarantine : aNotice.quarantined) {
+    parts += quarantine.parts.size();
+    if (parts > kMaxQuarantinedPartsOfNotice) {
+      break; // Part of a quarantine would stop more requests than all of it.
     }
+    Json::Value row;
+    row["parts"] = toJson(quarantine.parts);
+    row["age"] = Json::Int64{ quarantine.evidenceAge.count() };
+    row["left"] = Json::Int64{ quarantine.left.count() };
+    json["quarantined"].append(std::move(row));
   }
   json["proved"] = toJson(aNotice.proved);
   return json;
@@ -140,16 +145,17 @@
     if (!row.isObject()) {
       return base::fail(base::ErrorKind::Invalid, "quarantined", "not a list of objects", "");
     }
-    auto part = base::requireString(row, "part");
+    auto parts = partsFrom(row["parts"]);
     auto age = base::requireInt(row, "age", 0, kMaxPartAgeMs);
     auto left = base::requireInt(row, "left", 0, kMaxPartAgeMs);
-    if (!part || !age || !left) {
-      return tl::make_unexpected(!part ? part.error() : !age ? age.error() : left.error());
+    if (!age || !left) {
+      return tl::make_unexpected(!age ? age.error() : left.error());
     }
-    if (notice.quarantined.size() < kMaxParts) {
-      notice.quarantined.push_back({ std::strtoull(part->c_str(), nullptr, 10),
-                                     base::Milliseconds(*age),
-                                     base::Milliseconds(*left) });
+    // Part of a quarantine would stop more requests than all of it.
+    bool isWhole = !parts.empty() && parts.size() == row["parts"].size();
+    if (isWhole && notice.quarantined.size() < kMaxQuarantines) {
+      notice.quarantined.push_back(
+        { std::move(parts), base::Milliseconds(*age), base::Milliseconds(*left) });
     }
   }
   return PeerMessage(notice);
@@ -202,7 +208,7 @@
 
 base::Result<PeerMessage> decode(std::string_view aText)
 {
-  auto json = base::parseJson(aText, { .bytes = kMaxMessageBytes, .depth = 3 });
+  auto json = base::parseJson(aText, { .bytes = kMaxMessageBytes, .depth = 4 });
   if (!json) {
     return tl::make_unexpected(json.error());
   }
--- a/libs/serving/tests/PartQuarantineFleetTest.cpp
+++ b/libs/serving/tests/PartQuarantineFleetTest.cpp
@@ -10,6 +10,7 @@
 #include "base/Rng.h"
 #include "serving/CrashSuspects.h"
 #include "serving/PartQuarantine.h"
+#include "serving/PeerMessage.h"
 
 using namespace boragepitch;
 using namespace boragepitch::serving;
@@ -29,6 +30,7 @@
   uint64_t seed = 1;
   uint64_t lossPercent = 1;
   uint64_t soundPerSecond = 60;
+  base::Duration soundFrom{ 0 };
   uint64_t deadlyPerSecond = 4; ///< For each crashing part.
   uint64_t rareParts = 100;     ///< Each sound request holds one of them.
   std::array<base::Duration, 2> deadlyFrom{ 10s, 30s };
@@ -89,8 +91,9 @@
   void restart(size_t aEntry)
   {
     mEntries[aEntry] = Entry();
-    auto told = mEntries[(aEntry + 1) % kEntries].quarantine.quarantined(kEntries, mNow);
-    for (const QuarantinedPart& part : told) {
+    auto told =
+      mEntries[(aEntry + 1) % kEntries].quarantine.quarantined(kMaxQuarantinedPartsOfNotice, mNow);
+    for (const QuarantinedParts& part : told) {
       mEntries[aEntry].quarantine.adopt(part, mNow);
     }
   }
@@ -142,7 +145,7 @@
         schedule(kStart + at, [this, request] { send(request); });
       }
     };
-    each(mPlan.soundPerSecond, 0s, 2);
+    each(mPlan.soundPerSecond, mPlan.soundFrom, 2);
     each(mPlan.deadlyPerSecond, mPlan.deadlyFrom[0], 0);
     each(mPlan.deadlyPerSecond, mPlan.deadlyFrom[1], 1);
   }
@@ -284,20 +287,19 @@
 
   void spread(size_t aFrom)
   {
-    auto parts = mEntries[aFrom].quarantine.quarantined(12, mNow);
+    auto parts = mEntries[aFrom].quarantine.quarantined(kMaxQuarantinedPartsOfNotice, mNow);
     for (int i = 0; i < 3 && !parts.empty(); ++i) {
       size_t to = (aFrom + 1 + below(kEntries - 1)) % kEntries;
       deliver(to, [this, parts](size_t aTo) { adopt(aTo, parts); });
     }
   }
 
-  void adopt(size_t aEntry, const std::vector<QuarantinedPart>& aParts)
+  void adopt(size_t aEntry, const std::vector<QuarantinedParts>& aTold)
   {
     std::vector<PromptPart> proved;
-    for (const auto& part : aParts) {
-      if (!mEntries[aEntry].quarantine.adopt(part, mNow)) {
-        proved.push_back(part.part);
-      }
+    for (const auto& told : aTold) {
+      auto contradicted = mEntries[aEntry].quarantine.adopt(told, mNow);
+      proved.insert(proved.end(), contradicted.begin(), contradicted.end());
     }
     if (!proved.empty()) {
       broadcast(aEntry,
@@ -392,3 +394,12 @@
   plan.deadlyPerSecond = 10;
   check(plan);
 }
+
+// No sound request has proved the shared part when the first ones crash endpoints, many at once.
+BOOST_AUTO_TEST_CASE(noSoundRequestBeforeTheCrashes)
+{
+  Plan plan;
+  plan.soundFrom = 12s;
+  plan.deadlyPerSecond = 40;
+  check(plan);
+}
--- a/libs/serving/tests/PartQuarantineSpreadTest.cpp
+++ b/libs/serving/tests/PartQuarantineSpreadTest.cpp
@@ -52,7 +52,7 @@
   {
     base::TimePoint at;
     size_t to;
-    QuarantinedPart part;
+    QuarantinedParts part;
   };
   const PartQuarantineOptions options;
   base::Rng rng(3);
--- a/libs/serving/tests/PartQuarantineTest.cpp
+++ b/libs/serving/tests/PartQuarantineTest.cpp
@@ -148,6 +148,81 @@
   BOOST_TEST(quarantine.holds(kDeadly, now));
 }
 
+// Guards against a quarantine of the part that all requests share because no sound one came before
+// the crashes (LOST): only requests with all parts of the same crashes are stopped.
+BOOST_AUTO_TEST_CASE(partsOfTheSameCrashesStopOnlyRequestsWithAllOfThem)
+{
+  Quarantine quarantine;
+  for (uint64_t i = 0; i < 12; ++i) {
+    quarantine.crash(i, "e" + std::to_string(i), { kShared, kDeadly }, kStart);
+  }
+  BOOST_TEST(quarantine.isQuarantined(std::array{ kShared, kDeadly }, kStart));
+  BOOST_TEST(quarantine.isQuarantined(std::array{ kShared, kOther, kDeadly }, kStart));
+  BOOST_TEST(!quarantine.isQuarantined(std::array{ kShared, kOther }, kStart));
+  BOOST_TEST(!quarantine.isQuarantined(std::array{ kOther, kDeadly }, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(aProofLeavesTheOtherPartsOfTheSameCrashesInQuarantine)
+{
+  Quarantine quarantine;
+  for (uint64_t i = 0; i < 3; ++i) {
+    quarantine.crash(i, "e" + std::to_string(i), { kShared, kDeadly }, kStart);
+  }
+  quarantine.recordProof(std::array{ kShared, kOther }, kStart + 1s);
+  BOOST_TEST(quarantine.isQuarantined(std::array{ kOther, kDeadly }, kStart + 1s));
+  BOOST_TEST(!quarantine.holds(kShared, kStart + 1s));
+}
+
+// Guards against a crashing part that goes on beside other parts than in its first crashes: it may
+// crash three more endpoints.
+BOOST_AUTO_TEST_CASE(crashesWithoutTheOtherPartsQuarantineAPartAlone)
+{
+  Quarantine quarantine;
+  for (uint64_t i = 0; i < 6; ++i) {
+    PromptPart beside = i < 3 ? kShared : 100 + i;
+    quarantine.crash(i, "e" + std::to_string(i), { beside, kDeadly }, kStart + i * 1s);
+  }
+  BOOST_TEST(quarantine.holds(kDeadly, kStart + 6s));
+  BOOST_TEST(!quarantine.holds(kShared, kStart + 6s));
+}
+
+// Guards against a crashing part that is forgotten with a wrong quarantine of another part.
+BOOST_AUTO_TEST_CASE(theEndOfAWrongQuarantineLeavesTheOthers)
+{
+  Quarantine quarantine;
+  for (uint64_t i = 0; i < 3; ++i) {
+    quarantine.crash(i, "a" + std::to_string(i), { kShared, kDeadly }, kStart);
+  }
+  for (uint64_t i = 0; i < 3; ++i) {
+    quarantine.crash(10 + i, "b" + std::to_string(i), { kShared, 100 + i }, kStart + 1s);
+  }
+  BOOST_TEST(quarantine.holds(kShared, kStart + 1s));
+  quarantine.prove(kShared, kStart + 2s);
+  BOOST_TEST(!quarantine.holds(kShared, kStart + 2s));
+  BOOST_TEST(quarantine.holds(kDeadly, kStart + 2s));
+}
+
+// What another process has proved, or not, does not widen a quarantine that is told.
+BOOST_AUTO_TEST_CASE(otherProcessesTakeOverPartsThatAreQuarantinedTogether)
+{
+  Quarantine quarantine;
+  for (uint64_t i = 0; i < 3; ++i) {
+    quarantine.crash(i, "e" + std::to_string(i), { kShared, kDeadly }, kStart);
+  }
+  auto now = kStart + 2s;
+  auto told = quarantine.quarantined(9, now);
+  BOOST_REQUIRE(told.size() == 1U);
+  Quarantine later;
+  BOOST_TEST(later.adopt(told[0], now).empty());
+  BOOST_TEST(later.isQuarantined(std::array{ kShared, kDeadly }, now));
+  BOOST_TEST(!later.holds(kShared, now));
+  BOOST_TEST(!later.holds(kDeadly, now));
+  Quarantine busy;
+  busy.prove(kShared, kStart + 1s);
+  BOOST_TEST(busy.adopt(told[0], now) == std::vector{ kShared });
+  BOOST_TEST(busy.holds(kDeadly, now));
+}
+
 // Guards against entries that start later, or that the evidence did not reach.
 BOOST_AUTO_TEST_CASE(otherProcessesTakeOverAQuarantine)
 {
@@ -160,7 +235,7 @@
   BOOST_REQUIRE(told.size() == 1U);
   BOOST_TEST((told[0].evidenceAge == 5s));
   Quarantine later;
-  BOOST_TEST(later.adopt(told[0], now));
+  BOOST_TEST(later.adopt(told[0], now).empty());
   BOOST_TEST(later.holds(kDeadly, now + told[0].left - 1ms));
   BOOST_TEST(!later.holds(kDeadly, now + told[0].left));
 }
@@ -175,7 +250,7 @@
   Quarantine busy;
   busy.prove(kShared, kStart + 1s);
   auto now = kStart + 2s;
-  BOOST_TEST(!busy.adopt(wrong.quarantined(9, now).at(0), now));
+  BOOST_TEST(busy.adopt(wrong.quarantined(9, now).at(0), now) == std::vector{ kShared });
   BOOST_TEST(!busy.holds(kShared, now));
   wrong.prove(kShared, now);
   BOOST_TEST(!wrong.holds(kShared, now));
