PartQuarantine: let one request at a time through after a quarantine

What callers see: requests with a crashing part that come for longer than the quarantine of 60 s crash endpoints again at its end, at all entries at once (BUDGET).

Cause: the end of a quarantine admits all requests until the next crash is known.

Change: after a quarantine an entry lets one request with its parts through at a time, until one got past its beginning. Entries begin with this one after another, by the order of their names, within ten seconds.

Evidence: PartQuarantineFleetTest/requestsThatComeLongerThanTheQuarantine, 300 s, two parts, six entries: without trials 4 checks fail (up to 9 requests sent late, 3 allowed), with them none (at most 1). CrashingPartPeersTest/ afterAQuarantineOneRequestAtATimeIsSentOn: 1 of 6 requests at once reaches an endpoint.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -154,7 +154,8 @@
   mLastEvent = mFacts.lastEvent;
   mCore.retryBudget.recordRequest(mService->name, aNow);
   mFingerprint = serving::requestFingerprint(mRequest.target, mFacts.key, mRequest.body);
-  if (isQuarantined(aNow)) {
+  if (mCore.suspects.isQuarantined(mFingerprint, aNow) ||
+      !mCore.quarantine.admit(mFacts.sharedParts, aNow)) {
     mCore.metrics.quarantined.add();
     fail(500, kQuarantined, aNow);
     return false;
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -14,6 +14,11 @@
 /** Other entries that are told of the quarantine in one round: what an entry sends must not grow
  * with their number. One that has just started hears of it from three others a round on average. */
 constexpr size_t kQuarantineFanOut = 3;
+/** An entry hears of a crash that another one has seen within this time. */
+constexpr base::Milliseconds kTrialInterval{ 1000 };
+/** With many entries the last ones do not wait for all others: a sound request is stopped no longer
+ * than this after a wrong quarantine has ended elsewhere. */
+constexpr base::Milliseconds kMaxTrialDelay{ 10000 };
 
 std::string listOf(std::span<const serving::PromptPart> aParts)
 {
@@ -118,6 +123,14 @@
   return true;
 }
 
+void Core::setTrialDelay(std::span<const serving::EntryIdentity> aOthers)
+{
+  auto earlier = std::count_if(
+    aOthers.begin(), aOthers.end(), [&](const auto& aOther) { return aOther.name < options.node; });
+  quarantine.setTrialDelay(
+    std::min<base::Duration>(earlier * kTrialInterval, base::Duration(kMaxTrialDelay)));
+}
+
 void Core::spreadQuarantine(base::TimePoint aNow)
 {
   auto parts = quarantine.quarantined(serving::kMaxQuarantinedPartsOfNotice, aNow);
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <unordered_set>
 
@@ -68,6 +69,8 @@
   void reportCrash(const serving::CrashEvidence& aEvidence, base::TimePoint aNow);
   /** Records evidence of this or another entry. Returns true when it is new. */
   bool recordCrash(const serving::CrashEvidence& aEvidence, base::TimePoint aNow);
+  /** Lets entries try parts whose quarantine has ended one after another. */
+  void setTrialDelay(std::span<const serving::EntryIdentity> aOthers);
   /** Tells a few other entries which parts of prompts are in quarantine. */
   void spreadQuarantine(base::TimePoint aNow);
   /** Asks a few other entries which parts of prompts they hold in quarantine. */
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -210,6 +210,7 @@
       int entries = static_cast<int>(peers.size()) + 1;
       mCore.endpoints.setOtherEntries(identities);
       mCore.retryBudget.setProcessCount(entries);
+      mCore.setTrialDelay(identities);
       if (!std::exchange(mHasAskedPeers, !peers.empty())) {
         mCore.askForQuarantine();
       }
--- a/libs/relay/tests/CrashingPartPeersTest.cpp
+++ b/libs/relay/tests/CrashingPartPeersTest.cpp
@@ -69,22 +69,33 @@
     std::this_thread::sleep_for(5ms);
   }
   // Another entry tells of the part while the request waits.
-  std::string text = serving::encode(serving::PartNotice{ { { { 'd' }, 1000ms, 50000ms } }, {} });
-  int socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<uint16_t>(relays[1]->peers.port));
-  inet_pton(AF_INET, relays[1]->peers.host.c_str(), &address.sin_addr);
-  BOOST_REQUIRE(::sendto(socket,
-                         text.data(),
-                         text.size(),
-                         0,
-                         reinterpret_cast<const sockaddr*>(&address),
-                         sizeof(address)) > 0);
-  ::close(socket);
+  tell(1, { { { { 'd' }, 1000ms, 50000ms } }, {} });
   caller.join();
   BOOST_TEST((std::chrono::steady_clock::now() - begun < 1s));
   BOOST_TEST(!answer.starts_with("HTTP/1.1 200"));
   BOOST_TEST(reached == 1);
   isSlow = false;
 }
+
+// Guards against entries that let all requests through when a quarantine ends (BUDGET).
+BOOST_FIXTURE_TEST_CASE(afterAQuarantineOneRequestAtATimeIsSentOn, PeersFixture)
+{
+  isSlow = true;
+  tell(0, { { { { 'd' }, 1000ms, 300ms } }, {} });
+  std::this_thread::sleep_for(500ms);
+  std::vector<std::thread> callers;
+  std::atomic<int> stopped{ 0 };
+  for (size_t i = 0; i < 6; ++i) {
+    callers.emplace_back([&] { stopped += isStopped(0) ? 1 : 0; });
+  }
+  for (int i = 0; i < 200 && stopped < 5; ++i) {
+    std::this_thread::sleep_for(5ms);
+  }
+  BOOST_TEST(stopped == 5);
+  isSlow = false;
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST(isStopped(0));
+  BOOST_TEST(reached == 1);
+}
--- a/libs/relay/tests/PeersFixture.h
+++ b/libs/relay/tests/PeersFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "RelayFixture.h"
+#include "serving/PeerMessage.h"
 
 namespace boragepitch::relay::test {
 
@@ -78,6 +79,24 @@
                                 number + "\r\nParts: " + aParts + "\r\n\r\n");
   }
 
+  /** Sends a notice to a relay as another entry does. */
+  void tell(size_t aRelay, const serving::PartNotice& aNotice)
+  {
+    std::string text = serving::encode(aNotice);
+    int socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(relays[aRelay]->peers.port));
+    inet_pton(AF_INET, relays[aRelay]->peers.host.c_str(), &address.sin_addr);
+    BOOST_REQUIRE(::sendto(socket,
+                           text.data(),
+                           text.size(),
+                           0,
+                           reinterpret_cast<const sockaddr*>(&address),
+                           sizeof(address)) > 0);
+    ::close(socket);
+  }
+
   /** Whether an endpoint received the request with this number. */
   bool haveReceived(int aNumber)
   {
--- a/libs/serving/include/serving/PartQuarantine.h
+++ b/libs/serving/include/serving/PartQuarantine.h
@@ -32,6 +32,9 @@
    * contain a wrongly quarantined part are served again after it. */
   base::Milliseconds duration{ 60000 };
   base::Milliseconds maxDuration{ 600000 };
+  /** After a quarantine one request at a time is let through, for this long or until it got past
+   * its beginning: without a crash meanwhile, the next one may go. */
+  base::Milliseconds trialDuration{ 2000 };
   /** Time for which a proof keeps a part out of crash reports. */
   base::Milliseconds proofValidity{ 1500 };
   /** Time for which a proof is remembered: against the quarantine of another process, and to tell
@@ -76,7 +79,13 @@
    * process contradict, and returns those. */
   std::vector<PromptPart> adopt(const QuarantinedParts& aTold, base::TimePoint aNow);
 
-  /** Returns true if a request with these parts is to be stopped. */
+  /** Time after the end of a quarantine from which on this process lets a request through.
+   * Processes with different delays do not all try at once. */
+  void setTrialDelay(base::Duration aDelay) { mTrialDelay = aDelay; }
+
+  /** Returns true if a request with these parts that has just arrived may be sent on. */
+  bool admit(std::span<const PromptPart> aParts, base::TimePoint aNow);
+  /** Returns true if a request with these parts that was admitted is to be stopped. */
   bool isQuarantined(std::span<const PromptPart> aParts, base::TimePoint aNow) const;
   /** The quarantines in force, with at most aMaxParts parts in all; further calls continue with the
    * others, so that each is told. */
@@ -101,7 +110,8 @@
     std::vector<PromptPart> parts; ///< Sorted; not empty.
     base::TimePoint since;         ///< First crash that counted.
     base::TimePoint until;
-    uint32_t count = 1; ///< Number of quarantines of these parts so far.
+    uint32_t count = 1;           ///< Number of quarantines of these parts so far.
+    base::TimePoint trialUntil{}; ///< One request was let through after the end.
   };
 
   Record& recordOf(PromptPart aPart, base::TimePoint aNow);
@@ -118,6 +128,7 @@
   void prune(base::TimePoint aNow);
 
   PartQuarantineOptions mOptions;
+  base::Duration mTrialDelay{ 0 };
   base::TimePoint mPrunedAt;
   std::map<PromptPart, Record> mRecords;
   std::vector<Quarantine> mQuarantines; ///< In force, and past ones that make parts suspect.
--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -237,13 +237,34 @@
   return contradicted;
 }
 
+bool PartQuarantine::admit(std::span<const PromptPart> aParts, base::TimePoint aNow)
+{
+  if (mQuarantines.empty()) {
+    return true;
+  }
+  auto request = sorted(aParts);
+  for (const Quarantine& quarantine : mQuarantines) {
+    if (containsAll(request, quarantine.parts) &&
+        (aNow < quarantine.until + mTrialDelay || aNow < quarantine.trialUntil)) {
+      return false;
+    }
+  }
+  for (Quarantine& quarantine : mQuarantines) {
+    if (containsAll(request, quarantine.parts)) {
+      quarantine.trialUntil = aNow + base::Duration(mOptions.trialDuration);
+    }
+  }
+  return true;
+}
+
 bool PartQuarantine::isQuarantined(std::span<const PromptPart> aParts, base::TimePoint aNow) const
 {
-  return std::any_of(mQuarantines.begin(), mQuarantines.end(), [&](const Quarantine& aQuarantine) {
-    return aNow < aQuarantine.until &&
-           std::all_of(aQuarantine.parts.begin(), aQuarantine.parts.end(), [&](PromptPart aPart) {
-             return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
-           });
+  if (mQuarantines.empty()) {
+    return false;
+  }
+  auto request = sorted(aParts);
+  return std::any_of(mQuarantines.begin(), mQuarantines.end(), [&](const auto& aQuarantine) {
+    return aNow < aQuarantine.until && containsAll(request, aQuarantine.parts);
   });
 }
 
--- a/libs/serving/tests/PartQuarantineFleetTest.cpp
+++ b/libs/serving/tests/PartQuarantineFleetTest.cpp
@@ -65,6 +65,9 @@
 
   Result run()
   {
+    for (size_t entry = 0; entry < kEntries; ++entry) {
+      mEntries[entry].quarantine.setTrialDelay(entry * 1s);
+    }
     scheduleRequests();
     for (auto at = 500ms; at < mPlan.duration; at += 1s) {
       for (size_t entry = 0; entry < kEntries; ++entry) {
@@ -91,6 +94,7 @@
   void restart(size_t aEntry)
   {
     mEntries[aEntry] = Entry();
+    mEntries[aEntry].quarantine.setTrialDelay(aEntry * 1s);
     auto told =
       mEntries[(aEntry + 1) % kEntries].quarantine.quarantined(kMaxQuarantinedPartsOfNotice, mNow);
     for (const QuarantinedParts& part : told) {
@@ -142,7 +146,7 @@
         Request request{ ++mRequests, below(kEntries), { kFirst }, aDeadly };
         request.parts.push_back(aDeadly < 2 ? kDeadly[aDeadly] : kRare + below(mPlan.rareParts));
         mResult.sound += aDeadly < 2 ? 0 : 1;
-        schedule(kStart + at, [this, request] { send(request); });
+        schedule(kStart + at, [this, request] { arrive(request); });
       }
     };
     each(mPlan.soundPerSecond, mPlan.soundFrom, 2);
@@ -150,17 +154,32 @@
     each(mPlan.deadlyPerSecond, mPlan.deadlyFrom[1], 1);
   }
 
+  void arrive(const Request& aRequest)
+  {
+    if (mEntries[aRequest.entry].quarantine.admit(aRequest.parts, mNow)) {
+      send(aRequest);
+    } else {
+      noteStopped(aRequest);
+    }
+  }
+
   bool isStopped(const Request& aRequest)
   {
     Entry& entry = mEntries[aRequest.entry];
     if (!entry.quarantine.isQuarantined(aRequest.parts, mNow)) {
       return entry.suspects.isQuarantined(aRequest.id, mNow);
     }
+    noteStopped(aRequest);
+    return true;
+  }
+
+  void noteStopped(const Request& aRequest)
+  {
     if (aRequest.deadly == 2) {
-      bool isFirst = entry.quarantine.isQuarantined({ &kFirst, 1 }, mNow);
+      auto& quarantine = mEntries[aRequest.entry].quarantine;
+      bool isFirst = quarantine.isQuarantined({ &kFirst, 1 }, mNow);
       ++(isFirst ? mResult.firstStopped : mResult.rareStopped);
     }
-    return true;
   }
 
   void send(Request aRequest)
@@ -403,3 +422,20 @@
   plan.deadlyPerSecond = 40;
   check(plan);
 }
+
+// Guards against crashing parts that reach endpoints again after each quarantine (BUDGET).
+BOOST_AUTO_TEST_CASE(requestsThatComeLongerThanTheQuarantine)
+{
+  Plan plan;
+  plan.duration = 300s;
+  plan.deadlyPerSecond = 20;
+  check(plan);
+}
+
+BOOST_AUTO_TEST_CASE(requestsThatComeLongerThanTheQuarantineBesideRestarts)
+{
+  Plan plan;
+  plan.duration = 300s;
+  plan.hasRestarts = true;
+  check(plan);
+}
