PartQuarantine: proofs of many parts displace no crashes

What callers see: a crashing part is found late where sound requests have many different parts.

Cause: when the records are full, the older half goes, whether it holds crashes or only proofs.

Change: records with crashes are kept first. The new case of PartQuarantineTest fails without it.

--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -322,13 +322,17 @@
   if (mRecords.size() < mOptions.maxParts) {
     return;
   }
-  std::vector<base::TimePoint> ages;
+  // Drops the older half; crashes are rarer than proofs and are kept first.
+  auto rank = [](const Record& aRecord) {
+    return std::pair(!aRecord.crashes.empty(), aRecord.updatedAt);
+  };
+  std::vector<std::pair<bool, base::TimePoint>> ranks;
   for (const auto& [part, record] : mRecords) {
-    ages.push_back(record.updatedAt);
+    ranks.push_back(rank(record));
   }
-  auto middle = ages.begin() + static_cast<ptrdiff_t>(ages.size() / 2);
-  std::nth_element(ages.begin(), middle, ages.end());
-  std::erase_if(mRecords, [&](const auto& aEntry) { return aEntry.second.updatedAt <= *middle; });
+  auto middle = ranks.begin() + static_cast<ptrdiff_t>(ranks.size() / 2);
+  std::nth_element(ranks.begin(), middle, ranks.end());
+  std::erase_if(mRecords, [&](const auto& aEntry) { return rank(aEntry.second) <= *middle; });
 }
 
 } // namespace boragepitch::serving
--- a/libs/serving/tests/PartQuarantineTest.cpp
+++ b/libs/serving/tests/PartQuarantineTest.cpp
@@ -272,3 +272,19 @@
   }
   BOOST_TEST(quarantine.holds(kDeadly, kStart + 11s));
 }
+
+// Guards against crashes that are forgotten because requests with many other parts are sound.
+BOOST_AUTO_TEST_CASE(proofsOfManyPartsDisplaceNoCrashes)
+{
+  PartQuarantineOptions options;
+  options.maxParts = 100;
+  Quarantine quarantine(options);
+  for (uint64_t i = 0; i < 3; ++i) {
+    quarantine.crash(i, "e" + std::to_string(i), { kDeadly }, kStart + i * 1s);
+    for (uint64_t j = 0; j < 500; ++j) {
+      quarantine.prove(1000 + 500 * i + j, kStart + i * 1s + j * 1ms);
+    }
+  }
+  BOOST_TEST(quarantine.size() <= options.maxParts);
+  BOOST_TEST(quarantine.holds(kDeadly, kStart + 3s));
+}
