Apply evacuations and configurations before the times of versions are read

What callers see: requests reach an availability zone after its evacuation is due (EVAC), or are handled by an outdated configuration (CONFIG), while the store is slow.

Cause: the times of versions that were read late are asked from the store, between the rows of one page; the evacuated zones were passed on after all rows.

Change: versions are applied after the other rows of a page. OperatorListenerTest/evacuatesBeforeItReadsTheTimesOfVersions fails without it. Remains: the next page waits for the read.

--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -24,41 +24,44 @@
 void OperatorListener::onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
   mEvacuated.clear();
-  for (const auto& row : aRows) {
-    applyRow(row, RowSource::Snapshot, aNow);
-  }
-  mRelay.setEvacuated(mEvacuated);
+  applyRows(aRows, RowSource::Snapshot, aNow);
 }
 
 void OperatorListener::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
-  for (const auto& row : aRows) {
-    applyRow(row, RowSource::Change, aNow);
-  }
-  mRelay.setEvacuated(mEvacuated);
+  applyRows(aRows, RowSource::Change, aNow);
 }
 
-void OperatorListener::applyRow(const stores::RowChange& aRow,
-                                RowSource aSource,
-                                base::TimePoint aNow)
+void OperatorListener::applyRows(const std::vector<stores::RowChange>& aRows,
+                                 RowSource aSource,
+                                 base::TimePoint aNow)
 {
-  auto key = platform::readOperatorKey(aRow.key);
-  switch (key.kind) {
-    case OperatorRowKind::Deployment:
-      applyDeployment(aRow, aNow);
-      break;
-    case OperatorRowKind::Evacuation:
-      if (aRow.isDeleted) {
-        mEvacuated.erase(key.name);
-      } else {
-        mEvacuated.insert(key.name);
-      }
-      break;
-    case OperatorRowKind::WeightVersion:
-      applyVersion(aRow, aSource, aNow);
-      break;
-    case OperatorRowKind::Other:
-      break;
+  std::vector<const stores::RowChange*> versions;
+  for (const auto& row : aRows) {
+    auto key = platform::readOperatorKey(row.key);
+    switch (key.kind) {
+      case OperatorRowKind::Deployment:
+        applyDeployment(row, aNow);
+        break;
+      case OperatorRowKind::Evacuation:
+        if (row.isDeleted) {
+          mEvacuated.erase(key.name);
+        } else {
+          mEvacuated.insert(key.name);
+        }
+        break;
+      case OperatorRowKind::WeightVersion:
+        versions.push_back(&row);
+        break;
+      case OperatorRowKind::Other:
+        break;
+    }
+  }
+  mRelay.setEvacuated(mEvacuated);
+  // The time of a version may have to be read from the store, which may be slow: it must not delay
+  // what the other rows declare.
+  for (const auto* row : versions) {
+    applyVersion(*row, aSource, aNow);
   }
 }
 
--- a/tools/router/OperatorListener.h
+++ b/tools/router/OperatorListener.h
@@ -45,7 +45,9 @@
     Snapshot,
   };
 
-  void applyRow(const stores::RowChange& aRow, RowSource aSource, base::TimePoint aNow);
+  void applyRows(const std::vector<stores::RowChange>& aRows,
+                 RowSource aSource,
+                 base::TimePoint aNow);
   void applyDeployment(const stores::RowChange& aRow, base::TimePoint aNow);
   void applyVersion(const stores::RowChange& aRow, RowSource aSource, base::TimePoint aNow);
   /** Evidence for a version that may have been declared long before it was read. Enforces older
--- a/tools/router/tests/FakeWeightTable.h
+++ b/tools/router/tests/FakeWeightTable.h
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -19,6 +20,7 @@
   base::Milliseconds time{ 5000 };
   bool isDown = false;
   int writes = 0; ///< Rows created or replaced.
+  std::function<void()> onRead = [] {};
 };
 
 class FakeWeightTableFeed final : public stores::RowFeed
@@ -52,6 +54,7 @@
                                       std::string_view aTo) override
   {
     BOOST_TEST(aTable == tools::kWeightTable);
+    mTable.onRead();
     if (mTable.isDown) {
       return down();
     }
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -226,3 +226,18 @@
   BOOST_TEST((process.relay.declared.at(2) == now + 1s + 4s));
   BOOST_TEST((process.relay.declared.at(3) == now + 2s));
 }
+
+// Guards against an evacuation that waits until a slow store has told the time of a version (EVAC).
+BOOST_AUTO_TEST_CASE(evacuatesBeforeItReadsTheTimesOfVersions)
+{
+  FakeWeightTable table;
+  Process process(table);
+  int reads = 0;
+  table.onRead = [&] {
+    ++reads;
+    BOOST_TEST(process.relay.evacuated.contains("north"));
+  };
+  process.listener.onSnapshot({ declaration(2), { "evacuate/north", "{}" } },
+                              base::TimePoint{ 1h });
+  BOOST_TEST(reads == 1);
+}
--- a/tools/router/tests/RecordingRelay.h
+++ b/tools/router/tests/RecordingRelay.h
@@ -32,7 +32,7 @@
       }
     }
   }
-  void setEvacuated(std::set<std::string>) override {}
+  void setEvacuated(std::set<std::string> aZones) override { evacuated = std::move(aZones); }
   void declareVersion(std::string, uint64_t aVersion, base::TimePoint aEnforceFrom) override
   {
     auto entry = declared.emplace(aVersion, aEnforceFrom).first;
@@ -43,6 +43,7 @@
 
   std::set<std::string> listed; ///< Includes lapsed endpoints.
   std::set<std::string> lapsed;
+  std::set<std::string> evacuated; ///< Availability zones.
   std::map<uint64_t, base::TimePoint> declared;
   base::TimePoint confirmedAt;
 };
