Relay: reject heads that hold a second status line

What callers see: a refusal of an earlier request that is cut within a line takes the head of the next answer for the rest of that line. The answer then had the refusal's status, its "not run" and the id of the request that ran: callers were told to try again (REFUSED), or the request was sent to a second endpoint (TWICE).

Cause: a header's value or a reason phrase may hold any text, a status line too; no id tells such a head apart.

Change: a head with a status line in its reason phrase or in a value is not an answer, so it promises nothing.

--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -45,6 +45,22 @@
   return error != asio::error::would_block;
 }
 
+/** True if the text holds a status line, as where a head that was cut within a line is followed by
+ * the next one. */
+bool containsStatusLine(std::string_view aText)
+{
+  constexpr std::string_view kVersion = "HTTP/1.";
+  for (size_t at = 0; (at = aText.find(kVersion, at)) != std::string_view::npos; ++at) {
+    std::string_view rest = aText.substr(at + kVersion.size());
+    auto isDigit = [&](size_t aIndex) { return rest[aIndex] >= '0' && rest[aIndex] <= '9'; };
+    if (rest.size() >= 5 && isDigit(0) && rest[1] == ' ' && isDigit(2) && isDigit(3) &&
+        isDigit(4)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 } // namespace
 
 std::string_view toString(ExchangeEnd aEnd)
@@ -327,6 +343,13 @@
     return true;
   }
   head.headers = linesOf(mParser->get());
+  if (containsStatusLine(std::string(mParser->get().reason())) ||
+      std::ranges::any_of(head.headers,
+                          [](const auto& aLine) { return containsStatusLine(aLine.value); })) {
+    // Its status and its headers may belong to different answers.
+    finish(ExchangeEnd::NotAnAnswer);
+    return false;
+  }
   head.facts = mHeaderCodec.readAnswer(head.status, head.headers);
   head.hasLength = !mParser->need_eof();
   if (!head.facts.attemptId.empty() && head.facts.attemptId != mRequest.attemptId) {
--- a/libs/relay/tests/RepeatedRefusalTest.cpp
+++ b/libs/relay/tests/RepeatedRefusalTest.cpp
@@ -76,6 +76,21 @@
   BOOST_TEST(callAfter("HTTP/1.1 503 X\r\nNot-Run: 1\r\n\r\nCLOSE").starts_with("HTTP/1.1 502"));
 }
 
+// Guards against a refusal that is cut anywhere and takes the head of the next answer for the rest
+// of its line (REFUSED, TWICE, MIXED).
+BOOST_FIXTURE_TEST_CASE(aCutRefusalDoesNotAbsorbTheNextHead, RefusalFixture)
+{
+  for (const std::string id : { "Id: n0\r\n", "" }) {
+    std::string refusal =
+      "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n" + id + "Content-Length: 4\r\n\r\nfull";
+    for (size_t length = 1; length < refusal.size(); ++length) {
+      std::string text = callAfter(refusal.substr(0, length));
+      BOOST_TEST((text.starts_with("HTTP/1.1 502") || text.ends_with("\r\n\r\nran")),
+                 length << " bytes of " << refusal << " -> " << text);
+    }
+  }
+}
+
 // Guards against a success without an id that is passed on as the answer to a later request.
 BOOST_FIXTURE_TEST_CASE(successWithoutIdOnAKeptConnectionIsNotPassedOn, RefusalFixture)
 {
