--- a/libs/serving/tests/PartQuarantineFleetTest.cpp
+++ b/libs/serving/tests/PartQuarantineFleetTest.cpp
@@ -428,6 +428,7 @@
 {
   Plan plan;
   plan.duration = 300s;
+  plan.soundPerSecond = 10;
   plan.deadlyPerSecond = 20;
   check(plan);
 }
@@ -436,6 +437,7 @@
 {
   Plan plan;
   plan.duration = 300s;
+  plan.soundPerSecond = 10;
   plan.hasRestarts = true;
   check(plan);
 }
