PartQuarantine: a quarantine told after its end leaves the trial under way

What callers see: two requests with a crashing part reach endpoints from one entry after the quarantine's end (BUDGET allows three in all).

Cause: processes end a quarantine at slightly different times. One that tells of it just before its own end has another one, where it has ended and a trial is under way, take it over anew; adopt() replaced the record and with it the trial.

Change: the record that is taken over keeps the trial. PartQuarantineTest/ aQuarantineThatIsToldAfterItsEndAllowsNoFurtherTrial fails without it (1 check) and passes with it; built by hand at -O0, the other 17 cases of the file pass.

--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -231,6 +231,7 @@
   });
   if (past != mQuarantines.end()) {
     told.count = past->count + 1;
+    told.trialUntil = past->trialUntil;
     mQuarantines.erase(past);
   }
   add(std::move(told));
--- a/libs/serving/tests/PartQuarantineTest.cpp
+++ b/libs/serving/tests/PartQuarantineTest.cpp
@@ -288,3 +288,20 @@
   BOOST_TEST(quarantine.size() <= options.maxParts);
   BOOST_TEST(quarantine.holds(kDeadly, kStart + 3s));
 }
+
+// Guards against a second request that is let through after a quarantine because another process
+// tells of the quarantine shortly before it ends there (BUDGET).
+BOOST_AUTO_TEST_CASE(aQuarantineThatIsToldAfterItsEndAllowsNoFurtherTrial)
+{
+  const PartQuarantineOptions options;
+  Quarantine quarantine;
+  for (uint64_t i = 0; i < 3; ++i) {
+    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart);
+  }
+  auto told = quarantine.quarantined(9, kStart).at(0);
+  auto end = kStart + base::Duration(options.duration);
+  BOOST_TEST(quarantine.admit(std::array{ kDeadly }, end));
+  told.left = 5ms;
+  quarantine.adopt(told, end + 1ms);
+  BOOST_TEST(!quarantine.admit(std::array{ kDeadly }, end + 10ms));
+}
