PartQuarantine: leave a shared part alone whose crashes two other parts explain

Callers saw: requests with two crashing parts came in turn while hardly any sound request came; three crashes convicted the part that all requests share by itself, and for a minute every sound request was answered 500.

Cause: a part was convicted as soon as it had enough crashes of its own, although the part beside it came again, too, and only lacked one crash.

Change: while another part of the same request is one crash short, a part needs as many crashes as one that was proved harmless before. Then both are quarantined together.

--- a/libs/serving/include/serving/PartQuarantine.h
+++ b/libs/serving/include/serving/PartQuarantine.h
@@ -21,7 +21,8 @@
    * endpoints also crash by chance, or many at once. */
   size_t crashes = 3;
   /** The same for a part that was proved harmless within proofMemory and stands beside one whose
-   * last proof is older. With few sound requests none may come between the crashes. */
+   * last proof is older, or beside one that crashed endpoints once less than needed. With few sound
+   * requests none may come between the crashes. */
   size_t crashesIfProved = 8;
   /** Different requests with the part that these crashes must have hit: a single one may just have
    * been resent to endpoints that crashed by chance. */
--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -106,6 +106,8 @@
     earliestProof = std::min(earliestProof, provedAt(part));
   }
   std::vector<PromptPart> convicted;
+  std::vector<PromptPart> certain;
+  bool isUnclear = false;
   for (PromptPart part : unproved(aEvidence.parts, aNow)) {
     Record& record = recordOf(part, aNow);
     record.updatedAt = aNow;
@@ -120,7 +122,16 @@
     size_t needed = isLessSuspect ? mOptions.crashesIfProved : mOptions.crashes;
     if (isConvicted(record, needed)) {
       convicted.push_back(part);
+    } else if (needed == mOptions.crashes && isConvicted(record, mOptions.crashes - 1)) {
+      isUnclear = true;
     }
+    if (isConvicted(record, mOptions.crashesIfProved)) {
+      certain.push_back(part);
+    }
+  }
+  if (isUnclear) {
+    // Another part comes again, too: the convicted ones may just stand beside several such parts.
+    convicted = std::move(certain);
   }
   // Requests share their first parts most.
   if (convicted.size() > kMaxQuarantinedTogether) {
--- a/libs/serving/tests/PartQuarantineFleetTest.cpp
+++ b/libs/serving/tests/PartQuarantineFleetTest.cpp
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr size_t kEntries = 6;
 constexpr size_t kEndpoints = 40;
 constexpr PromptPart kFirst = 1; ///< First part of all requests of the route.
 constexpr std::array<PromptPart, 2> kDeadly{ 2, 3 };
@@ -28,6 +27,7 @@
 struct Plan
 {
   uint64_t seed = 1;
+  size_t entries = 6;
   uint64_t lossPercent = 1;
   uint64_t soundPerSecond = 60;
   base::Duration soundFrom{ 0 };
@@ -58,19 +58,19 @@
   explicit Fleet(const Plan& aPlan)
     : mPlan(aPlan)
     , mRng(aPlan.seed)
-    , mEntries(kEntries)
+    , mEntries(aPlan.entries)
     , mEndpoints(kEndpoints)
   {
   }
 
   Result run()
   {
-    for (size_t entry = 0; entry < kEntries; ++entry) {
+    for (size_t entry = 0; entry < mPlan.entries; ++entry) {
       mEntries[entry].quarantine.setTrialDelay(entry * 1s);
     }
     scheduleRequests();
     for (auto at = 500ms; at < mPlan.duration; at += 1s) {
-      for (size_t entry = 0; entry < kEntries; ++entry) {
+      for (size_t entry = 0; entry < mPlan.entries; ++entry) {
         schedule(kStart + at + entry * 130ms, [this, entry] { spread(entry); });
       }
     }
@@ -78,7 +78,7 @@
       schedule(kStart + at, [this] { killMany(); });
     }
     for (auto at = 12s; mPlan.hasRestarts && at < mPlan.duration; at += 3s) {
-      schedule(kStart + at, [this] { restart(below(kEntries)); });
+      schedule(kStart + at, [this] { restart(below(mPlan.entries)); });
     }
     while (!mEvents.empty()) {
       auto event = mEvents.top();
@@ -95,8 +95,8 @@
   {
     mEntries[aEntry] = Entry();
     mEntries[aEntry].quarantine.setTrialDelay(aEntry * 1s);
-    auto told =
-      mEntries[(aEntry + 1) % kEntries].quarantine.quarantined(kMaxQuarantinedPartsOfNotice, mNow);
+    auto told = mEntries[(aEntry + 1) % mPlan.entries].quarantine.quarantined(
+      kMaxQuarantinedPartsOfNotice, mNow);
     for (const QuarantinedParts& part : told) {
       mEntries[aEntry].quarantine.adopt(part, mNow);
     }
@@ -143,7 +143,7 @@
       for (auto at = aFrom; aPerSecond > 0 && at < mPlan.duration;
            at += 2 * 1ms * below(1000 / aPerSecond + 1)) {
         at += 100us;
-        Request request{ ++mRequests, below(kEntries), { kFirst }, aDeadly };
+        Request request{ ++mRequests, below(mPlan.entries), { kFirst }, aDeadly };
         request.parts.push_back(aDeadly < 2 ? kDeadly[aDeadly] : kRare + below(mPlan.rareParts));
         mResult.sound += aDeadly < 2 ? 0 : 1;
         schedule(kStart + at, [this, request] { arrive(request); });
@@ -297,7 +297,7 @@
 
   void broadcast(size_t aFrom, const std::function<void(size_t)>& aReceive)
   {
-    for (size_t to = 0; to < kEntries; ++to) {
+    for (size_t to = 0; to < mPlan.entries; ++to) {
       for (int copy = 0; to != aFrom && copy < 3; ++copy) {
         deliver(to, aReceive);
       }
@@ -308,7 +308,7 @@
   {
     auto parts = mEntries[aFrom].quarantine.quarantined(kMaxQuarantinedPartsOfNotice, mNow);
     for (int i = 0; i < 3 && !parts.empty(); ++i) {
-      size_t to = (aFrom + 1 + below(kEntries - 1)) % kEntries;
+      size_t to = (aFrom + 1 + below(mPlan.entries - 1)) % mPlan.entries;
       deliver(to, [this, parts](size_t aTo) { adopt(aTo, parts); });
     }
   }
@@ -377,6 +377,24 @@
   check(plan);
 }
 
+// Guards against a quarantine of the part that all requests share because requests with two other
+// parts crash endpoints in turn while hardly any sound ones come (LOST).
+BOOST_AUTO_TEST_CASE(twoPartsAtTheSameTimeBesideFewSoundRequests)
+{
+  Plan plan;
+  plan.deadlyFrom = { 10s, 10s };
+  plan.soundPerSecond = 1;
+  plan.deadlyPerSecond = 10;
+  check(plan);
+}
+
+BOOST_AUTO_TEST_CASE(manyEntries)
+{
+  Plan plan;
+  plan.entries = 60;
+  check(plan);
+}
+
 BOOST_AUTO_TEST_CASE(besideHerdsOfKills)
 {
   Plan plan;
--- a/libs/serving/tests/PartQuarantineTest.cpp
+++ b/libs/serving/tests/PartQuarantineTest.cpp
@@ -162,6 +162,22 @@
   BOOST_TEST(!quarantine.isQuarantined(std::array{ kOther, kDeadly }, kStart));
 }
 
+// Guards against a quarantine of the part that all requests share because requests with two other
+// parts crash endpoints in turn before a sound one comes (LOST).
+BOOST_AUTO_TEST_CASE(partsThatCrashEndpointsInTurnLeaveTheSharedOneAlone)
+{
+  Quarantine quarantine;
+  for (uint64_t i = 0; i < 12; ++i) {
+    std::vector<PromptPart> parts{ kShared, i % 2 == 0 ? kDeadly : kOther };
+    if (!quarantine.isQuarantined(parts, kStart)) {
+      quarantine.crash(i, "e" + std::to_string(i), parts, kStart);
+    }
+  }
+  BOOST_TEST(!quarantine.holds(kShared, kStart));
+  BOOST_TEST(quarantine.isQuarantined(std::array{ kShared, kDeadly }, kStart));
+  BOOST_TEST(quarantine.isQuarantined(std::array{ kShared, kOther }, kStart));
+}
+
 BOOST_AUTO_TEST_CASE(aProofLeavesTheOtherPartsOfTheSameCrashesInQuarantine)
 {
   Quarantine quarantine;
