Serve no requests before the times of versions are read

What callers see: an entry that restarts while an engine still holds outdated weights sends requests there although the newer version is enforced (VERSION).

Cause: the first configuration, which makes an entry ready, was passed on before the times of versions were asked from the store. Until its answer, up to the call's timeout, the relay knew of no version. The same order held before, by the keys of the rows.

Change: the first configuration follows the versions; later ones still precede them. With a slow store an entry that starts becomes ready later, by that one call for each model.

Evidence: OperatorListenerTest/servesNoRequestsBeforeItHasReadTheTimesOfVersions fails without the change (1 check) and passes with it; built by hand at -O0, the other 11 cases pass, evacuatesBeforeItReadsTheTimesOfVersions among them.

--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -36,12 +36,13 @@
                                  RowSource aSource,
                                  base::TimePoint aNow)
 {
+  std::vector<const stores::RowChange*> deployments;
   std::vector<const stores::RowChange*> versions;
   for (const auto& row : aRows) {
     auto key = platform::readOperatorKey(row.key);
     switch (key.kind) {
       case OperatorRowKind::Deployment:
-        applyDeployment(row, aNow);
+        deployments.push_back(&row);
         break;
       case OperatorRowKind::Evacuation:
         if (row.isDeleted) {
@@ -58,11 +59,24 @@
     }
   }
   mRelay.setEvacuated(mEvacuated);
+  auto applyDeployments = [&] {
+    for (const auto* row : deployments) {
+      applyDeployment(*row, aNow);
+    }
+  };
   // The time of a version may have to be read from the store, which may be slow: it must not delay
-  // what the other rows declare.
+  // what the other rows declare. The relay serves no requests before its first configuration, which
+  // waits until the versions are known.
+  bool servesRequests = mHasDeployment;
+  if (servesRequests) {
+    applyDeployments();
+  }
   for (const auto* row : versions) {
     applyVersion(*row, aSource, aNow);
   }
+  if (!servesRequests) {
+    applyDeployments();
+  }
 }
 
 void OperatorListener::applyDeployment(const stores::RowChange& aRow, base::TimePoint aNow)
@@ -78,6 +92,7 @@
                aNow);
     return;
   }
+  mHasDeployment = true;
   mPublisher.setDeployment(**deployment);
   mRelay.setDeployment(std::move(*deployment));
 }
--- a/tools/router/OperatorListener.h
+++ b/tools/router/OperatorListener.h
@@ -72,6 +72,7 @@
   telemetry::EventLog& mLog;
   const serving::VersionTiming mTiming;
   WeightPublisher mPublisher;
+  bool mHasDeployment = false;
   std::set<std::string> mEvacuated;
   base::Milliseconds mServiceTime{ 0 }; ///< Zero until the store named its clock.
   serving::PendingVersions mPending;
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr const char* kDeclaration = "version/m";
+constexpr const char* kDeployment = R"({"version":1,"route_list":[],"backends":[]})";
 
 /** One process that watches the operators' table. */
 struct Process
@@ -241,3 +242,19 @@
                               base::TimePoint{ 1h });
   BOOST_TEST(reads == 1);
 }
+
+// Guards against an entry that restarts and serves requests before it has read which versions are
+// enforced (VERSION).
+BOOST_AUTO_TEST_CASE(servesNoRequestsBeforeItHasReadTheTimesOfVersions)
+{
+  FakeWeightTable table;
+  Process process(table);
+  int reads = 0;
+  table.onRead = [&] {
+    ++reads;
+    BOOST_TEST(process.relay.deployments == 0);
+  };
+  process.listener.onSnapshot({ { "config", kDeployment }, declaration(2) }, base::TimePoint{ 1h });
+  BOOST_TEST(reads == 1);
+  BOOST_TEST(process.relay.deployments == 1);
+}
--- a/tools/router/tests/RecordingRelay.h
+++ b/tools/router/tests/RecordingRelay.h
@@ -17,7 +17,7 @@
   base::Status start() override { return {}; }
   void run() override {}
   void startLeaving() override {}
-  void setDeployment(std::shared_ptr<const serving::Deployment>) override {}
+  void setDeployment(std::shared_ptr<const serving::Deployment>) override { ++deployments; }
   void changeEndpoints(std::vector<serving::EndpointChange> aChanges) override
   {
     for (const auto& change : aChanges) {
@@ -45,6 +45,7 @@
   std::set<std::string> lapsed;
   std::set<std::string> evacuated; ///< Availability zones.
   std::map<uint64_t, base::TimePoint> declared;
+  int deployments = 0; ///< Configurations that were set.
   base::TimePoint confirmedAt;
 };
 
