parseAddress: reject addresses with a NUL byte

A row of the list with the address "10.0.0.9\u0000.example:80" named a worker, although no field of such a row can be used: inet_pton() stops at the NUL byte and accepts what is before it. Requests were sent to that address, and the host of the record held the whole text.

Hosts with a NUL byte are rejected before inet_pton() is called. addressesWithANulByteNameNoWorker failed for both of its rows before, and passes now; so do the other tests of OddRowsTest.

--- a/libs/net/src/Address.cpp
+++ b/libs/net/src/Address.cpp
@@ -21,7 +21,9 @@
   Address address;
   address.host = std::string(aText.substr(0, colon));
   in_addr parsed{};
-  if (inet_pton(AF_INET, address.host.c_str(), &parsed) != 1) {
+  // inet_pton() ignores what follows a NUL byte.
+  bool hasNul = address.host.find('\0') != std::string::npos;
+  if (hasNul || inet_pton(AF_INET, address.host.c_str(), &parsed) != 1) {
     return invalid();
   }
   std::string_view port = aText.substr(colon + 1);
