Relay: reject statuses that HTTP does not define

What callers see: a faulty endpoint's "HTTP/1.1 000 X" arrives as "HTTP/1.1 0 <unknown-status>", 099 as 99, which is no status line at all (MIXED); a signed 600 or 999 arrives as it is.

Cause: the parser accepts any three digits, and the relay passes on each status below 500 and each signed one above.

Change: a head whose status is not from 100 to 599 is not an answer.

Evidence: OddStatusTest failed for each of 000, 001, 099, 600 and 999 before, and passes now.

--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -20,6 +20,9 @@
 /** Maximum answers skipped in one exchange: late answers to earlier requests and interim (1xx)
  * answers. Even short ones take processor time to parse. */
 constexpr int kMaxSkippedAnswers = 16;
+/** Range of the statuses that HTTP defines; the parser accepts any three digits. */
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 /** Idle time for which a connection is pooled when the endpoint names no keep-alive timeout. */
 constexpr base::Milliseconds kDefaultKeepAlive = 3000ms;
 /** Subtracted from the endpoint's keep-alive timeout, so that a request is not sent while the
@@ -338,6 +341,10 @@
   mHeadSeen = true;
   AnswerHead head;
   head.status = static_cast<int>(mParser->get().result_int());
+  if (head.status < kMinStatus || head.status > kMaxStatus) {
+    finish(ExchangeEnd::NotAnAnswer);
+    return false;
+  }
   if (head.status / 100 == 1) {
     mHeadSeen = false;
     return true;
