--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -20,6 +20,9 @@
 /** Maximum answers skipped in one exchange: late answers to earlier requests and interim (1xx)
  * answers. Even short ones take processor time to parse. */
 constexpr int kMaxSkippedAnswers = 16;
+/** Range of the statuses that HTTP defines; the parser accepts any three digits. */
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 /** Idle time for which a connection is pooled when the endpoint names no keep-alive timeout. */
 constexpr base::Milliseconds kDefaultKeepAlive = 3000ms;
 /** Subtracted from the endpoint's keep-alive timeout, so that a request is not sent while the
@@ -231,7 +234,6 @@
   // With no limit set, Beast 1.74 rejects any body length if head and body arrive separately.
   // parse() limits the body instead.
   mParser->body_limit(std::numeric_limits<uint64_t>::max());
-  mParser->eager(true);
   mParser->skip(mRequest.isHead);
   mParser->on_chunk_header(mOnChunk);
   mHeadSeen = false;
@@ -287,8 +289,12 @@
       finish(ExchangeEnd::NotAnAnswer);
       return false;
     }
-    if (!mHeadSeen && mParser->is_header_done() && !handleHead()) {
-      return false;
+    if (!mHeadSeen && mParser->is_header_done()) {
+      // An eager parser would add trailers of the same read to the headers before they are read.
+      mParser->eager(true);
+      if (!handleHead()) {
+        return false;
+      }
     }
     // The parser leaves unparsed bytes, such as an unterminated line, in the buffer.
     if (mConnection->buffer.size() > kMaxAnswerHeaderBytes) {
@@ -338,6 +344,10 @@
   mHeadSeen = true;
   AnswerHead head;
   head.status = static_cast<int>(mParser->get().result_int());
+  if (head.status < kMinStatus || head.status > kMaxStatus) {
+    finish(ExchangeEnd::NotAnAnswer);
+    return false;
+  }
   if (head.status / 100 == 1) {
     mHeadSeen = false;
     return true;
