PartQuarantine: a quarantine told after its end counts as no further one

What callers see: after a quarantine, one more crash stops requests with these parts for longer than twice the time, up to ten minutes, a wrong quarantine too. No play showed it; found by reading.

Cause: processes end a quarantine at slightly different times. Each notice of one that comes after the end here counted as a further quarantine, and the duration doubles with their number.

Change: it counts only if its evidence is newer than the end of the one before. PartQuarantineTest/ aQuarantineThatIsToldAfterItsEndIsNoFurtherOne fails without it and passes with it; PartQuarantineTest, PartQuarantineFleetTest and PartQuarantineSpreadTest pass.

--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -230,7 +230,8 @@
     return aOther.parts == told.parts;
   });
   if (past != mQuarantines.end()) {
-    told.count = past->count + 1;
+    // Processes end the same quarantine at slightly different times.
+    told.count = past->count + (since < past->until ? 0 : 1);
     told.trialUntil = past->trialUntil;
     mQuarantines.erase(past);
   }
--- a/libs/serving/tests/PartQuarantineTest.cpp
+++ b/libs/serving/tests/PartQuarantineTest.cpp
@@ -305,3 +305,21 @@
   quarantine.adopt(told, end + 1ms);
   BOOST_TEST(!quarantine.admit(std::array{ kDeadly }, end + 10ms));
 }
+
+// Guards against quarantines that grow longer without a further crash because other processes tell
+// of them shortly before they end there.
+BOOST_AUTO_TEST_CASE(aQuarantineThatIsToldAfterItsEndIsNoFurtherOne)
+{
+  const PartQuarantineOptions options;
+  Quarantine quarantine;
+  for (uint64_t i = 0; i < 3; ++i) {
+    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart);
+  }
+  auto end = kStart + base::Duration(options.duration);
+  for (auto late : { 1ms, 11ms, 21ms }) {
+    base::Milliseconds age = options.duration + late;
+    quarantine.adopt({ { kDeadly }, age, 5ms }, end + late);
+  }
+  quarantine.crash(9, "z", { kDeadly }, end + 1s);
+  BOOST_TEST(!quarantine.holds(kDeadly, end + 1s + 2 * base::Duration(options.duration)));
+}
