--- a/libs/serving/tests/PartQuarantineTest.cpp
+++ b/libs/serving/tests/PartQuarantineTest.cpp
@@ -226,6 +226,29 @@
   }
 }
 
+// The same with other parts in any order, few or many, and a first part that all requests share.
+BOOST_AUTO_TEST_CASE(aPartThatCrashesBesideOthersInAnyOrderIsStopped)
+{
+  constexpr size_t kAllowed = 5 + 3;
+  for (uint64_t others : { 1, 2, 3, 5, 10, 100 }) {
+    for (uint64_t seed = 1; seed <= 40; ++seed) {
+      base::Rng rng(seed);
+      Quarantine quarantine;
+      size_t crashes = 0;
+      for (uint64_t i = 0; i < 100; ++i) {
+        auto now = kStart + i * 250ms;
+        std::vector<PromptPart> parts{ kShared, kDeadly, 100 + base::uniformBelow(rng, others) };
+        if (!quarantine.isQuarantined(parts, now)) {
+          ++crashes;
+          quarantine.crash(i, "e" + std::to_string(i), parts, now);
+        }
+      }
+      BOOST_TEST(crashes <= kAllowed);
+      BOOST_TEST(!quarantine.holds(kShared, kStart + 25s));
+    }
+  }
+}
+
 // Guards against a crashing part that is forgotten with a wrong quarantine of another part.
 BOOST_AUTO_TEST_CASE(theEndOfAWrongQuarantineLeavesTheOthers)
 {
