EventSplitter: text between events is not an event; lines may end with CR

Callers saw complete streams cut, or resumed in vain, when the stream ended with its connection after an empty line or a comment behind the last event, and every stream whose lines end with CR. A broken stream was cut although an endpoint resumed it, when that one began with a comment.

Cause: the splitter took all bytes up to an empty line for an event, knew LF and CRLF only, and any pending byte at the end counted as an event that was cut.

Change: the splitter goes by lines, tells comments from events, and says whether a stream may end where it is. Comments before the first event wait for it, so that they do not start the answer; those before the first event of a resumed stream are dropped. Pending comments and empty lines are passed on at the end.

Result: streamEndsBetweenEvents (6 of 6 cases) and streamResumesAfterAComment failed before and pass now, with eventsEndAtAnEmptyLine of TextTest.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -243,6 +243,7 @@
   mSendEvents = 0;
   mSendLastEvent.reset();
   mSplitter.restart();
+  mEarlyComments.clear();
   mSentAt = aNow;
   mProgressAt = aNow;
   mLoadAtSend = serving::EndpointSet::load(*mEndpoint, aNow);
@@ -385,13 +386,17 @@
     }
     handleEvent(*event, now);
   }
-  if (mExchange && mSplitter.pending() > kMaxEventBytes) {
+  if (mExchange && mSplitter.pending().size() > kMaxEventBytes) {
     abortSend({ Outcome::Broken, true, "event_too_large" }, now);
   }
 }
 
 void Call::handleEvent(const serving::StreamEvent& aEvent, base::TimePoint aNow)
 {
+  if (!aEvent.hasFields) {
+    handleComment(aEvent.text);
+    return;
+  }
   if (aEvent.id && mSendLastEvent && *aEvent.id <= *mSendLastEvent) {
     abortSend({ Outcome::Broken, true, "event_repeated" }, aNow);
     return;
@@ -427,6 +432,7 @@
     mFirstEventAt = aNow;
     mCore.metrics.firstByte.record(aNow - mRequest.received);
     mSession.beginStream(mHead->status, answerHeaders(*mHead));
+    mSession.writeStream(mEarlyComments);
   } else {
     mLongestGap = std::max(mLongestGap, aNow - mProgressAt);
   }
@@ -441,6 +447,15 @@
   }
 }
 
+void Call::handleComment(std::string_view aText)
+{
+  if (!mStreamBegan) {
+    mEarlyComments += aText; // Another endpoint may still take the request from the beginning.
+  } else if (mSendHadEvent) {
+    mSession.writeStream(aText);
+  }
+}
+
 void Call::checkStartVersion(base::TimePoint aNow)
 {
   uint64_t required = mCore.requiredVersion(mFacts.model, aNow);
@@ -473,7 +488,7 @@
 {
   auto now = std::chrono::steady_clock::now();
   if (aEnd == ExchangeEnd::Complete && mHead) {
-    if (mIsStream && mSplitter.pending() > 0) {
+    if (mIsStream && mSplitter.isInsideEvent()) {
       sendFailed({ Outcome::Broken, true, "event_cut" }, now);
     } else if (mHead->status / 100 == 2) {
       completed(now);
@@ -521,7 +536,9 @@
   if (!mStreamBegan) {
     mStreamBegan = true;
     mSession.beginStream(mHead->status, answerHeaders(*mHead));
+    mSession.writeStream(mEarlyComments);
   }
+  mSession.writeStream(mSplitter.pending());
   mDone = true;
   mCore.metrics.served.add();
   mCore.metrics.total.record(aNow - mRequest.received);
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -61,6 +61,8 @@
   void endSend(serving::Outcome aOutcome, base::TimePoint aNow);
   void abortSend(const SendResult& aResult, base::TimePoint aNow);
   void handleEvent(const serving::StreamEvent& aEvent, base::TimePoint aNow);
+  /** Takes comments and empty lines between the events of a stream. */
+  void handleComment(std::string_view aText);
   /** Whether the request may be the reason why endpoints crash. */
   bool isQuarantined(base::TimePoint aNow) const;
   void completed(base::TimePoint aNow);
@@ -125,6 +127,7 @@
   std::optional<std::pair<AnswerHead, std::string>> mAnsweredError;
 
   serving::EventSplitter mSplitter;
+  std::string mEarlyComments;         ///< Comments that precede the first event of the stream.
   bool mStreamBegan = false;          ///< The head of a stream was sent to the caller.
   std::optional<uint64_t> mLastEvent; ///< Id of the last event that the caller was sent.
   uint64_t mEventCount = 0;
--- a/libs/relay/tests/BrokenStreamTest.cpp
+++ b/libs/relay/tests/BrokenStreamTest.cpp
@@ -60,10 +60,12 @@
 {
   using Step = std::function<std::string(const std::string& aId)>;
 
-  void play(std::vector<Step> aSteps, base::Milliseconds aTimeout = 3000ms)
+  void play(std::vector<Step> aSteps,
+            base::Milliseconds aTimeout = 3000ms,
+            serving::CallKind aKind = serving::CallKind::Streaming)
   {
     steps = std::move(aSteps);
-    declare(serving::CallKind::Streaming, static_cast<int>(steps.size()), aTimeout);
+    declare(aKind, static_cast<int>(steps.size()), aTimeout);
     for (size_t i = 0; i < steps.size(); ++i) {
       endpoints.push_back(std::make_unique<FakeEndpoint>([this](const std::string& aRequest) {
         size_t step = sends++;
@@ -268,3 +270,45 @@
   ::close(socket);
   BOOST_TEST(received.error == ECONNRESET);
 }
+
+// Guards against a complete stream that is cut or resumed because of line ends or comments after
+// its last event, or because of its kind of line ends.
+BOOST_DATA_TEST_CASE_F(ResumeFixture,
+                       streamEndsBetweenEvents,
+                       boost::unit_test::data::make({ "id: 1\ndata: t1\n\n\n",
+                                                      "id: 1\r\ndata: t1\r\n\r\n\r\n",
+                                                      "id: 1\ndata: t1\n\n: end\n",
+                                                      "id: 1\rdata: t1\r\r",
+                                                      "id: 1\rdata: t1\r\r: end\r",
+                                                      "id: 1\ndata: t1\n\n<pause>\n" }),
+                       events)
+{
+  play({ [&](const std::string& aId) { return unboundedHead(aId) + events + "CLOSE"; },
+         brokenStream });
+  std::string text = stream();
+  std::string body(events);
+  if (size_t at = body.find(kPause); at != std::string::npos) {
+    body.erase(at, kPause.size());
+  }
+  std::string received;
+  for (size_t at = text.find("\r\n\r\n") + 4; at < text.size();) {
+    size_t size = std::stoul(text.substr(at), nullptr, 16);
+    at = text.find("\r\n", at) + 2;
+    received += text.substr(at, size);
+    at += size + 2;
+  }
+  BOOST_TEST(received == body);
+  BOOST_TEST(text.ends_with(kLastChunk));
+  BOOST_TEST(sends == 1U);
+}
+
+// Guards against a stream that is not resumed because the resumed one begins with a comment.
+BOOST_FIXTURE_TEST_CASE(streamResumesAfterAComment, ResumeFixture)
+{
+  play({ brokenStream, [](const std::string& aId) {
+          return streamHead(aId) + chunk(": waiting\n\n") + chunk(event(2)) + "0\r\n\r\n";
+        } });
+  std::string text = stream();
+  BOOST_TEST(dataOf(text) == "t1 t2 ");
+  BOOST_TEST(text.ends_with(kLastChunk));
+}
--- a/libs/serving/include/serving/EventSplitter.h
+++ b/libs/serving/include/serving/EventSplitter.h
@@ -7,11 +7,12 @@
 
 namespace boragepitch::serving {
 
-/** One complete event of a text/event-stream, including the blank line that ends it. */
+/** One complete block of lines of a text/event-stream, including the blank line that ends it. */
 struct StreamEvent
 {
   std::string_view text;
   std::optional<uint64_t> id;
+  bool hasFields = true; ///< False for a block of comments, which is no event.
 };
 
 /**
@@ -26,13 +27,15 @@
   std::optional<StreamEvent> next();
   /** Discards all buffered bytes, because the next bytes come from another attempt. */
   void restart();
-  /** Number of buffered bytes of an incomplete event. */
-  size_t pending() const { return mBuffer.size() - mStart; }
+  /** Buffered bytes after the last complete event. */
+  std::string_view pending() const { return std::string_view(mBuffer).substr(mStart); }
+  /** False if the stream may end here: nothing but whole comments and empty lines is pending. */
+  bool isInsideEvent() const;
 
 private:
   std::string mBuffer;
-  size_t mStart = 0;       ///< Start of the next event in the buffer.
-  size_t mSearchStart = 0; ///< The end of the next event lies at or after this position.
+  size_t mStart = 0;     ///< Start of the next event in the buffer.
+  size_t mLineStart = 0; ///< Start of the first line that is not yet known to be complete.
 };
 
 } // namespace boragepitch::serving
--- a/libs/serving/src/EventSplitter.cpp
+++ b/libs/serving/src/EventSplitter.cpp
@@ -9,15 +9,21 @@
 
 constexpr std::string_view kIdField = "id:";
 
+/** Removes the first line and its end from the text and returns it without its end. Lines end with
+ * \n, \r\n or \r. */
+std::string_view takeLine(std::string_view& aText)
+{
+  size_t end = std::min(aText.find_first_of("\r\n"), aText.size());
+  std::string_view line = aText.substr(0, end);
+  aText.remove_prefix(
+    std::min(end + (aText.substr(end).starts_with("\r\n") ? 2 : 1), aText.size()));
+  return line;
+}
+
 std::optional<uint64_t> idOf(std::string_view aEvent)
 {
-  size_t start = 0;
-  while (start < aEvent.size()) {
-    size_t end = aEvent.find('\n', start);
-    if (end == std::string_view::npos) {
-      end = aEvent.size();
-    }
-    std::string_view line = aEvent.substr(start, end - start);
+  while (!aEvent.empty()) {
+    std::string_view line = takeLine(aEvent);
     if (line.starts_with(kIdField)) {
       line.remove_prefix(kIdField.size());
       while (!line.empty() && line.front() == ' ') {
@@ -29,18 +35,29 @@
         return id;
       }
     }
-    start = end + 1;
   }
   return std::nullopt;
 }
 
+/** False for text of comments and empty lines only. */
+bool containsField(std::string_view aText)
+{
+  while (!aText.empty()) {
+    std::string_view line = takeLine(aText);
+    if (!line.empty() && line.front() != ':') {
+      return true;
+    }
+  }
+  return false;
+}
+
 } // namespace
 
 void EventSplitter::feed(std::string_view aBytes)
 {
   if (mStart > 0) {
     mBuffer.erase(0, mStart);
-    mSearchStart -= mStart;
+    mLineStart -= mStart;
     mStart = 0;
   }
   mBuffer.append(aBytes);
@@ -48,34 +65,45 @@
 
 std::optional<StreamEvent> EventSplitter::next()
 {
-  // An event ends at an empty line; lines end with \n or \r\n.
-  size_t at = mSearchStart;
+  // An event ends at an empty line.
   for (;;) {
-    at = mBuffer.find('\n', at);
-    if (at == std::string::npos) {
-      // The terminator may be split over two reads: search its first bytes again.
-      mSearchStart = std::max(mStart, mBuffer.size() < 3 ? 0 : mBuffer.size() - 3);
+    size_t end = mBuffer.find_first_of("\r\n", mLineStart);
+    if (end == std::string::npos) {
       return std::nullopt;
     }
-    size_t after = at + 1;
-    if (after < mBuffer.size() && mBuffer[after] == '\r') {
-      ++after;
+    bool isEmpty = end == mLineStart;
+    bool endsWithCr = mBuffer[end] == '\r';
+    if (endsWithCr && end + 1 == mBuffer.size()) {
+      // The next byte may belong to the line end. After a line that ended with \r alone it does
+      // not: the event is not held until the next one begins.
+      bool isCrOnly = isEmpty && mLineStart > mStart && mBuffer[mLineStart - 1] == '\r';
+      if (!isCrOnly) {
+        return std::nullopt;
+      }
+    }
+    mLineStart = end + 1;
+    if (endsWithCr && mLineStart < mBuffer.size() && mBuffer[mLineStart] == '\n') {
+      ++mLineStart;
     }
-    if (after < mBuffer.size() && mBuffer[after] == '\n') {
-      std::string_view text(mBuffer.data() + mStart, after + 1 - mStart);
-      mStart = after + 1;
-      mSearchStart = mStart;
-      return StreamEvent{ text, idOf(text) };
+    if (isEmpty) {
+      std::string_view text(mBuffer.data() + mStart, mLineStart - mStart);
+      mStart = mLineStart;
+      return StreamEvent{ text, idOf(text), containsField(text) };
     }
-    ++at;
   }
 }
 
+bool EventSplitter::isInsideEvent() const
+{
+  std::string_view text = pending();
+  return !text.empty() && (containsField(text) || (text.back() != '\n' && text.back() != '\r'));
+}
+
 void EventSplitter::restart()
 {
   mBuffer.clear();
   mStart = 0;
-  mSearchStart = 0;
+  mLineStart = 0;
 }
 
 } // namespace boragepitch::serving
--- a/libs/serving/tests/TextTest.cpp
+++ b/libs/serving/tests/TextTest.cpp
@@ -1,4 +1,6 @@
 #define BOOST_TEST_MODULE serving_text
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
@@ -46,7 +48,33 @@
   auto last = drain(cut);
   events.insert(events.end(), last.begin(), last.end());
   RC_ASSERT(events == expected);
-  RC_ASSERT(cut.pending() == 0U);
+  RC_ASSERT(cut.pending().empty());
+}
+
+// Guards against events that are not found because of their line ends, or that are held until the
+// next one begins.
+BOOST_DATA_TEST_CASE(eventsEndAtAnEmptyLine,
+                     boost::unit_test::data::make({ "\n", "\r\n", "\r" }),
+                     lineEnd)
+{
+  std::string line = lineEnd;
+  EventSplitter splitter;
+  for (uint64_t i = 1; i <= 3; ++i) {
+    std::string event = ": comment" + line + "id: " + std::to_string(i) + line + "data: a" + line +
+                        "data: b" + line + line;
+    for (size_t at = 0; at < event.size(); ++at) {
+      bool isAfterComment = at >= 9 && at < 9 + line.size();
+      bool isEnd = at + 1 == event.size();
+      splitter.feed(event.substr(at, 1));
+      auto events = drain(splitter);
+      BOOST_REQUIRE(events.size() == (isEnd ? 1U : 0U));
+      BOOST_TEST(splitter.isInsideEvent() == (!isEnd && !isAfterComment));
+      if (isEnd) {
+        BOOST_TEST(events[0].first == event);
+        BOOST_TEST((events[0].second == i));
+      }
+    }
+  }
 }
 
 // Guards against joining a partial event of a broken stream with bytes of the next endpoint.
@@ -55,7 +83,7 @@
   EventSplitter splitter;
   splitter.feed("id: 1\ndata: a\n\nid: 2\nda");
   BOOST_TEST(drain(splitter).size() == 1U);
-  BOOST_TEST(splitter.pending() > 0U);
+  BOOST_TEST(!splitter.pending().empty());
   splitter.restart();
   splitter.feed("id: 2\ndata: b\n\n");
   auto events = drain(splitter);
