Relay: resume streams only on routes that allow it

Callers of an idempotent route whose endpoint answered with a stream got the events of two runs within one answer, ended as complete, when the stream broke off.

Cause: whether a broken stream goes on elsewhere followed from whether the request may be repeated. Repeating it is safe, joining two runs is not.

Change: once the stream has begun, the route must be resumable.

Result: streamOfARouteWithoutResumeIsNotResumed failed before (t1 of the first run and t2 of the second one, with the last chunk) and passes now.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -629,6 +629,9 @@
   if (mPossibleRuns > 0 && (!mRoute->mayRepeat() || mPossibleRuns >= mRoute->maxAttempts)) {
     return "attempts";
   }
+  if (mStreamBegan && !mRoute->isResumable) {
+    return "not_resumable";
+  }
   if (mStreamBegan && !mLastEvent) {
     return "no_event_ids"; // Without an event id the stream cannot be resumed.
   }
--- a/libs/relay/tests/BrokenStreamTest.cpp
+++ b/libs/relay/tests/BrokenStreamTest.cpp
@@ -312,3 +312,14 @@
   BOOST_TEST(dataOf(text) == "t1 t2 ");
   BOOST_TEST(text.ends_with(kLastChunk));
 }
+
+// Guards against pieces of two runs within one answer on a route whose streams may not be resumed.
+BOOST_FIXTURE_TEST_CASE(streamOfARouteWithoutResumeIsNotResumed, ResumeFixture)
+{
+  play({ brokenStream,
+         [](const std::string& aId) { return streamHead(aId) + chunk(event(2)) + "0\r\n\r\n"; } },
+       3000ms,
+       serving::CallKind::Idempotent);
+  checkIsCut(stream());
+  BOOST_TEST(sends == 1U);
+}
