Relay: do not give up a silent stream that nothing may resume

Callers of a resumable route saw a stream without event ids cut after a pause of a second, although the endpoint went on with it.

Cause: the timeout asked for an endpoint and the retry budget only. That the request itself could not be sent again (no event ids, quarantined, too many sends, not resumable) was found after the send had been aborted.

Change: the timeout and the retry ask the same function, obstacleToRepeat().

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -621,12 +621,12 @@
   send(aNow);
 }
 
-std::string_view Call::obstacleToRetry(base::TimePoint aNow)
+std::string_view Call::obstacleToRepeat(int aPossibleRuns, base::TimePoint aNow) const
 {
   if (mSendCount >= kMaxSends || mDeadline - aNow < kMinTimeLeft) {
     return "no_time";
   }
-  if (mPossibleRuns > 0 && (!mRoute->mayRepeat() || mPossibleRuns >= mRoute->maxAttempts)) {
+  if (aPossibleRuns > 0 && (!mRoute->mayRepeat() || aPossibleRuns >= mRoute->maxAttempts)) {
     return "attempts";
   }
   if (mStreamBegan && !mRoute->isResumable) {
@@ -635,8 +635,14 @@
   if (mStreamBegan && !mLastEvent) {
     return "no_event_ids"; // Without an event id the stream cannot be resumed.
   }
-  if (isQuarantined(aNow)) {
-    return kQuarantined;
+  return isQuarantined(aNow) ? kQuarantined : "";
+}
+
+std::string_view Call::obstacleToRetry(base::TimePoint aNow)
+{
+  std::string_view obstacle = obstacleToRepeat(mPossibleRuns, aNow);
+  if (!obstacle.empty()) {
+    return obstacle;
   }
   if (!choose(aNow).endpoint) {
     return "no_endpoint";
@@ -689,10 +695,9 @@
     abortSend({ Outcome::Abandoned, true, "version_overdue" }, aNow);
     return;
   }
-  bool isTimedOut = mRoute->mayRepeat() && mPossibleRuns + 1 < mRoute->maxAttempts &&
-                    aNow - mProgressAt > progressTimeout();
+  bool isTimedOut = aNow - mProgressAt > progressTimeout();
   // A silent endpoint is given up only if another one can take the request.
-  if (isTimedOut && choose(aNow).endpoint &&
+  if (isTimedOut && obstacleToRepeat(mPossibleRuns + 1, aNow).empty() && choose(aNow).endpoint &&
       mCore.retryBudget.remaining(mService->name, aNow) >= 1) {
     abortSend({ Outcome::Silent, true, mSendHadEvent ? "stream_stalled" : "no_answer" }, aNow);
   }
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -55,6 +55,10 @@
   /** Whether the endpoint must decline the request if it holds other weights than believed. */
   bool needsExpectedVersion(base::TimePoint aNow) const;
   void sendFailed(const SendResult& aResult, base::TimePoint aNow);
+  /** Reason why the request itself may not be sent again, whatever endpoints there are. Empty when
+   * it may be.
+   * @param aPossibleRuns sends whose endpoint may have run the request. */
+  std::string_view obstacleToRepeat(int aPossibleRuns, base::TimePoint aNow) const;
   /** Reason why the request may not be sent again. Empty when it may be; this spends a retry of the
    * budget. */
   std::string_view obstacleToRetry(base::TimePoint aNow);
--- a/libs/relay/tests/BrokenStreamTest.cpp
+++ b/libs/relay/tests/BrokenStreamTest.cpp
@@ -323,3 +323,20 @@
   checkIsCut(stream());
   BOOST_TEST(sends == 1U);
 }
+
+// Guards against a stream that is given up after a pause although nothing could resume it.
+BOOST_FIXTURE_TEST_CASE(pausedStreamWithoutIdsIsNotGivenUp, ResumeFixture)
+{
+  std::string pause;
+  for (int i = 0; i < 45; ++i) {
+    pause += kPause;
+  }
+  play({ [&](const std::string& aId) {
+          return streamHead(aId) + chunk("data: t1\n\n") + pause + chunk("data: t2\n\n") +
+                 "0\r\n\r\n";
+        },
+         brokenStream });
+  std::string text = stream();
+  BOOST_TEST(dataOf(text) == "t1 t2 ");
+  BOOST_TEST(text.ends_with(kLastChunk));
+}
