Relay: backpressure is not silence of the endpoint

A stream was aborted and sent to another endpoint, at the cost of a retry and a second run, because its caller read slowly.

Cause: the timeout counted the time since the last event also while the relay had stopped reading from the endpoint.

Change: no timeout while the exchange is paused; it counts anew from the moment at which reading resumes.

Result: slowCallerDoesNotMoveAStream failed before (two sends) and passes now (one).

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -479,7 +479,8 @@
 
 void Call::onCallerDrained()
 {
-  if (mExchange) {
+  if (mExchange && mExchange->isPaused()) {
+    mProgressAt = std::chrono::steady_clock::now(); // The endpoint was not silent, but not read.
     mExchange->setPaused(false);
   }
 }
@@ -695,7 +696,7 @@
     abortSend({ Outcome::Abandoned, true, "version_overdue" }, aNow);
     return;
   }
-  bool isTimedOut = aNow - mProgressAt > progressTimeout();
+  bool isTimedOut = !mExchange->isPaused() && aNow - mProgressAt > progressTimeout();
   // A silent endpoint is given up only if another one can take the request.
   if (isTimedOut && obstacleToRepeat(mPossibleRuns + 1, aNow).empty() && choose(aNow).endpoint &&
       mCore.retryBudget.remaining(mService->name, aNow) >= 1) {
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -156,6 +156,7 @@
   void abort();
   /** Stops reading while paused: backpressure from a slow caller to the endpoint. */
   void setPaused(bool aPaused);
+  bool isPaused() const { return mPaused; }
   bool isConnecting() const { return mState == State::Connecting; }
   bool isNewConnection() const { return mIsNew; }
 
--- a/libs/relay/tests/BrokenStreamTest.cpp
+++ b/libs/relay/tests/BrokenStreamTest.cpp
@@ -340,3 +340,29 @@
   BOOST_TEST(dataOf(text) == "t1 t2 ");
   BOOST_TEST(text.ends_with(kLastChunk));
 }
+
+// Guards against resuming a stream because its caller reads slowly.
+BOOST_FIXTURE_TEST_CASE(slowCallerDoesNotMoveAStream, ResumeFixture)
+{
+  constexpr int kEvents = 400;
+  std::string events;
+  for (int i = 1; i <= kEvents; ++i) {
+    events += chunk("id: " + std::to_string(i) + "\ndata: " + std::string(8000, 'x') + "\n\n");
+  }
+  auto whole = [&](const std::string& aId) { return streamHead(aId) + events + "0\r\n\r\n"; };
+  play({ whole, whole }, 8000ms);
+  int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int size = 4096;
+  setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<uint16_t>(callers.port));
+  inet_pton(AF_INET, callers.host.c_str(), &address.sin_addr);
+  BOOST_REQUIRE(::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  sendAll(socket, get("1", "Connection: close\r\n"));
+  std::this_thread::sleep_for(2000ms);
+  std::string text = readToEnd(socket).text;
+  ::close(socket);
+  BOOST_TEST(text.ends_with("\r\n" + std::string(kLastChunk)));
+  BOOST_TEST(sends == 1U);
+}
