Relay: reject the head of another answer within a stream

Callers found the whole head and the text of an error in the middle of their stream, when an endpoint broke off a stream without a length and wrote another answer behind it on the same connection.

Cause: without chunks all bytes up to the end of the connection belong to the body, and any text before an empty line was passed on as an event.

Change: an event that holds a status line outside of an event's fields, or one that is followed by lines which no event has, is not passed on; the send counts as broken and the stream is resumed. A head quoted in data lines is passed on.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -397,6 +397,11 @@
     handleComment(aEvent.text);
     return;
   }
+  if (containsHead(aEvent.text)) {
+    // The endpoint broke the stream off and wrote another answer behind it.
+    abortSend({ Outcome::Broken, true, "head_in_stream" }, aNow);
+    return;
+  }
   if (aEvent.id && mSendLastEvent && *aEvent.id <= *mSendLastEvent) {
     abortSend({ Outcome::Broken, true, "event_repeated" }, aNow);
     return;
--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -45,8 +45,16 @@
   return error != asio::error::would_block;
 }
 
-/** True if the text holds a status line, as where a head that was cut within a line is followed by
- * the next one. */
+/** Whether a line of an event stream is a comment or has one of the fields that an event may have.
+ */
+bool isEventLine(std::string_view aLine)
+{
+  std::string_view name = aLine.substr(0, aLine.find(':'));
+  return name.empty() || name == "data" || name == "id" || name == "event" || name == "retry";
+}
+
+} // namespace
+
 bool containsStatusLine(std::string_view aText)
 {
   constexpr std::string_view kVersion = "HTTP/1.";
@@ -61,7 +69,23 @@
   return false;
 }
 
-} // namespace
+bool containsHead(std::string_view aEvent)
+{
+  bool hasStatus = false;
+  while (!aEvent.empty()) {
+    std::string_view line = aEvent.substr(0, aEvent.find('\n'));
+    aEvent.remove_prefix(std::min(line.size() + 1, aEvent.size()));
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    bool isField = isEventLine(line);
+    hasStatus = hasStatus || containsStatusLine(line);
+    if (hasStatus && !isField) {
+      return true;
+    }
+  }
+  return false;
+}
 
 std::string_view toString(ExchangeEnd aEnd)
 {
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -104,6 +104,12 @@
   };
 };
 
+/** True if the text holds a status line, as where an answer that was cut is followed by the next
+ * one. */
+bool containsStatusLine(std::string_view aText);
+/** True if an event holds the head of an answer. An event may quote one in its fields. */
+bool containsHead(std::string_view aEvent);
+
 enum class ExchangeEnd
 {
   Complete,
--- a/libs/relay/tests/BrokenStreamTest.cpp
+++ b/libs/relay/tests/BrokenStreamTest.cpp
@@ -366,3 +366,31 @@
   BOOST_TEST(text.ends_with("\r\n" + std::string(kLastChunk)));
   BOOST_TEST(sends == 1U);
 }
+
+// Guards against the head of another answer within a stream that its endpoint broke off.
+BOOST_DATA_TEST_CASE_F(ResumeFixture,
+                       headOfAnotherAnswerIsNotWrittenIntoAStream,
+                       boost::unit_test::data::make({ "", "id: 2\n", "id: 2\ndata: t2" }),
+                       part)
+{
+  std::string error = answer("1", "no such thing\n\n", 500);
+  play({ [&](const std::string& aId) {
+          return unboundedHead(aId) + event(1) + part + error + "CLOSE";
+        },
+         [](const std::string& aId) { return streamHead(aId) + chunk(event(2)) + "0\r\n\r\n"; } });
+  std::string text = stream();
+  BOOST_TEST(dataOf(text) == "t1 t2 ");
+  BOOST_TEST(headCount(text) == 1U);
+  BOOST_TEST(text.find("no such thing") == std::string::npos);
+  BOOST_TEST(text.ends_with(kLastChunk));
+}
+
+// Guards against rejecting a stream whose data quotes the head of an answer.
+BOOST_FIXTURE_TEST_CASE(streamMayQuoteTheHeadOfAnAnswer, ResumeFixture)
+{
+  std::string quote = "id: 1\ndata: HTTP/1.1 200 OK\ndata: Content-Length: 0\ndata:\n\n";
+  play({ [&](const std::string& aId) { return streamHead(aId) + chunk(quote) + "0\r\n\r\n"; } });
+  std::string text = stream();
+  BOOST_TEST(text.find(quote) != std::string::npos);
+  BOOST_TEST(text.ends_with(kLastChunk));
+}
