BrokenStreamTest: cuts at every byte against all second answers

An answer that is cut at each byte of head, chunk headers and events (LF, CRLF and CR; with and without chunks; HTTP/1.1 and HTTP/1.0 callers) is followed by one of 18 answers of a second endpoint, and by a sound third one. The second answers rotate with the cut. Checks that callers get one head, each event once and in order, no text of an error, and no end that looks complete before the last event, and that three quarters of the streams are resumed.

RelayFixture takes the slack of the retry budget, as the default would end the retries after 100 cuts.

--- a/libs/relay/tests/BrokenStreamTest.cpp
+++ b/libs/relay/tests/BrokenStreamTest.cpp
@@ -1,7 +1,9 @@
 #define BOOST_TEST_MODULE relay_broken_stream
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <cerrno>
+#include <map>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -58,6 +60,7 @@
 /** Endpoints that answer the sends of one request in the order of their scripts. */
 struct ResumeFixture : Fixture
 {
+  using Fixture::Fixture;
   using Step = std::function<std::string(const std::string& aId)>;
 
   void play(std::vector<Step> aSteps,
@@ -394,3 +397,178 @@
   BOOST_TEST(text.find(quote) != std::string::npos);
   BOOST_TEST(text.ends_with(kLastChunk));
 }
+
+namespace {
+
+constexpr int kStreamEvents = 3;
+
+/** Events after aLast, with several lines each. */
+std::vector<std::string> eventsAfter(int aLast, const std::string& aLineEnd)
+{
+  std::vector<std::string> events;
+  for (int i = aLast + 1; i <= kStreamEvents; ++i) {
+    std::string id = std::to_string(i);
+    events.push_back("x-weight-versions: 1" + aLineEnd + "id: " + id + aLineEnd + ": c" + aLineEnd +
+                     "data: t" + id + aLineEnd + "data: more" + aLineEnd + aLineEnd);
+  }
+  return events;
+}
+
+int lastOf(const std::string& aRequest)
+{
+  size_t at = aRequest.find("\r\nLast: ");
+  return at == std::string::npos ? 0 : std::stoi(aRequest.substr(at + 8));
+}
+
+std::string streamAfter(const std::string& aRequest, int aLast, const std::string& aLineEnd)
+{
+  std::string text = streamHead(idOf(aRequest));
+  for (const std::string& event : eventsAfter(aLast, aLineEnd)) {
+    text += chunk(event);
+  }
+  return text + "0\r\n\r\n";
+}
+
+constexpr int kSecondAnswers = 18;
+
+/** Answer of the second endpoint, of which only some continue the stream. */
+std::string secondAnswer(int aKind, const std::string& aRequest, const std::string& aLineEnd)
+{
+  std::string id = idOf(aRequest);
+  int last = lastOf(aRequest);
+  std::string head = "HTTP/1.1 500 X\r\nId: " + id + "\r\nSigned: s\r\n";
+  std::string error = "no such thing\n\n";
+  std::string good = streamAfter(aRequest, last, aLineEnd);
+  switch (aKind) {
+    case 0:
+      return good;
+    case 1:
+      return streamAfter(aRequest, 0, aLineEnd);
+    case 2:
+      return streamAfter(aRequest, last > 0 ? last + 1 : 0, aLineEnd);
+    case 3:
+      return answer(id, error, 500);
+    case 4:
+      return head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(error) + "0\r\n\r\n";
+    case 5:
+      return head + "\r\n" + error + "CLOSE";
+    case 6:
+      return head + "\r\n" + error + "RESET";
+    case 7:
+      return head + "Content-Type: text/event-stream\r\n\r\n" + error + "CLOSE";
+    case 8:
+      return answer(id, error, 200);
+    case 9:
+      return streamHead(id) + chunk("data: no such thing\n\n") + "0\r\n\r\n";
+    case 10:
+      return streamHead(id) + "0\r\n\r\n";
+    case 11:
+      return good.substr(0, good.size() - 12) + "CLOSE";
+    case 12:
+      return rejection(id, 503);
+    case 13:
+      return rejection(id, 421);
+    case 14:
+      return "HTTP/1.1 102 X\r\n\r\n" + good;
+    case 15:
+      return "CLOSE";
+    case 16:
+      return "HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n\r\n" + event(last + 1) +
+             "CLOSE";
+    default:
+      return streamHead(id) + chunk(": c" + aLineEnd + aLineEnd) +
+             good.substr(streamHead(id).size());
+  }
+}
+
+/** Lets every request be sent again. */
+struct EveryCutFixture : ResumeFixture
+{
+  EveryCutFixture()
+    : ResumeFixture(10000)
+  {
+  }
+};
+
+} // namespace
+
+// Guards against events that are lost, repeated or mixed with other answers, and against a cut that
+// looks complete, wherever a stream breaks off and whatever the next endpoint answers.
+BOOST_DATA_TEST_CASE_F(EveryCutFixture,
+                       streamSurvivesACutAtEveryByte,
+                       boost::unit_test::data::make({ "\n", "\r\n", "\r" }) *
+                         boost::unit_test::data::make({ true, false }) *
+                         boost::unit_test::data::make({ 0, 1 }),
+                       lineEnd,
+                       isChunked,
+                       minorVersion)
+{
+  const std::string id = "1000";
+  std::string whole = isChunked ? streamHead(id) : unboundedHead(id);
+  size_t firstEnd = 0;
+  std::vector<size_t> ends; // Where a stream without chunks is complete.
+  ends.push_back(whole.size());
+  for (const std::string& event : eventsAfter(0, lineEnd)) {
+    whole += isChunked ? chunk(event) : event;
+    firstEnd = firstEnd == 0 ? whole.size() : firstEnd;
+    ends.push_back(whole.size());
+  }
+  std::mutex mutex;
+  std::map<std::string, int> sendsOf;
+  auto script = [&](const std::string& aRequest) {
+    std::string request = idOf(aRequest);
+    int cut = std::stoi(request) - 1000;
+    int send = 0;
+    {
+      std::lock_guard lock(mutex);
+      send = sendsOf[request]++;
+    }
+    if (send > 0) {
+      return send == 1 ? secondAnswer((cut + 7 * minorVersion) % kSecondAnswers, aRequest, lineEnd)
+                       : streamAfter(aRequest, lastOf(aRequest), lineEnd);
+    }
+    std::string text = whole;
+    text.replace(text.find("Id: ") + 4, request.size(), request);
+    return text.substr(0, static_cast<size_t>(cut)) + "CLOSE";
+  };
+  declare(serving::CallKind::Streaming, 3);
+  for (int i = 0; i < 3; ++i) {
+    endpoints.push_back(std::make_unique<FakeEndpoint>(script));
+  }
+  int completed = 0;
+  for (size_t cut = 0; cut < whole.size(); ++cut) {
+    std::string request = std::to_string(1000 + cut);
+    for (int i = 0; i < 3; ++i) {
+      // New ids: failures of earlier requests do not affect the choice of endpoints.
+      list(request + "." + std::to_string(i), endpoints[static_cast<size_t>(i)]->address());
+      if (cut > 0) {
+        unlist(std::to_string(999 + cut) + "." + std::to_string(i));
+      }
+    }
+    Received received =
+      callToEnd("GET /x/" + request + " HTTP/1." + std::to_string(minorVersion) +
+                "\r\nHost: a.example\r\nId: " + request + "\r\nConnection: close\r\n\r\n");
+    const std::string& text = received.text;
+    bool isComplete = minorVersion == 0 ? received.error == 0 : text.ends_with(kLastChunk);
+    BOOST_TEST_CONTEXT("cut at " << cut << ": " << text)
+    {
+      BOOST_TEST(headCount(text) == 1U);
+      if (cut >= firstEnd) {
+        size_t count = 0;
+        for (int i = 1; i <= kStreamEvents; ++i) {
+          std::string event = eventsAfter(i - 1, lineEnd)[0];
+          size_t at = text.find(event);
+          count += at != std::string::npos ? 1 : 0;
+          BOOST_TEST(((at == std::string::npos) || text.find(event, at + 1) == std::string::npos));
+          BOOST_TEST(((at == std::string::npos) == (count < static_cast<size_t>(i))));
+        }
+        bool mayEnd = !isChunked && std::ranges::find(ends, cut) != ends.end();
+        BOOST_TEST(text.find("no such thing") == std::string::npos);
+        BOOST_TEST((!isComplete || count == kStreamEvents || mayEnd));
+        completed += isComplete ? 1 : 0;
+      }
+    }
+  }
+  // Nearly all can be resumed: by the second endpoint, or by the third.
+  BOOST_TEST(completed >= static_cast<int>(whole.size() - firstEnd) * 3 / 4);
+}
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -273,7 +273,7 @@
 
 struct Fixture
 {
-  Fixture()
+  explicit Fixture(double aRetrySlack = 100)
   {
     RelayOptions options;
     options.node = "entry";
@@ -282,7 +282,7 @@
     options.readinessPath = "/ready";
     options.peers = boragepitch::test::unusedAddress();
     options.placement = { .zone = "z", .region = "r" };
-    options.retries = { .ratio = 0.2, .slack = 100 };
+    options.retries = { .ratio = 0.2, .slack = aRetrySlack };
     options.leaveAcceptTime = 100ms;
     options.leaveLimit = 5000ms;
     callers = options.callers;
