--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -243,6 +243,7 @@
   mSendEvents = 0;
   mSendLastEvent.reset();
   mSplitter.restart();
+  mEarlyComments.clear();
   mSentAt = aNow;
   mProgressAt = aNow;
   mLoadAtSend = serving::EndpointSet::load(*mEndpoint, aNow);
@@ -385,13 +386,22 @@
     }
     handleEvent(*event, now);
   }
-  if (mExchange && mSplitter.pending() > kMaxEventBytes) {
+  if (mExchange && mSplitter.pending().size() > kMaxEventBytes) {
     abortSend({ Outcome::Broken, true, "event_too_large" }, now);
   }
 }
 
 void Call::handleEvent(const serving::StreamEvent& aEvent, base::TimePoint aNow)
 {
+  if (!aEvent.hasFields) {
+    handleComment(aEvent.text);
+    return;
+  }
+  if (containsHead(aEvent.text)) {
+    // The endpoint broke the stream off and wrote another answer behind it.
+    abortSend({ Outcome::Broken, true, "head_in_stream" }, aNow);
+    return;
+  }
   if (aEvent.id && mSendLastEvent && *aEvent.id <= *mSendLastEvent) {
     abortSend({ Outcome::Broken, true, "event_repeated" }, aNow);
     return;
@@ -427,6 +437,7 @@
     mFirstEventAt = aNow;
     mCore.metrics.firstByte.record(aNow - mRequest.received);
     mSession.beginStream(mHead->status, answerHeaders(*mHead));
+    mSession.writeStream(mEarlyComments);
   } else {
     mLongestGap = std::max(mLongestGap, aNow - mProgressAt);
   }
@@ -441,6 +452,15 @@
   }
 }
 
+void Call::handleComment(std::string_view aText)
+{
+  if (!mStreamBegan) {
+    mEarlyComments += aText; // Another endpoint may still take the request from the beginning.
+  } else if (mSendHadEvent) {
+    mSession.writeStream(aText);
+  }
+}
+
 void Call::checkStartVersion(base::TimePoint aNow)
 {
   uint64_t required = mCore.requiredVersion(mFacts.model, aNow);
@@ -464,7 +484,8 @@
 
 void Call::onCallerDrained()
 {
-  if (mExchange) {
+  if (mExchange && mExchange->isPaused()) {
+    mProgressAt = std::chrono::steady_clock::now(); // The endpoint was not silent, but not read.
     mExchange->setPaused(false);
   }
 }
@@ -473,7 +494,7 @@
 {
   auto now = std::chrono::steady_clock::now();
   if (aEnd == ExchangeEnd::Complete && mHead) {
-    if (mIsStream && mSplitter.pending() > 0) {
+    if (mIsStream && mSplitter.isInsideEvent()) {
       sendFailed({ Outcome::Broken, true, "event_cut" }, now);
     } else if (mHead->status / 100 == 2) {
       completed(now);
@@ -521,7 +542,9 @@
   if (!mStreamBegan) {
     mStreamBegan = true;
     mSession.beginStream(mHead->status, answerHeaders(*mHead));
+    mSession.writeStream(mEarlyComments);
   }
+  mSession.writeStream(mSplitter.pending());
   mDone = true;
   mCore.metrics.served.add();
   mCore.metrics.total.record(aNow - mRequest.received);
@@ -604,19 +627,28 @@
   send(aNow);
 }
 
-std::string_view Call::obstacleToRetry(base::TimePoint aNow)
+std::string_view Call::obstacleToRepeat(int aPossibleRuns, base::TimePoint aNow) const
 {
   if (mSendCount >= kMaxSends || mDeadline - aNow < kMinTimeLeft) {
     return "no_time";
   }
-  if (mPossibleRuns > 0 && (!mRoute->mayRepeat() || mPossibleRuns >= mRoute->maxAttempts)) {
+  if (aPossibleRuns > 0 && (!mRoute->mayRepeat() || aPossibleRuns >= mRoute->maxAttempts)) {
     return "attempts";
   }
+  if (mStreamBegan && !mRoute->isResumable) {
+    return "not_resumable";
+  }
   if (mStreamBegan && !mLastEvent) {
     return "no_event_ids"; // Without an event id the stream cannot be resumed.
   }
-  if (isQuarantined(aNow)) {
-    return kQuarantined;
+  return isQuarantined(aNow) ? kQuarantined : "";
+}
+
+std::string_view Call::obstacleToRetry(base::TimePoint aNow)
+{
+  std::string_view obstacle = obstacleToRepeat(mPossibleRuns, aNow);
+  if (!obstacle.empty()) {
+    return obstacle;
   }
   if (!choose(aNow).endpoint) {
     return "no_endpoint";
@@ -669,10 +701,9 @@
     abortSend({ Outcome::Abandoned, true, "version_overdue" }, aNow);
     return;
   }
-  bool isTimedOut = mRoute->mayRepeat() && mPossibleRuns + 1 < mRoute->maxAttempts &&
-                    aNow - mProgressAt > progressTimeout();
+  bool isTimedOut = !mExchange->isPaused() && aNow - mProgressAt > progressTimeout();
   // A silent endpoint is given up only if another one can take the request.
-  if (isTimedOut && choose(aNow).endpoint &&
+  if (isTimedOut && obstacleToRepeat(mPossibleRuns + 1, aNow).empty() && choose(aNow).endpoint &&
       mCore.retryBudget.remaining(mService->name, aNow) >= 1) {
     abortSend({ Outcome::Silent, true, mSendHadEvent ? "stream_stalled" : "no_answer" }, aNow);
   }
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -55,12 +55,18 @@
   /** Whether the endpoint must decline the request if it holds other weights than believed. */
   bool needsExpectedVersion(base::TimePoint aNow) const;
   void sendFailed(const SendResult& aResult, base::TimePoint aNow);
+  /** Reason why the request itself may not be sent again, whatever endpoints there are. Empty when
+   * it may be.
+   * @param aPossibleRuns sends whose endpoint may have run the request. */
+  std::string_view obstacleToRepeat(int aPossibleRuns, base::TimePoint aNow) const;
   /** Reason why the request may not be sent again. Empty when it may be; this spends a retry of the
    * budget. */
   std::string_view obstacleToRetry(base::TimePoint aNow);
   void endSend(serving::Outcome aOutcome, base::TimePoint aNow);
   void abortSend(const SendResult& aResult, base::TimePoint aNow);
   void handleEvent(const serving::StreamEvent& aEvent, base::TimePoint aNow);
+  /** Takes comments and empty lines between the events of a stream. */
+  void handleComment(std::string_view aText);
   /** Whether the request may be the reason why endpoints crash. */
   bool isQuarantined(base::TimePoint aNow) const;
   void completed(base::TimePoint aNow);
@@ -125,6 +131,7 @@
   std::optional<std::pair<AnswerHead, std::string>> mAnsweredError;
 
   serving::EventSplitter mSplitter;
+  std::string mEarlyComments;         ///< Comments that precede the first event of the stream.
   bool mStreamBegan = false;          ///< The head of a stream was sent to the caller.
   std::optional<uint64_t> mLastEvent; ///< Id of the last event that the caller was sent.
   uint64_t mEventCount = 0;
