--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -14,7 +14,8 @@
 /** Other entries that are told of the quarantine in one round: what an entry sends must not grow
  * with their number. One that has just started hears of it from three others a round on average. */
 constexpr size_t kQuarantineFanOut = 3;
-/** An entry hears of a crash that another one has seen within this time. */
+/** Time between the first trials of two entries: by then the second one has heard whether the
+ * first one's request crashed its endpoint. */
 constexpr base::Milliseconds kTrialInterval{ 1000 };
 /** With many entries the last ones do not wait for all others: a sound request is stopped no longer
  * than this after a wrong quarantine has ended elsewhere. */
--- a/libs/serving/src/PeerMessage.cpp
+++ b/libs/serving/src/PeerMessage.cpp
@@ -63,7 +63,7 @@
   for (const QuarantinedParts& quarantine : aNotice.quarantined) {
     parts += quarantine.parts.size();
     if (parts > kMaxQuarantinedPartsOfNotice) {
-      break; // Part of a quarantine would stop more requests than all of it.
+      break; // A truncated quarantine would match more requests.
     }
     Json::Value row;
     row["parts"] = toJson(quarantine.parts);
@@ -151,7 +151,7 @@
     if (!age || !left) {
       return tl::make_unexpected(!age ? age.error() : left.error());
     }
-    // Part of a quarantine would stop more requests than all of it.
+    // A truncated quarantine would match more requests.
     bool isWhole = !parts.empty() && parts.size() == row["parts"].size();
     if (isWhole && notice.quarantined.size() < kMaxQuarantines) {
       notice.quarantined.push_back(
