--- a/libs/serving/tests/PartQuarantineFleetTest.cpp
+++ b/libs/serving/tests/PartQuarantineFleetTest.cpp
@@ -20,7 +20,7 @@
 
 constexpr size_t kEndpoints = 40;
 constexpr PromptPart kFirst = 1; ///< First part of all requests of the route.
-constexpr std::array<PromptPart, 2> kDeadly{ 2, 3 };
+constexpr std::array<PromptPart, 2> kCrashing{ 2, 3 };
 constexpr PromptPart kRare = 1000;
 const base::TimePoint kStart{ 1h };
 
@@ -31,9 +31,9 @@
   uint64_t lossPercent = 1;
   uint64_t soundPerSecond = 60;
   base::Duration soundFrom{ 0 };
-  uint64_t deadlyPerSecond = 4; ///< For each crashing part.
-  uint64_t rareParts = 100;     ///< Each sound request holds one of them.
-  std::array<base::Duration, 2> deadlyFrom{ 10s, 30s };
+  uint64_t crashingPerSecond = 4; ///< For each crashing part.
+  uint64_t rareParts = 100;       ///< Each sound request holds one of them.
+  std::array<base::Duration, 2> crashingFrom{ 10s, 30s };
   bool hasKills = false;    ///< Kills 60 of 100 endpoints at a time.
   bool hasResets = false;   ///< 15 of 100 endpoints reset one request in three.
   bool hasRestarts = false; ///< Entries start again, knowing nothing.
@@ -117,7 +117,7 @@
     uint64_t id = 0;
     size_t entry = 0;
     std::vector<PromptPart> parts;
-    size_t deadly = 2; ///< Index of the crashing part; 2 is none.
+    size_t crashing = 2; ///< Index of the crashing part; 2 is none.
     int sends = 0;
   };
   struct Event
@@ -139,19 +139,20 @@
 
   void scheduleRequests()
   {
-    auto each = [&](uint64_t aPerSecond, base::Duration aFrom, size_t aDeadly) {
+    auto each = [&](uint64_t aPerSecond, base::Duration aFrom, size_t aCrashing) {
       for (auto at = aFrom; aPerSecond > 0 && at < mPlan.duration;
            at += 2 * 1ms * below(1000 / aPerSecond + 1)) {
         at += 100us;
-        Request request{ ++mRequests, below(mPlan.entries), { kFirst }, aDeadly };
-        request.parts.push_back(aDeadly < 2 ? kDeadly[aDeadly] : kRare + below(mPlan.rareParts));
-        mResult.sound += aDeadly < 2 ? 0 : 1;
+        Request request{ ++mRequests, below(mPlan.entries), { kFirst }, aCrashing };
+        request.parts.push_back(aCrashing < 2 ? kCrashing[aCrashing]
+                                              : kRare + below(mPlan.rareParts));
+        mResult.sound += aCrashing < 2 ? 0 : 1;
         schedule(kStart + at, [this, request] { arrive(request); });
       }
     };
     each(mPlan.soundPerSecond, mPlan.soundFrom, 2);
-    each(mPlan.deadlyPerSecond, mPlan.deadlyFrom[0], 0);
-    each(mPlan.deadlyPerSecond, mPlan.deadlyFrom[1], 1);
+    each(mPlan.crashingPerSecond, mPlan.crashingFrom[0], 0);
+    each(mPlan.crashingPerSecond, mPlan.crashingFrom[1], 1);
   }
 
   void arrive(const Request& aRequest)
@@ -175,7 +176,7 @@
 
   void noteStopped(const Request& aRequest)
   {
-    if (aRequest.deadly == 2) {
+    if (aRequest.crashing == 2) {
       auto& quarantine = mEntries[aRequest.entry].quarantine;
       bool isFirst = quarantine.isQuarantined({ &kFirst, 1 }, mNow);
       ++(isFirst ? mResult.firstStopped : mResult.rareStopped);
@@ -195,10 +196,10 @@
       target = (target + 1) % kEndpoints;
     }
     ++aRequest.sends;
-    if (aRequest.deadly < 2) {
-      size_t deadly = aRequest.deadly;
-      bool isLate = mResult.crashes[deadly] >= 5 && mNow > mFifthCrash[deadly] + 3s;
-      mResult.sentLate[deadly] += isLate ? 1 : 0;
+    if (aRequest.crashing < 2) {
+      size_t crashing = aRequest.crashing;
+      bool isLate = mResult.crashes[crashing] >= 5 && mNow > mFifthCrash[crashing] + 3s;
+      mResult.sentLate[crashing] += isLate ? 1 : 0;
     }
     uint64_t start = mEndpoints[target].start;
     schedule(mNow + 20ms + below(400) * 1ms,
@@ -211,12 +212,12 @@
       cut(aRequest, aTarget, aStart); // The endpoint crashed while the request waited.
       return;
     }
-    if (aRequest.deadly < 2) {
+    if (aRequest.crashing < 2) {
       if (isStopped(aRequest)) {
         return; // Withdrawn.
       }
-      if (++mResult.crashes[aRequest.deadly] == 5) {
-        mFifthCrash[aRequest.deadly] = mNow;
+      if (++mResult.crashes[aRequest.crashing] == 5) {
+        mFifthCrash[aRequest.crashing] = mNow;
       }
       crash(aTarget);
       cut(aRequest, aTarget, aStart);
@@ -373,7 +374,7 @@
 BOOST_AUTO_TEST_CASE(twoPartsAtTheSameTime)
 {
   Plan plan;
-  plan.deadlyFrom = { 10s, 10s };
+  plan.crashingFrom = { 10s, 10s };
   check(plan);
 }
 
@@ -382,9 +383,9 @@
 BOOST_AUTO_TEST_CASE(twoPartsAtTheSameTimeBesideFewSoundRequests)
 {
   Plan plan;
-  plan.deadlyFrom = { 10s, 10s };
+  plan.crashingFrom = { 10s, 10s };
   plan.soundPerSecond = 1;
-  plan.deadlyPerSecond = 10;
+  plan.crashingPerSecond = 10;
   check(plan);
 }
 
@@ -428,7 +429,7 @@
 {
   Plan plan;
   plan.soundPerSecond = 3;
-  plan.deadlyPerSecond = 10;
+  plan.crashingPerSecond = 10;
   check(plan);
 }
 
@@ -437,7 +438,7 @@
 {
   Plan plan;
   plan.soundFrom = 12s;
-  plan.deadlyPerSecond = 40;
+  plan.crashingPerSecond = 40;
   check(plan);
 }
 
@@ -447,7 +448,7 @@
   Plan plan;
   plan.duration = 300s;
   plan.soundPerSecond = 10;
-  plan.deadlyPerSecond = 20;
+  plan.crashingPerSecond = 20;
   check(plan);
 }
 
--- a/libs/serving/tests/PartQuarantineSpreadTest.cpp
+++ b/libs/serving/tests/PartQuarantineSpreadTest.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr PromptPart kDeadly = 2;
+constexpr PromptPart kCrashing = 2;
 const base::TimePoint kStart{ 1h };
 
 bool holds(const PartQuarantine& aQuarantine, PromptPart aPart, base::TimePoint aNow)
@@ -26,7 +26,7 @@
            const std::string& aEndpoint,
            base::TimePoint aNow)
 {
-  aQuarantine.recordCrash({ aRequest, aEndpoint, { kDeadly } }, aNow);
+  aQuarantine.recordCrash({ aRequest, aEndpoint, { kCrashing } }, aNow);
 }
 
 } // namespace
@@ -39,9 +39,9 @@
     crash(quarantine, i, "a", kStart);
   }
   crash(quarantine, 1, "b", kStart + 1s);
-  BOOST_TEST(!holds(quarantine, kDeadly, kStart + 1s));
+  BOOST_TEST(!holds(quarantine, kCrashing, kStart + 1s));
   crash(quarantine, 2, "c", kStart + 1s);
-  BOOST_TEST(holds(quarantine, kDeadly, kStart + 1s));
+  BOOST_TEST(holds(quarantine, kCrashing, kStart + 1s));
 }
 
 // Guards against a quarantine without end: processes whose quarantines end at slightly different
@@ -85,7 +85,7 @@
       return true;
     });
     if (std::any_of(entries.begin(), entries.end(), [&](const auto& aEntry) {
-          return holds(aEntry, kDeadly, now);
+          return holds(aEntry, kCrashing, now);
         })) {
       lastHeld = now;
     }
@@ -102,10 +102,10 @@
   for (uint64_t i = 0; i < 3; ++i) {
     crash(quarantine, i, std::to_string(i), kStart);
   }
-  BOOST_TEST(holds(quarantine, kDeadly, kStart));
-  quarantine.recordProof({ &kDeadly, 1 }, kStart + 1s);
+  BOOST_TEST(holds(quarantine, kCrashing, kStart));
+  quarantine.recordProof({ &kCrashing, 1 }, kStart + 1s);
   crash(quarantine, 7, "x", kStart + 4s);
-  BOOST_TEST(!holds(quarantine, kDeadly, kStart + 4s));
+  BOOST_TEST(!holds(quarantine, kCrashing, kStart + 4s));
 }
 
 // Guards against parts that other processes are never told of because many are in quarantine.
--- a/libs/serving/tests/PartQuarantineTest.cpp
+++ b/libs/serving/tests/PartQuarantineTest.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr PromptPart kShared = 1; ///< In all requests of the route.
-constexpr PromptPart kDeadly = 2;
+constexpr PromptPart kCrashing = 2;
 constexpr PromptPart kOther = 3;
 
 struct Quarantine : PartQuarantine
@@ -41,13 +41,13 @@
 BOOST_AUTO_TEST_CASE(quarantinesAPartThatCrashesEndpointsInDifferentRequests)
 {
   Quarantine quarantine;
-  quarantine.crash(1, "a", { kShared, kDeadly }, kStart);
+  quarantine.crash(1, "a", { kShared, kCrashing }, kStart);
   quarantine.prove(kShared, kStart + 10ms);
-  quarantine.crash(1, "b", { kShared, kDeadly }, kStart + 20ms);
-  BOOST_TEST(!quarantine.holds(kDeadly, kStart + 20ms));
+  quarantine.crash(1, "b", { kShared, kCrashing }, kStart + 20ms);
+  BOOST_TEST(!quarantine.holds(kCrashing, kStart + 20ms));
   quarantine.prove(kShared, kStart + 30ms);
-  quarantine.crash(2, "c", { kShared, kDeadly }, kStart + 40ms);
-  BOOST_TEST(quarantine.holds(kDeadly, kStart + 40ms));
+  quarantine.crash(2, "c", { kShared, kCrashing }, kStart + 40ms);
+  BOOST_TEST(quarantine.holds(kCrashing, kStart + 40ms));
   BOOST_TEST(!quarantine.holds(kShared, kStart + 40ms));
 }
 
@@ -56,10 +56,10 @@
 {
   Quarantine quarantine;
   for (uint64_t i = 0; i < 3; ++i) {
-    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart);
+    quarantine.crash(i, "a" + std::to_string(i), { kCrashing }, kStart);
     quarantine.crash(10 + i, "b" + std::to_string(i), { kOther }, kStart + 9s);
   }
-  BOOST_TEST(quarantine.holds(kDeadly, kStart + 9s));
+  BOOST_TEST(quarantine.holds(kCrashing, kStart + 9s));
   BOOST_TEST(quarantine.holds(kOther, kStart + 9s));
 }
 
@@ -114,24 +114,24 @@
   const PartQuarantineOptions options;
   Quarantine quarantine;
   for (uint64_t i = 0; i < 3; ++i) {
-    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart);
+    quarantine.crash(i, "a" + std::to_string(i), { kCrashing }, kStart);
   }
   auto end = kStart + base::Duration(options.duration);
-  BOOST_TEST(quarantine.holds(kDeadly, end - 1ms));
-  BOOST_TEST(!quarantine.holds(kDeadly, end));
-  quarantine.crash(9, "z", { kDeadly }, end + 1s);
-  BOOST_TEST(quarantine.holds(kDeadly, end + 1s + 2 * base::Duration(options.duration) - 1ms));
+  BOOST_TEST(quarantine.holds(kCrashing, end - 1ms));
+  BOOST_TEST(!quarantine.holds(kCrashing, end));
+  quarantine.crash(9, "z", { kCrashing }, end + 1s);
+  BOOST_TEST(quarantine.holds(kCrashing, end + 1s + 2 * base::Duration(options.duration) - 1ms));
 }
 
 // Guards against a part that becomes harmful although requests with it were sound before.
 BOOST_AUTO_TEST_CASE(earlierProofsDoNotProtectAPart)
 {
   Quarantine quarantine;
-  quarantine.prove(kDeadly, kStart);
+  quarantine.prove(kCrashing, kStart);
   for (uint64_t i = 0; i < 3; ++i) {
-    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart + 2s);
+    quarantine.crash(i, "a" + std::to_string(i), { kCrashing }, kStart + 2s);
   }
-  BOOST_TEST(quarantine.holds(kDeadly, kStart + 2s));
+  BOOST_TEST(quarantine.holds(kCrashing, kStart + 2s));
 }
 
 // Guards against records that cannot hold crashes of as many endpoints as the conviction of a part
@@ -139,13 +139,13 @@
 BOOST_AUTO_TEST_CASE(aPartThatTurnsHarmfulIsFoundBesidePartsWithoutProof)
 {
   Quarantine quarantine;
-  quarantine.prove(kDeadly, kStart);
+  quarantine.prove(kCrashing, kStart);
   auto now = kStart + 2s;
   for (uint64_t i = 0; i < 16; ++i) {
     // Two requests at each endpoint; each has another part that no request proved.
-    quarantine.crash(i, "e" + std::to_string(i / 2), { kDeadly, 1000 + i }, now);
+    quarantine.crash(i, "e" + std::to_string(i / 2), { kCrashing, 1000 + i }, now);
   }
-  BOOST_TEST(quarantine.holds(kDeadly, now));
+  BOOST_TEST(quarantine.holds(kCrashing, now));
 }
 
 // Guards against a quarantine of the part that all requests share because no sound one came before
@@ -154,12 +154,12 @@
 {
   Quarantine quarantine;
   for (uint64_t i = 0; i < 12; ++i) {
-    quarantine.crash(i, "e" + std::to_string(i), { kShared, kDeadly }, kStart);
+    quarantine.crash(i, "e" + std::to_string(i), { kShared, kCrashing }, kStart);
   }
-  BOOST_TEST(quarantine.isQuarantined(std::array{ kShared, kDeadly }, kStart));
-  BOOST_TEST(quarantine.isQuarantined(std::array{ kShared, kOther, kDeadly }, kStart));
+  BOOST_TEST(quarantine.isQuarantined(std::array{ kShared, kCrashing }, kStart));
+  BOOST_TEST(quarantine.isQuarantined(std::array{ kShared, kOther, kCrashing }, kStart));
   BOOST_TEST(!quarantine.isQuarantined(std::array{ kShared, kOther }, kStart));
-  BOOST_TEST(!quarantine.isQuarantined(std::array{ kOther, kDeadly }, kStart));
+  BOOST_TEST(!quarantine.isQuarantined(std::array{ kOther, kCrashing }, kStart));
 }
 
 // Guards against a quarantine of the part that all requests share because requests with two other
@@ -168,13 +168,13 @@
 {
   Quarantine quarantine;
   for (uint64_t i = 0; i < 12; ++i) {
-    std::vector<PromptPart> parts{ kShared, i % 2 == 0 ? kDeadly : kOther };
+    std::vector<PromptPart> parts{ kShared, i % 2 == 0 ? kCrashing : kOther };
     if (!quarantine.isQuarantined(parts, kStart)) {
       quarantine.crash(i, "e" + std::to_string(i), parts, kStart);
     }
   }
   BOOST_TEST(!quarantine.holds(kShared, kStart));
-  BOOST_TEST(quarantine.isQuarantined(std::array{ kShared, kDeadly }, kStart));
+  BOOST_TEST(quarantine.isQuarantined(std::array{ kShared, kCrashing }, kStart));
   BOOST_TEST(quarantine.isQuarantined(std::array{ kShared, kOther }, kStart));
 }
 
@@ -182,10 +182,10 @@
 {
   Quarantine quarantine;
   for (uint64_t i = 0; i < 3; ++i) {
-    quarantine.crash(i, "e" + std::to_string(i), { kShared, kDeadly }, kStart);
+    quarantine.crash(i, "e" + std::to_string(i), { kShared, kCrashing }, kStart);
   }
   quarantine.recordProof(std::array{ kShared, kOther }, kStart + 1s);
-  BOOST_TEST(quarantine.isQuarantined(std::array{ kOther, kDeadly }, kStart + 1s));
+  BOOST_TEST(quarantine.isQuarantined(std::array{ kOther, kCrashing }, kStart + 1s));
   BOOST_TEST(!quarantine.holds(kShared, kStart + 1s));
 }
 
@@ -196,9 +196,9 @@
   Quarantine quarantine;
   for (uint64_t i = 0; i < 6; ++i) {
     PromptPart beside = i < 3 ? kShared : 100 + i;
-    quarantine.crash(i, "e" + std::to_string(i), { beside, kDeadly }, kStart + i * 1s);
+    quarantine.crash(i, "e" + std::to_string(i), { beside, kCrashing }, kStart + i * 1s);
   }
-  BOOST_TEST(quarantine.holds(kDeadly, kStart + 6s));
+  BOOST_TEST(quarantine.holds(kCrashing, kStart + 6s));
   BOOST_TEST(!quarantine.holds(kShared, kStart + 6s));
 }
 
@@ -212,7 +212,7 @@
     size_t crashes = 0;
     for (uint64_t i = 0; i < 60; ++i) {
       auto now = kStart + i * 500ms;
-      std::vector<PromptPart> parts{ kDeadly, 100 + i / 6 };
+      std::vector<PromptPart> parts{ kCrashing, 100 + i / 6 };
       if (!isFirst) {
         std::swap(parts[0], parts[1]);
       }
@@ -222,7 +222,7 @@
       }
     }
     BOOST_TEST(crashes <= kAllowed);
-    BOOST_TEST(quarantine.holds(kDeadly, kStart + 30s));
+    BOOST_TEST(quarantine.holds(kCrashing, kStart + 30s));
   }
 }
 
@@ -237,7 +237,7 @@
       size_t crashes = 0;
       for (uint64_t i = 0; i < 100; ++i) {
         auto now = kStart + i * 250ms;
-        std::vector<PromptPart> parts{ kShared, kDeadly, 100 + base::uniformBelow(rng, others) };
+        std::vector<PromptPart> parts{ kShared, kCrashing, 100 + base::uniformBelow(rng, others) };
         if (!quarantine.isQuarantined(parts, now)) {
           ++crashes;
           quarantine.crash(i, "e" + std::to_string(i), parts, now);
@@ -254,7 +254,7 @@
 {
   Quarantine quarantine;
   for (uint64_t i = 0; i < 3; ++i) {
-    quarantine.crash(i, "a" + std::to_string(i), { kShared, kDeadly }, kStart);
+    quarantine.crash(i, "a" + std::to_string(i), { kShared, kCrashing }, kStart);
   }
   for (uint64_t i = 0; i < 3; ++i) {
     quarantine.crash(10 + i, "b" + std::to_string(i), { kShared, 100 + i }, kStart + 1s);
@@ -262,7 +262,7 @@
   BOOST_TEST(quarantine.holds(kShared, kStart + 1s));
   quarantine.prove(kShared, kStart + 2s);
   BOOST_TEST(!quarantine.holds(kShared, kStart + 2s));
-  BOOST_TEST(quarantine.holds(kDeadly, kStart + 2s));
+  BOOST_TEST(quarantine.holds(kCrashing, kStart + 2s));
 }
 
 // What another process has proved, or not, does not widen a quarantine that is told.
@@ -270,20 +270,20 @@
 {
   Quarantine quarantine;
   for (uint64_t i = 0; i < 3; ++i) {
-    quarantine.crash(i, "e" + std::to_string(i), { kShared, kDeadly }, kStart);
+    quarantine.crash(i, "e" + std::to_string(i), { kShared, kCrashing }, kStart);
   }
   auto now = kStart + 2s;
   auto told = quarantine.quarantined(9, now);
   BOOST_REQUIRE(told.size() == 1U);
   Quarantine later;
   BOOST_TEST(later.adopt(told[0], now).empty());
-  BOOST_TEST(later.isQuarantined(std::array{ kShared, kDeadly }, now));
+  BOOST_TEST(later.isQuarantined(std::array{ kShared, kCrashing }, now));
   BOOST_TEST(!later.holds(kShared, now));
-  BOOST_TEST(!later.holds(kDeadly, now));
+  BOOST_TEST(!later.holds(kCrashing, now));
   Quarantine busy;
   busy.prove(kShared, kStart + 1s);
   BOOST_TEST(busy.adopt(told[0], now) == std::vector{ kShared });
-  BOOST_TEST(busy.holds(kDeadly, now));
+  BOOST_TEST(busy.holds(kCrashing, now));
 }
 
 // Guards against entries that start later, or that the evidence did not reach.
@@ -291,7 +291,7 @@
 {
   Quarantine quarantine;
   for (uint64_t i = 0; i < 3; ++i) {
-    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart + i * 1s);
+    quarantine.crash(i, "a" + std::to_string(i), { kCrashing }, kStart + i * 1s);
   }
   auto now = kStart + 5s;
   auto told = quarantine.quarantined(9, now);
@@ -299,8 +299,8 @@
   BOOST_TEST((told[0].evidenceAge == 5s));
   Quarantine later;
   BOOST_TEST(later.adopt(told[0], now).empty());
-  BOOST_TEST(later.holds(kDeadly, now + told[0].left - 1ms));
-  BOOST_TEST(!later.holds(kDeadly, now + told[0].left));
+  BOOST_TEST(later.holds(kCrashing, now + told[0].left - 1ms));
+  BOOST_TEST(!later.holds(kCrashing, now + told[0].left));
 }
 
 // Guards against an entry with little traffic that has a sound part quarantined everywhere.
@@ -326,14 +326,14 @@
   options.maxParts = 100;
   Quarantine quarantine(options);
   for (uint64_t i = 0; i < 3; ++i) {
-    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart);
+    quarantine.crash(i, "a" + std::to_string(i), { kCrashing }, kStart);
   }
   for (uint64_t i = 0; i < 10000; ++i) {
     quarantine.prove(1000 + i, kStart + i * 1ms);
     quarantine.crash(i, "x", { 100000 + i }, kStart + i * 1ms);
     BOOST_REQUIRE(quarantine.size() <= options.maxParts);
   }
-  BOOST_TEST(quarantine.holds(kDeadly, kStart + 11s));
+  BOOST_TEST(quarantine.holds(kCrashing, kStart + 11s));
 }
 
 // Guards against crashes that are forgotten because requests with many other parts are sound.
@@ -343,13 +343,13 @@
   options.maxParts = 100;
   Quarantine quarantine(options);
   for (uint64_t i = 0; i < 3; ++i) {
-    quarantine.crash(i, "e" + std::to_string(i), { kDeadly }, kStart + i * 1s);
+    quarantine.crash(i, "e" + std::to_string(i), { kCrashing }, kStart + i * 1s);
     for (uint64_t j = 0; j < 500; ++j) {
       quarantine.prove(1000 + 500 * i + j, kStart + i * 1s + j * 1ms);
     }
   }
   BOOST_TEST(quarantine.size() <= options.maxParts);
-  BOOST_TEST(quarantine.holds(kDeadly, kStart + 3s));
+  BOOST_TEST(quarantine.holds(kCrashing, kStart + 3s));
 }
 
 // Guards against a second request that is let through after a quarantine because another process
@@ -359,14 +359,14 @@
   const PartQuarantineOptions options;
   Quarantine quarantine;
   for (uint64_t i = 0; i < 3; ++i) {
-    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart);
+    quarantine.crash(i, "a" + std::to_string(i), { kCrashing }, kStart);
   }
   auto told = quarantine.quarantined(9, kStart).at(0);
   auto end = kStart + base::Duration(options.duration);
-  BOOST_TEST(quarantine.admit(std::array{ kDeadly }, end));
+  BOOST_TEST(quarantine.admit(std::array{ kCrashing }, end));
   told.left = 5ms;
   quarantine.adopt(told, end + 1ms);
-  BOOST_TEST(!quarantine.admit(std::array{ kDeadly }, end + 10ms));
+  BOOST_TEST(!quarantine.admit(std::array{ kCrashing }, end + 10ms));
 }
 
 // Guards against quarantines that grow longer without a further crash because other processes tell
@@ -376,13 +376,13 @@
   const PartQuarantineOptions options;
   Quarantine quarantine;
   for (uint64_t i = 0; i < 3; ++i) {
-    quarantine.crash(i, "a" + std::to_string(i), { kDeadly }, kStart);
+    quarantine.crash(i, "a" + std::to_string(i), { kCrashing }, kStart);
   }
   auto end = kStart + base::Duration(options.duration);
   for (auto late : { 1ms, 11ms, 21ms }) {
     base::Milliseconds age = options.duration + late;
-    quarantine.adopt({ { kDeadly }, age, 5ms }, end + late);
+    quarantine.adopt({ { kCrashing }, age, 5ms }, end + late);
   }
-  quarantine.crash(9, "z", { kDeadly }, end + 1s);
-  BOOST_TEST(!quarantine.holds(kDeadly, end + 1s + 2 * base::Duration(options.duration)));
+  quarantine.crash(9, "z", { kCrashing }, end + 1s);
+  BOOST_TEST(!quarantine.holds(kCrashing, end + 1s + 2 * base::Duration(options.duration)));
 }
