Relay: read the head of an answer before its trailers

What callers see: an endpoint answers 503 without stating that the request did not run, or without an id, and names the missing header in a trailer. If head and trailers arrive in one read, callers are told to try again for a request that ran (REFUSED), or it is sent to a second endpoint (TWICE). In several reads the same bytes are answered with 502.

Cause: an eager parser goes on through the body in the call that ends the head, and adds trailers to the headers, which the relay reads only after that call.

Change: the parser becomes eager when the head has been parsed. The facts and the headers that are passed on no longer depend on how the bytes are split.

Evidence: RepeatedRefusalTest/trailersPromiseNothing got 503 for both answers in one read before, and 502 now; it got 502 in two reads before, too.

--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -234,7 +234,6 @@
   // With no limit set, Beast 1.74 rejects any body length if head and body arrive separately.
   // parse() limits the body instead.
   mParser->body_limit(std::numeric_limits<uint64_t>::max());
-  mParser->eager(true);
   mParser->skip(mRequest.isHead);
   mParser->on_chunk_header(mOnChunk);
   mHeadSeen = false;
@@ -290,8 +289,12 @@
       finish(ExchangeEnd::NotAnAnswer);
       return false;
     }
-    if (!mHeadSeen && mParser->is_header_done() && !handleHead()) {
-      return false;
+    if (!mHeadSeen && mParser->is_header_done()) {
+      // An eager parser would add trailers of the same read to the headers before they are read.
+      mParser->eager(true);
+      if (!handleHead()) {
+        return false;
+      }
     }
     // The parser leaves unparsed bytes, such as an unterminated line, in the buffer.
     if (mConnection->buffer.size() > kMaxAnswerHeaderBytes) {
--- a/libs/relay/tests/RepeatedRefusalTest.cpp
+++ b/libs/relay/tests/RepeatedRefusalTest.cpp
@@ -181,3 +181,17 @@
     }
   }
 }
+
+// Guards against a trailer that is taken for a header if it arrives together with the head, so that
+// a request that ran counts as not run.
+BOOST_FIXTURE_TEST_CASE(trailersPromiseNothing, RefusalFixture)
+{
+  const std::string body = "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n";
+  for (const char* pause : { "", "<pause>" }) {
+    std::string text =
+      callAfter("HTTP/1.1 503 X\r\nId: n1\r\n" + body + pause + "Not-Run: 1\r\n\r\n");
+    BOOST_TEST(text.starts_with("HTTP/1.1 502"), text);
+    text = callAfter("HTTP/1.1 503 X\r\nNot-Run: 1\r\n" + body + pause + "Id: n1\r\n\r\n");
+    BOOST_TEST(text.starts_with("HTTP/1.1 502"), text);
+  }
+}
