TableWatcher: back off when a read of the whole table is answered as gone

What callers see: while the store answers reads of a whole table with 410, each process that follows it calls again without a pause, on the same connection, and reports the table as reached. The calls use up the rate of the store, so that other processes are refused.

Cause: "not found" meant a discarded history for every call. A read of the whole table needs none, and was repeated at once.

Change: only a call for changes may find its history gone; a read that fails so is a failed call like any other.

Evidence: TableWatcherTest/backsOffWhenTheWholeTableIsGone failed in three checks before (one connection, no failed call, no outage), and passes now. A store that answers so was not seen.

--- a/libs/stores/include/stores/TableWatcher.h
+++ b/libs/stores/include/stores/TableWatcher.h
@@ -80,6 +80,7 @@
   base::Milliseconds waitTime(base::TimePoint aNow) const;
   void waitToCoalesce(base::TimePoint aNow);
   std::shared_ptr<RowFeed> makeFeed();
+  bool isHistoryGone(const base::Status& aStatus) const;
   void report(const base::Status& aStatus);
 
   const MakeFeed mMakeFeed;
--- a/libs/stores/src/TableWatcher.cpp
+++ b/libs/stores/src/TableWatcher.cpp
@@ -76,8 +76,7 @@
       mBackoff.reset();
       continue;
     }
-    bool historyGone = status.error().kind == base::ErrorKind::NotFound;
-    if (historyGone) {
+    if (isHistoryGone(status)) {
       mHasPosition = false;
       continue;
     }
@@ -87,10 +86,16 @@
   }
 }
 
+bool TableWatcher::isHistoryGone(const base::Status& aStatus) const
+{
+  // A read of the whole table needs no history.
+  return !aStatus && aStatus.error().kind == base::ErrorKind::NotFound && mHasPosition;
+}
+
 void TableWatcher::report(const base::Status& aStatus)
 {
   auto now = std::chrono::steady_clock::now();
-  bool reachable = aStatus.has_value() || aStatus.error().kind == base::ErrorKind::NotFound;
+  bool reachable = aStatus.has_value() || isHistoryGone(aStatus);
   if (reachable != mReachable || !mReported) {
     mReachable = reachable;
     mReported = true;
--- a/libs/stores/tests/TableWatcherTest.cpp
+++ b/libs/stores/tests/TableWatcherTest.cpp
@@ -287,3 +287,15 @@
   BOOST_TEST((events == Texts{ "regained", "snapshot 1", "lost", "regained", "change b" }));
   BOOST_TEST(script.feeds == 2);
 }
+
+// Guards against a busy loop of calls if the store answers each read as if its history were gone.
+BOOST_FIXTURE_TEST_CASE(backsOffWhenTheWholeTableIsGone, Fixture)
+{
+  script.reads = { failure(base::ErrorKind::NotFound),
+                   failure(base::ErrorKind::NotFound),
+                   page({ "a" }, 10) };
+  run(3);
+  BOOST_TEST((events == Texts{ "lost", "regained", "snapshot 1" }));
+  BOOST_TEST(script.feeds == 3);
+  BOOST_TEST(recorder.failedCalls.size() == 2U);
+}
