--- a/libs/relay/tests/RepeatedRefusalTest.cpp
+++ b/libs/relay/tests/RepeatedRefusalTest.cpp
@@ -187,7 +187,7 @@
 BOOST_FIXTURE_TEST_CASE(trailersPromiseNothing, RefusalFixture)
 {
   const std::string body = "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n";
-  for (const std::string pause : { "", "<pause>" }) {
+  for (const char* pause : { "", "<pause>" }) {
     std::string text =
       callAfter("HTTP/1.1 503 X\r\nId: n1\r\n" + body + pause + "Not-Run: 1\r\n\r\n");
     BOOST_TEST(text.starts_with("HTTP/1.1 502"), text);
