--- a/libs/relay/tests/BrokenStreamTest.cpp
+++ b/libs/relay/tests/BrokenStreamTest.cpp
@@ -402,18 +402,30 @@
 
 constexpr int kStreamEvents = 3;
 
-/** Events after aLast, with several lines each. */
+/** An event with several lines. */
+std::string longEvent(const std::string& aId, const std::string& aLineEnd)
+{
+  return "x-weight-versions: 1" + aLineEnd + "id: " + aId + aLineEnd + ": c" + aLineEnd +
+         "data: t" + aId + aLineEnd + "data: more" + aLineEnd + aLineEnd;
+}
+
+/** Events after aLast. */
 std::vector<std::string> eventsAfter(int aLast, const std::string& aLineEnd)
 {
   std::vector<std::string> events;
   for (int i = aLast + 1; i <= kStreamEvents; ++i) {
-    std::string id = std::to_string(i);
-    events.push_back("x-weight-versions: 1" + aLineEnd + "id: " + id + aLineEnd + ": c" + aLineEnd +
-                     "data: t" + id + aLineEnd + "data: more" + aLineEnd + aLineEnd);
+    events.push_back(longEvent(std::to_string(i), aLineEnd));
   }
   return events;
 }
 
+/** A request after which the caller's connection ends. */
+std::string requestLast(const std::string& aId, int aMinorVersion)
+{
+  return "GET /x/" + aId + " HTTP/1." + std::to_string(aMinorVersion) +
+         "\r\nHost: a.example\r\nId: " + aId + "\r\nConnection: close\r\n\r\n";
+}
+
 int lastOf(const std::string& aRequest)
 {
   size_t at = aRequest.find("\r\nLast: ");
@@ -545,9 +557,7 @@
         unlist(std::to_string(999 + cut) + "." + std::to_string(i));
       }
     }
-    Received received =
-      callToEnd("GET /x/" + request + " HTTP/1." + std::to_string(minorVersion) +
-                "\r\nHost: a.example\r\nId: " + request + "\r\nConnection: close\r\n\r\n");
+    Received received = callToEnd(requestLast(request, minorVersion));
     const std::string& text = received.text;
     bool isComplete = minorVersion == 0 ? received.error == 0 : text.ends_with(kLastChunk);
     BOOST_TEST_CONTEXT("cut at " << cut << ": " << text)
--- a/libs/serving/tests/TextTest.cpp
+++ b/libs/serving/tests/TextTest.cpp
@@ -51,6 +51,14 @@
   RC_ASSERT(cut.pending().empty());
 }
 
+namespace {
+std::string commentedEvent(uint64_t aId, const std::string& aLineEnd)
+{
+  return ": comment" + aLineEnd + "id: " + std::to_string(aId) + aLineEnd + "data: a" + aLineEnd +
+         "data: b" + aLineEnd + aLineEnd;
+}
+} // namespace
+
 // Guards against events that are not found because of their line ends, or that are held until the
 // next one begins.
 BOOST_DATA_TEST_CASE(eventsEndAtAnEmptyLine,
@@ -60,8 +68,7 @@
   std::string line = lineEnd;
   EventSplitter splitter;
   for (uint64_t i = 1; i <= 3; ++i) {
-    std::string event = ": comment" + line + "id: " + std::to_string(i) + line + "data: a" + line +
-                        "data: b" + line + line;
+    std::string event = commentedEvent(i, line);
     for (size_t at = 0; at < event.size(); ++at) {
       bool isAfterComment = at >= 9 && at < 9 + line.size();
       bool isEnd = at + 1 == event.size();
