--- a/tests/integration/support.py
+++ b/tests/integration/support.py
@@ -68,8 +68,7 @@
             load.stop()
         unexpected = self.fleet.unexpected_exits()
         self.fleet.close()
-        failed = any(error for _, error in getattr(self._outcome, "errors", []) if error)
-        if failed or unexpected:
+        if not self._outcome.success or unexpected:
             self._print_logs()
         self._logs.cleanup()
         self.assertEqual(unexpected, [], "processes ended unexpectedly")
