--- a/tests/integration/support.py
+++ b/tests/integration/support.py
@@ -68,11 +68,17 @@
             load.stop()
         unexpected = self.fleet.unexpected_exits()
         self.fleet.close()
-        if not self._outcome.success or unexpected:
+        if self._has_failed() or unexpected:
             self._print_logs()
         self._logs.cleanup()
         self.assertEqual(unexpected, [], "processes ended unexpectedly")
 
+    def _has_failed(self):
+        if hasattr(self._outcome, "errors"):  # Up to Python 3.10.
+            return any(error for _, error in self._outcome.errors if error)
+        result = self._outcome.result
+        return any(test is self for test, _ in result.failures + result.errors)
+
     def _print_logs(self):
         for path in sorted(pathlib.Path(self._logs.name).glob("*.log")):
             lines = path.read_text(errors="replace").splitlines()[-15:]
