Entries tell each other the requests in quarantine

An entry that started after a request had crashed three endpoints sent it to two more, and again after each restart. Cause: an entry that starts asks the others for the parts of prompts in quarantine only; crash evidence of requests is sent once. Change: notices of quarantined requests, in answer to the question and each second to three others. An entry where the request has completed since does not adopt the quarantine. request_quarantined logs who brought it about.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -530,7 +530,7 @@
     return;
   }
   endSend(Outcome::Success, aNow);
-  mCore.suspects.clear(mFingerprint);
+  mCore.suspects.recordCompletion(mFingerprint, aNow);
   if (!mIsStream || mSendEvents > 0) {
     mCore.quarantine.recordProof(mFacts.sharedParts, mIsStream ? mSendBegunAt : mSentAt);
   }
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -107,10 +107,14 @@
 
 bool Core::recordCrash(const serving::CrashEvidence& aEvidence, base::TimePoint aNow)
 {
+  bool wasQuarantined = suspects.isQuarantined(aEvidence.fingerprint, aNow);
   bool isNew = suspects.record(aEvidence, aNow);
   if (!isNew) {
     return false;
   }
+  if (!wasQuarantined && suspects.isQuarantined(aEvidence.fingerprint, aNow)) {
+    logQuarantine(aEvidence.fingerprint, "crash", aNow);
+  }
   auto parts = quarantine.recordCrash(aEvidence, aNow);
   log.write(telemetry::EventClass::Refused,
             "crash_evidence",
@@ -134,11 +138,51 @@
 
 void Core::spreadQuarantine(base::TimePoint aNow)
 {
-  auto parts = quarantine.quarantined(serving::kMaxQuarantinedPartsOfNotice, aNow);
-  if (parts.empty() || peers.empty()) {
+  if (peers.empty()) {
     return;
   }
-  sendToSome(serving::PartNotice{ parts, {} });
+  for (const serving::PeerMessage& notice : quarantineNotices(aNow)) {
+    sendToSome(notice);
+  }
+}
+
+std::vector<serving::PeerMessage> Core::quarantineNotices(base::TimePoint aNow)
+{
+  std::vector<serving::PeerMessage> notices;
+  auto parts = quarantine.quarantined(serving::kMaxQuarantinedPartsOfNotice, aNow);
+  if (!parts.empty()) {
+    notices.emplace_back(serving::PartNotice{ std::move(parts), {} });
+  }
+  auto requests = suspects.quarantined(serving::kMaxQuarantinedRequestsOfNotice, aNow);
+  if (!requests.empty()) {
+    notices.emplace_back(serving::RequestNotice{ std::move(requests) });
+  }
+  return notices;
+}
+
+void Core::tellQuarantine(const asio::ip::udp::endpoint& aReceiver, base::TimePoint aNow)
+{
+  for (const serving::PeerMessage& notice : quarantineNotices(aNow)) {
+    ErrorCode ignored; // The notices of the next rounds reach the entry as well.
+    peerSocket.send_to(asio::buffer(serving::encode(notice)), aReceiver, 0, ignored);
+  }
+}
+
+void Core::logQuarantine(uint64_t aFingerprint, std::string_view aSource, base::TimePoint aNow)
+{
+  log.write(telemetry::EventClass::Critical,
+            "request_quarantined",
+            { { "fingerprint", std::to_string(aFingerprint) }, { "from", std::string(aSource) } },
+            aNow);
+}
+
+void Core::applyNotice(const serving::RequestNotice& aNotice, base::TimePoint aNow)
+{
+  for (const serving::QuarantinedRequest& told : aNotice.quarantined) {
+    if (suspects.adopt(told, aNow)) {
+      logQuarantine(told.fingerprint, "peer", aNow);
+    }
+  }
 }
 
 void Core::askForQuarantine()
@@ -163,12 +207,7 @@
                        base::TimePoint aNow)
 {
   if (aNotice.quarantined.empty() && aNotice.proved.empty()) {
-    auto parts = quarantine.quarantined(serving::kMaxQuarantinedPartsOfNotice, aNow);
-    if (!parts.empty()) {
-      ErrorCode ignored; // The notices of the next rounds reach the entry as well.
-      peerSocket.send_to(
-        asio::buffer(serving::encode(serving::PartNotice{ parts, {} })), aSender, 0, ignored);
-    }
+    tellQuarantine(aSender, aNow);
     return;
   }
   quarantine.recordProof(aNotice.proved, aNow);
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -4,7 +4,9 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_set>
+#include <vector>
 
 #include "Asio.h"
 #include "Upstream.h"
@@ -71,18 +73,26 @@
   bool recordCrash(const serving::CrashEvidence& aEvidence, base::TimePoint aNow);
   /** Lets entries try parts whose quarantine has ended one after another. */
   void setTrialDelay(std::span<const serving::EntryIdentity> aOthers);
-  /** Tells a few other entries which parts of prompts are in quarantine. */
+  /** Tells a few other entries which requests and parts of prompts are in quarantine. */
   void spreadQuarantine(base::TimePoint aNow);
-  /** Asks a few other entries which parts of prompts they hold in quarantine. */
+  /** Asks a few other entries what they hold in quarantine. */
   void askForQuarantine();
   /** Applies the notice of another entry, or answers its question. */
   void applyNotice(const serving::PartNotice& aNotice,
                    const asio::ip::udp::endpoint& aSender,
                    base::TimePoint aNow);
+  /** Takes over the quarantines of requests that another entry tells. */
+  void applyNotice(const serving::RequestNotice& aNotice, base::TimePoint aNow);
+  /** Answers the question of another entry. */
+  void tellQuarantine(const asio::ip::udp::endpoint& aReceiver, base::TimePoint aNow);
+  /** The notices that name what is in quarantine; empty when nothing is. */
+  std::vector<serving::PeerMessage> quarantineNotices(base::TimePoint aNow);
   /** Sends to a few other entries, chosen at random. */
   void sendToSome(const serving::PeerMessage& aMessage);
   /** Sends to the other entries, several times, since a datagram may be lost. */
   void broadcast(const serving::PeerMessage& aMessage);
+  /** @param aSource "crash" for evidence, "peer" for the quarantine of another entry. */
+  void logQuarantine(uint64_t aFingerprint, std::string_view aSource, base::TimePoint aNow);
   bool isReady() const { return !leaving && deployment != nullptr && listConfirmedAt; }
 
   const RelayOptions options;
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -343,6 +343,8 @@
       mCore.recordCrash(*evidence, now);
     } else if (auto* notice = std::get_if<serving::PartNotice>(&*message)) {
       mCore.applyNotice(*notice, mSender, now);
+    } else if (auto* requests = std::get_if<serving::RequestNotice>(&*message)) {
+      mCore.applyNotice(*requests, now);
     }
   }
 
--- a/libs/serving/include/serving/CrashSuspects.h
+++ b/libs/serving/include/serving/CrashSuspects.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -21,11 +22,18 @@
   std::vector<uint64_t> parts;
 };
 
+/** A request in quarantine, as processes tell each other. */
+struct QuarantinedRequest
+{
+  uint64_t fingerprint = 0;
+  base::Milliseconds evidenceAge{ 0 }; ///< Time since the last crash that counted.
+};
+
 /**
  * Requests that were starting to run when an endpoint crashed. One or two crashes may be
  * coincidence; after three the request is quarantined and sent to no further endpoint. This stops
- * a poison request, which its caller may retry at any entry. Records are bounded by count and age.
- * Not thread-safe.
+ * a poison request, which its caller may retry at any entry. Processes that have not seen the
+ * crashes adopt the quarantine of others. Records are bounded by count and age. Not thread-safe.
  */
 class CrashSuspects
 {
@@ -35,8 +43,14 @@
 
   /** Returns true when the evidence is new. */
   bool record(const CrashEvidence& aEvidence, base::TimePoint aNow);
-  /** Drops the record of a request that completed without a crash. */
-  void clear(uint64_t aFingerprint);
+  /** Records that a request completed without a crash: earlier crashes no longer count. */
+  void recordCompletion(uint64_t aFingerprint, base::TimePoint aNow);
+  /** Takes over the quarantine of another process, unless the request has completed here since.
+   * Returns true when the request was not in quarantine before. */
+  bool adopt(const QuarantinedRequest& aTold, base::TimePoint aNow);
+  /** At most aMaxRequests requests in quarantine; further calls continue with the others, so that
+   * each is told. */
+  std::vector<QuarantinedRequest> quarantined(size_t aMaxRequests, base::TimePoint aNow);
   bool isQuarantined(uint64_t aFingerprint, base::TimePoint aNow) const;
   size_t size() const { return mRecords.size(); }
 
@@ -44,12 +58,18 @@
   struct Record
   {
     std::set<std::string> crashedEndpoints;
+    bool isAdopted = false; ///< Another process holds the request in quarantine.
     base::TimePoint updatedAt;
+    std::optional<base::TimePoint> completedAt; ///< Last run without a crash.
   };
 
+  Record& recordOf(uint64_t aFingerprint, base::TimePoint aNow);
+  bool isQuarantined(const Record& aRecord, base::TimePoint aNow) const;
+
   size_t mMaxFingerprints;
   base::Duration mMaxAge;
   std::map<uint64_t, Record> mRecords;
+  uint64_t mNextTold = 0; ///< Fingerprint from which quarantined() continues.
 };
 
 /** Fingerprint of a request; stays the same when its caller retries it. */
--- a/libs/serving/include/serving/PeerMessage.h
+++ b/libs/serving/include/serving/PeerMessage.h
@@ -33,13 +33,22 @@
   std::vector<PromptPart> proved;
 };
 
+/** An entry tells others which requests it holds in quarantine. */
+struct RequestNotice
+{
+  std::vector<QuarantinedRequest> quarantined;
+};
+
+/** Requests in quarantine that fit into a notice. */
+inline constexpr size_t kMaxQuarantinedRequestsOfNotice = 32;
+
 /** Parts in quarantine that fit into a notice. */
 inline constexpr size_t kMaxQuarantinedPartsOfNotice = 20;
 
 /** Payload of one datagram between processes. A lost load report is superseded by the next one;
  * crash evidence and notices are sent more than once. A list that would not fit into a datagram is
  * cut. */
-using PeerMessage = std::variant<LoadReport, CrashEvidence, EntryNotice, PartNotice>;
+using PeerMessage = std::variant<LoadReport, CrashEvidence, EntryNotice, PartNotice, RequestNotice>;
 
 std::string encode(const PeerMessage& aMessage);
 /** Parses a datagram; ErrorKind::Invalid when it is not a well-formed message. */
--- a/libs/serving/src/PeerMessage.cpp
+++ b/libs/serving/src/PeerMessage.cpp
@@ -14,7 +14,7 @@
 constexpr Json::ArrayIndex kMaxParts = 12;
 /** Quarantines of a notice; one takes up to 50 bytes beside its parts. */
 constexpr size_t kMaxQuarantines = kMaxQuarantinedPartsOfNotice;
-constexpr int64_t kMaxPartAgeMs = 86'400'000;
+constexpr int64_t kMaxAgeMs = 86'400'000;
 
 Json::Value toJson(const std::vector<PromptPart>& aParts)
 {
@@ -75,6 +75,23 @@
   return json;
 }
 
+Json::Value toJson(const RequestNotice& aNotice)
+{
+  Json::Value json;
+  json["kind"] = "requests";
+  json["quarantined"] = Json::Value(Json::arrayValue);
+  for (const QuarantinedRequest& request : aNotice.quarantined) {
+    if (json["quarantined"].size() >= kMaxQuarantinedRequestsOfNotice) {
+      break; // The others are told in later rounds.
+    }
+    Json::Value row;
+    row["fingerprint"] = std::to_string(request.fingerprint);
+    row["age"] = Json::Int64{ request.evidenceAge.count() };
+    json["quarantined"].append(std::move(row));
+  }
+  return json;
+}
+
 Json::Value toJson(const EntryNotice& aNotice)
 {
   Json::Value json;
@@ -146,8 +163,8 @@
       return base::fail(base::ErrorKind::Invalid, "quarantined", "not a list of objects", "");
     }
     auto parts = partsFrom(row["parts"]);
-    auto age = base::requireInt(row, "age", 0, kMaxPartAgeMs);
-    auto left = base::requireInt(row, "left", 0, kMaxPartAgeMs);
+    auto age = base::requireInt(row, "age", 0, kMaxAgeMs);
+    auto left = base::requireInt(row, "left", 0, kMaxAgeMs);
     if (!age || !left) {
       return tl::make_unexpected(!age ? age.error() : left.error());
     }
@@ -161,6 +178,27 @@
   return PeerMessage(notice);
 }
 
+base::Result<PeerMessage> requestNoticeFrom(const Json::Value& aJson)
+{
+  RequestNotice notice;
+  const Json::Value& rows = aJson["quarantined"];
+  for (const Json::Value& row : rows.isArray() ? rows : Json::Value(Json::arrayValue)) {
+    if (!row.isObject()) {
+      return base::fail(base::ErrorKind::Invalid, "quarantined", "not a list of objects", "");
+    }
+    auto fingerprint = base::requireString(row, "fingerprint");
+    auto age = base::requireInt(row, "age", 0, kMaxAgeMs);
+    if (!fingerprint || !age) {
+      return tl::make_unexpected(!fingerprint ? fingerprint.error() : age.error());
+    }
+    if (notice.quarantined.size() < kMaxQuarantinedRequestsOfNotice) {
+      notice.quarantined.push_back(
+        { std::strtoull(fingerprint->c_str(), nullptr, 10), base::Milliseconds(*age) });
+    }
+  }
+  return PeerMessage(notice);
+}
+
 base::Result<PeerMessage> crashFrom(const Json::Value& aJson)
 {
   auto fingerprint = base::requireString(aJson, "fingerprint");
@@ -222,6 +260,9 @@
   if (kind == "parts") {
     return partNoticeFrom(*json);
   }
+  if (kind == "requests") {
+    return requestNoticeFrom(*json);
+  }
   if (kind == "entry") {
     return noticeFrom(*json);
   }
--- a/libs/serving/tests/BudgetsTest.cpp
+++ b/libs/serving/tests/BudgetsTest.cpp
@@ -79,10 +79,40 @@
   BOOST_TEST(suspects.isQuarantined(7, now));
   BOOST_TEST(!suspects.isQuarantined(8, now));
   BOOST_TEST(!suspects.isQuarantined(7, now + 10min));
-  suspects.clear(7);
+  suspects.recordCompletion(7, now);
   BOOST_TEST(!suspects.isQuarantined(7, now));
 }
 
+// Guards against a quarantine that an entry which has not seen the crashes does not know, or that
+// it keeps although the request has completed since.
+BOOST_AUTO_TEST_CASE(quarantinesOfOthersAreAdopted)
+{
+  CrashSuspects told;
+  CrashSuspects suspects;
+  base::TimePoint now{ 1h };
+  for (const char* endpoint : { "a", "b", "c" }) {
+    told.record({ 7, endpoint }, now);
+    told.record({ 8, endpoint }, now);
+  }
+  told.record({ 9, "a" }, now);
+  std::set<uint64_t> named;
+  for (int i = 0; i < 2; ++i) {
+    auto quarantined = told.quarantined(1, now + 2min);
+    BOOST_REQUIRE(quarantined.size() == 1U);
+    named.insert(quarantined.front().fingerprint);
+    BOOST_TEST(suspects.adopt(quarantined.front(), now + 2min));
+    BOOST_TEST(!suspects.adopt(quarantined.front(), now + 2min));
+  }
+  BOOST_TEST((named == std::set<uint64_t>{ 7, 8 }));
+  BOOST_TEST(suspects.isQuarantined(7, now + 4min));
+  BOOST_TEST(!suspects.isQuarantined(7, now + 6min));
+
+  suspects.recordCompletion(7, now + 3min);
+  BOOST_TEST(!suspects.adopt({ 7, 3min }, now + 4min));
+  BOOST_TEST(!suspects.isQuarantined(7, now + 4min));
+  BOOST_TEST(suspects.adopt({ 7, 30s }, now + 4min));
+}
+
 // Guards against memory that grows with the number of recorded requests.
 BOOST_AUTO_TEST_CASE(suspectsAreBounded)
 {
--- a/libs/serving/tests/PartQuarantineFleetTest.cpp
+++ b/libs/serving/tests/PartQuarantineFleetTest.cpp
@@ -234,7 +234,7 @@
       }
       Entry& entry = mEntries[aRequest.entry];
       entry.quarantine.recordProof(aRequest.parts, begun);
-      entry.suspects.clear(aRequest.id);
+      entry.suspects.recordCompletion(aRequest.id, mNow);
     });
   }
 
