Read and log the limit that an endpoint names

An answer without a limit ends it only if its request was sent after the limit was last named: answers on different connections overtake each other. Nothing decides by it yet.

--- a/libs/relay/include/relay/HeaderCodec.h
+++ b/libs/relay/include/relay/HeaderCodec.h
@@ -57,6 +57,8 @@
   bool isLeaving = false; ///< The endpoint announces that it takes no new requests and will stop.
   /** Set with status 503 only: time for which the endpoint asks for no requests. */
   std::optional<base::Milliseconds> retryAfter;
+  /** Requests a second that the endpoint takes from all entries together; empty for no limit. */
+  std::optional<double> requestLimit;
   std::optional<uint64_t> weightVersion;       ///< Version of the weights that produced the answer.
   std::optional<base::Milliseconds> keepAlive; ///< Idle time after which the endpoint closes.
 };
--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -53,13 +53,18 @@
 constexpr std::string_view kQuarantined = "quarantined";
 constexpr std::string_view kEventStream = "text/event-stream";
 
-std::string seconds(base::Milliseconds aTime)
+std::string decimal(double aNumber)
 {
   char text[32];
-  std::snprintf(text, sizeof(text), "%.3f", std::chrono::duration<double>(aTime).count());
+  std::snprintf(text, sizeof(text), "%.3f", aNumber);
   return text;
 }
 
+std::string seconds(base::Milliseconds aTime)
+{
+  return decimal(std::chrono::duration<double>(aTime).count());
+}
+
 std::string milliseconds(base::Duration aTime)
 {
   return std::to_string(base::toMilliseconds(aTime));
@@ -349,6 +354,21 @@
                   aNow);
 }
 
+void Call::recordLimit(const AnswerHead& aHead, base::TimePoint aNow)
+{
+  if (!mEndpoint->limit.record(aHead.facts.requestLimit, mSentAt, aNow)) {
+    return;
+  }
+  auto limit = mEndpoint->limit.perSecond();
+  mCore.log.write(telemetry::EventClass::Critical,
+                  limit ? "endpoint_limited" : "endpoint_limit_ended",
+                  { { "endpoint", mEndpoint->record.id },
+                    { "id", mFacts.attemptId },
+                    { "per_second", limit ? decimal(*limit) : "-" },
+                    { "sent_ms", milliseconds(aNow - mSentAt) } },
+                  aNow);
+}
+
 void Call::onLateHead(const AnswerHead& aHead)
 {
   recordEndpointState(aHead, std::chrono::steady_clock::now());
@@ -357,7 +377,9 @@
 void Call::onHead(const AnswerHead& aHead)
 {
   mHead = aHead;
-  recordEndpointState(aHead, std::chrono::steady_clock::now());
+  auto now = std::chrono::steady_clock::now();
+  recordEndpointState(aHead, now);
+  recordLimit(aHead, now);
   if (aHead.status / 100 != 2) {
     return;
   }
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -81,6 +81,8 @@
   void reject(int aStatus, std::string_view aReason, base::TimePoint aNow);
   void refuse(std::string_view aReason, base::TimePoint aNow);
   void fail(int aStatus, std::string_view aReason, base::TimePoint aNow);
+  /** Records the limit that the head of the request's answer names. */
+  void recordLimit(const AnswerHead& aHead, base::TimePoint aNow);
   /** Records what the head says about the endpoint, even in an answer to another request. */
   void recordEndpointState(const AnswerHead& aHead, base::TimePoint aNow);
   serving::Placement choose(base::TimePoint aNow);
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -60,6 +60,10 @@
       facts.retryAfter = base::Milliseconds(std::stoll(std::string(pause)));
     }
     facts.isLeaving = !headerValue(aHeaders, "Leaving").empty();
+    std::string_view limit = headerValue(aHeaders, "Limit");
+    if (!limit.empty()) {
+      facts.requestLimit = std::stod(std::string(limit));
+    }
     return facts;
   }
 };
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -18,6 +18,7 @@
 #include "net/Address.h"
 #include "serving/Deployment.h"
 #include "serving/EntrySubset.h"
+#include "serving/RequestLimit.h"
 #include "serving/VersionSchedule.h"
 
 namespace boragepitch::serving {
@@ -138,8 +139,9 @@
   int waitingAtReport = 0; ///< Own requests that had no first event when the report arrived.
 
   base::TimePoint coldUntil;
-  base::TimePoint avoidUntil;               ///< End of the backoff after a failed request.
-  base::TimePoint pausedUntil;              ///< The endpoint asked for no requests until then.
+  base::TimePoint avoidUntil;  ///< End of the backoff after a failed request.
+  base::TimePoint pausedUntil; ///< The endpoint asked for no requests until then.
+  RequestLimit limit;
   uint32_t consecutiveSilences = 0;         ///< Consecutive requests with Outcome::Silent.
   double failureShare = 0;                  ///< Moving average over requests, 0 to 1.
   double predictionErrorMs = 0;             ///< Moving average of actual less predicted time.
