Divide the limit that an endpoint names among the entries

Cause: no entry read the limit. Class: a quantity that an endpoint grants to all entries together, and that each would take for itself. Change: serving::RequestLimit. Up to 4 + limit entries, by their order in EntrySubset, have equal rates and may make up for one second; the others ask in turn whether the limit holds. An entry that does not know the others yet assumes as many as use an engine. Requests that find no endpoint are refused at once with the time until the first one takes them (reason limited). Ruled out: shares by traffic (entries do not know each other's), even shares for any number of entries (each adds one request to any span of time: 21 entries exceed a limit of 2 by far).

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -223,7 +223,7 @@
 serving::Placement Call::choose(base::TimePoint aNow)
 {
   auto placement = mCore.endpoints.choose(placementRequest(aNow), aNow, mCore.rng);
-  mPausedFor = placement.pausedFor;
+  mUnavailableFor = placement.unavailableFor;
   return placement;
 }
 
@@ -786,7 +786,7 @@
   bool isNothingKnown = mService == nullptr || aReason == toString(serving::Refusal::NoEndpoint);
   auto retryDelay =
     isNothingKnown ? serving::retryAfterMissing() : serving::retryAfterFull(mCore.rng);
-  retryDelay += std::chrono::ceil<base::Milliseconds>(mPausedFor);
+  retryDelay += std::chrono::ceil<base::Milliseconds>(mUnavailableFor);
   logEnd(telemetry::EventClass::Refused, "refused", 503, aReason, aNow);
   mSession.respond(503, { { "Retry-After", seconds(retryDelay) } }, {});
 }
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -116,9 +116,9 @@
   serving::Occupancy mOccupancy;
   base::TimePoint mFirstEventDue; ///< Time at which the latency target is missed.
 
-  base::Duration mPausedFor{ 0 };  ///< Placement::pausedFor of the last choice.
-  int mLoadAtSend = 0;             ///< Known requests at the endpoint at the last send.
-  int mCandidates = 0;             ///< Placement::candidates of the last choice.
+  base::Duration mUnavailableFor{ 0 }; ///< Placement::unavailableFor of the last choice.
+  int mLoadAtSend = 0;                 ///< Known requests at the endpoint at the last send.
+  int mCandidates = 0;                 ///< Placement::candidates of the last choice.
   base::Duration mListAge{ -1 };   ///< Age of the endpoint list at the last send; -1 if unknown.
   base::Duration mWriteTime{ -1 }; ///< From the last send until all its bytes were written.
   bool mWasLapsed = false;         ///< The endpoint was lapsed at the last send.
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -121,6 +121,8 @@
   bool isLapsed = false; ///< Missing from the list, perhaps only because the list was unavailable.
   /** This process is one of the entries that use the endpoint; see EntrySubset. */
   bool isInSubset = true;
+  /** Number of entries that take precedence over this one at the endpoint; see EntrySubset. */
+  size_t entryRank = 0;
   /** When this process learned that the endpoint leaves, lapsed or is unlisted; else empty. */
   std::optional<base::TimePoint> leaveKnownAt;
   base::TimePoint unlistedAt; ///< When the endpoint left the list; valid while it is unlisted.
@@ -202,6 +204,7 @@
   NoEndpoint, ///< No endpoint of the service is listed and allowed.
   Full,       ///< No allowed endpoint is predicted to start the request in time.
   Cold,       ///< The endpoints with capacity are in cold start and have used up their rate limit.
+  Limited,    ///< The endpoints with capacity take no request of this entry yet; see RequestLimit.
 };
 
 std::string_view toString(Refusal aRefusal);
@@ -216,8 +219,8 @@
   /** Number of allowed endpoints that were considered: those that this process uses and, if none of
    * them can serve the request, others with spare slots. */
   int candidates = 0;
-  /** Time until the first pause ends, if all of these are paused. */
-  base::Duration pausedFor{ 0 };
+  /** Time until the first of these takes requests again, if all are paused or at their limit. */
+  base::Duration unavailableFor{ 0 };
 };
 
 /** Predicted time from now until an endpoint sends the first event or answer of a request. */
@@ -264,7 +267,7 @@
   void setEvacuated(std::set<std::string> aZones) { mEvacuated = std::move(aZones); }
   const std::set<std::string>& evacuated() const { return mEvacuated; }
   /** Sets the other entries that send to the same endpoints. Each engine is used by some of them,
-   * which share its rate limit while it is cold equally. */
+   * which share the limit that it names and its rate limit while it is cold equally. */
   void setOtherEntries(std::span<const EntryIdentity> aOthers);
   void recordReport(const LoadReport& aReport, base::TimePoint aNow);
 
@@ -321,6 +324,8 @@
   bool isAllowed(const Endpoint& aEndpoint,
                  const PlacementRequest& aRequest,
                  base::TimePoint aNow) const;
+  /** The entries among which the limit of an endpoint is divided. */
+  LimitSharers limitSharers(const Endpoint& aEndpoint, const Service& aService) const;
   bool isColdShareUsed(const Endpoint& aEndpoint,
                        const Service& aService,
                        base::TimePoint aNow) const;
@@ -334,6 +339,7 @@
   std::map<std::pair<std::string, uint64_t>, EndpointPtr> mByInstance;
   std::set<std::string> mEvacuated;
   EntrySubset mSubset;
+  bool mAreEntriesKnown = false; ///< setOtherEntries() was called.
 };
 
 } // namespace boragepitch::serving
--- a/libs/serving/include/serving/EntrySubset.h
+++ b/libs/serving/include/serving/EntrySubset.h
@@ -44,6 +44,11 @@
   bool usesEndpoint(std::string_view aEntry,
                     std::string_view aEndpoint,
                     std::string_view aRegion) const;
+  /** Number of entries that take precedence over the entry at the endpoint; the number of entries
+   * for an unknown entry. */
+  size_t rankOf(std::string_view aEntry,
+                std::string_view aEndpoint,
+                std::string_view aRegion) const;
   /** Names of the entries that use the endpoint. */
   std::set<std::string, std::less<>> entriesUsing(std::string_view aEndpoint,
                                                   std::string_view aRegion) const;
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -110,6 +110,8 @@
       return "full";
     case Refusal::Cold:
       return "cold";
+    case Refusal::Limited:
+      return "limited";
   }
   return "none";
 }
@@ -127,6 +129,7 @@
   , mSubset(mOptions.subset)
 {
   setOtherEntries({});
+  mAreEntriesKnown = false;
 }
 
 void EndpointSet::setOtherEntries(std::span<const EntryIdentity> aOthers)
@@ -134,6 +137,7 @@
   std::vector<EntryIdentity> entries(aOthers.begin(), aOthers.end());
   entries.push_back({ mOptions.node, mOptions.region });
   mSubset.setEntries(entries);
+  mAreEntriesKnown = true;
   for (auto& [id, endpoint] : mById) {
     updateSubset(*endpoint);
   }
@@ -141,8 +145,9 @@
 
 void EndpointSet::updateSubset(Endpoint& aEndpoint) const
 {
-  aEndpoint.isInSubset = mSubset.usesEndpoint(
-    mOptions.node, aEndpoint.record.address.toString(), aEndpoint.record.region);
+  aEndpoint.entryRank =
+    mSubset.rankOf(mOptions.node, aEndpoint.record.address.toString(), aEndpoint.record.region);
+  aEndpoint.isInSubset = aEndpoint.entryRank < mSubset.entriesOfEndpoint();
 }
 
 int EndpointSet::sendersOf(const Service& aService) const
@@ -354,6 +359,18 @@
   return true;
 }
 
+LimitSharers EndpointSet::limitSharers(const Endpoint& aEndpoint, const Service& aService) const
+{
+  LimitSharers sharers{ static_cast<size_t>(sendersOf(aService)),
+                        mSubset.entryCount(),
+                        aEndpoint.entryRank };
+  if (!mAreEntriesKnown) {
+    // The others may be sending already while this process learns of them.
+    sharers.regular = std::max(sharers.regular, mOptions.subset.entriesPerEndpoint);
+  }
+  return sharers;
+}
+
 bool EndpointSet::isColdShareUsed(const Endpoint& aEndpoint,
                                   const Service& aService,
                                   base::TimePoint aNow) const
@@ -459,8 +476,13 @@
   std::uniform_real_distribution<double> costJitter(0, kCostJitterMs);
   for (const EndpointPtr* pointer : aEndpoints) {
     const EndpointPtr& endpoint = *pointer;
-    base::Duration pausedFor = std::max(base::Duration(0), endpoint->pausedUntil - aNow);
-    aBest.pausedFor = aBest.candidates == 0 ? pausedFor : std::min(aBest.pausedFor, pausedFor);
+    auto limitedFor = base::Duration(0);
+    if (endpoint->limit.perSecond()) {
+      limitedFor = endpoint->limit.waitTime(limitSharers(*endpoint, *aRequest.service), aNow);
+    }
+    auto unavailableFor = std::max(limitedFor, endpoint->pausedUntil - aNow);
+    aBest.unavailableFor =
+      aBest.candidates == 0 ? unavailableFor : std::min(aBest.unavailableFor, unavailableFor);
     ++aBest.candidates;
     bool isBeingProbed = endpoint->consecutiveSilences > 0 && endpoint->inFlight > 0;
     bool isMemoryFull = endpoint->report && endpoint->report->memoryUsed > kMemoryFullShare;
@@ -477,6 +499,10 @@
       aBest.refusal = aBest.endpoint ? aBest.refusal : Refusal::Cold;
       continue;
     }
+    if (limitedFor > base::Duration(0)) {
+      aBest.refusal = aBest.endpoint ? aBest.refusal : Refusal::Limited;
+      continue;
+    }
     double cost = costMs(*endpoint, aRequest, predicted->ms) + costJitter(aRng);
     if (!aBest.endpoint || cost < bestCost) {
       aBest.endpoint = endpoint;
@@ -499,6 +525,7 @@
     occupancy.promptMs = EngineModel(*aRequest.service->engine).promptMs(aRequest.promptTokens);
   }
   ++endpoint.inFlight;
+  endpoint.limit.recordSend(limitSharers(endpoint, *aRequest.service), aNow);
   backlogOf(endpoint, occupancy.urgency).add(occupancy.promptMs);
   if (occupancy.urgency == Urgency::Ordinary) {
     occupancy.reportCountAtSend = endpoint.reportCount;
--- a/libs/serving/src/EntrySubset.cpp
+++ b/libs/serving/src/EntrySubset.cpp
@@ -63,25 +63,29 @@
   return names;
 }
 
-bool EntrySubset::usesEndpoint(std::string_view aEntry,
-                               std::string_view aEndpoint,
-                               std::string_view aRegion) const
+size_t EntrySubset::rankOf(std::string_view aEntry,
+                           std::string_view aEndpoint,
+                           std::string_view aRegion) const
 {
   auto entry = std::find_if(mEntries.begin(), mEntries.end(), [&](const Entry& aCandidate) {
     return aCandidate.name == aEntry;
   });
   if (entry == mEntries.end()) {
-    return false;
-  }
-  if (mEntries.size() <= mOptions.entriesPerEndpoint) {
-    return true;
+    return mEntries.size();
   }
   uint64_t endpoint = base::fastHash(base::asBytes(aEndpoint));
   double score = scoreOf(*entry, endpoint, aRegion);
   auto ahead = std::count_if(mEntries.begin(), mEntries.end(), [&](const Entry& aOther) {
     return scoreOf(aOther, endpoint, aRegion) > score;
   });
-  return static_cast<size_t>(ahead) < mOptions.entriesPerEndpoint;
+  return static_cast<size_t>(ahead);
+}
+
+bool EntrySubset::usesEndpoint(std::string_view aEntry,
+                               std::string_view aEndpoint,
+                               std::string_view aRegion) const
+{
+  return rankOf(aEntry, aEndpoint, aRegion) < entriesOfEndpoint();
 }
 
 } // namespace boragepitch::serving
