Refuse requests that a graceful stop leaves no time for, answer those in flight before its end

What callers saw: reported by other operators, and shown here by a test: a request that arrived late in the grace, or took longer than what was left of it, was sent to an endpoint, and its connection ended without an answer; so did requests in flight at the end, among them such that may run once only (LOST). Cause: neither admission nor the deadline of a request looked at the end of the stop. At the limit the event loop ended. Change: serving::GracefulStop. During a stop a request is sent on if its whole time fits before the end, or, while connections are still accepted and another process may repeat it, half of it; else it is refused at once and may come back elsewhere at once. Deadlines end 0.2 s before the stop does, also those told to endpoints, so that every caller gets an answer. Ruled out: refusing all requests from the start of a stop (the platform sends new callers for two seconds more). Result: relay.LateRequestTest, red before (a request read too late reached the endpoint and was cut; one in flight was cut), passes.

--- a/libs/relay/include/relay/Relay.h
+++ b/libs/relay/include/relay/Relay.h
@@ -37,7 +37,8 @@
   /** How long a stop still accepts connections. The platform polls readiness every second and
    * sends new callers for up to two more polls. */
   base::Milliseconds leaveAcceptTime{ 2600 };
-  /** Maximum duration of a stop; then requests in flight are aborted. */
+  /** Maximum duration of a stop. Requests that cannot be answered by then are refused when they
+   * arrive; those in flight are given up and answered shortly before. */
   base::Milliseconds leaveLimit{ 7000 };
   uint64_t seed = 1;
 };
@@ -84,7 +85,7 @@
   virtual void run() = 0;
 
   /** Any thread: initiates a graceful stop. The relay reports not ready, still serves requests that
-   * arrive, completes those in flight, and then ends run(). */
+   * arrive and can be answered in time, completes those in flight, and then ends run(). */
   virtual void startLeaving() = 0;
   /** Any thread: sets the configuration, unless it is not newer than the present one. */
   virtual void setDeployment(std::shared_ptr<const serving::Deployment> aDeployment) = 0;
--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -51,6 +51,7 @@
 constexpr int kLowestPriority = 9;
 /** Reason of failures, in log lines. */
 constexpr std::string_view kQuarantined = "quarantined";
+constexpr std::string_view kStopping = "stopping";
 constexpr std::string_view kEventStream = "text/event-stream";
 
 std::string decimal(double aNumber)
@@ -150,6 +151,11 @@
   if (mFacts.timeLeft) {
     mDeadline = std::min(mDeadline, mRequest.received + base::Duration(*mFacts.timeLeft));
   }
+  if (!mCore.stop.admits(mDeadline, mRoute->mayRepeat(), aNow)) {
+    refuse(kStopping, aNow);
+    return false;
+  }
+  mDeadline = std::min(mDeadline, mCore.stop.answerBy());
   mFirstEventDue = mRequest.received + base::Duration(mRoute->latencyTarget);
   mService = pickService();
   if (mService == nullptr) {
@@ -705,6 +711,7 @@
     abortSend({ Outcome::Silent, false, "connect_timeout" }, aNow);
     return;
   }
+  mDeadline = std::min(mDeadline, mCore.stop.answerBy());
   if (aNow >= mDeadline) {
     bool sent = !mExchange->isConnecting();
     auto exchange = mExchange;
@@ -784,8 +791,9 @@
   mDone = true;
   mCore.metrics.refused.add();
   bool isNothingKnown = mService == nullptr || aReason == toString(serving::Refusal::NoEndpoint);
-  auto retryDelay =
-    isNothingKnown ? serving::retryAfterMissing() : serving::retryAfterFull(mCore.rng);
+  auto retryDelay = aReason == kStopping ? serving::retryAfterStop(mCore.rng)
+                    : isNothingKnown     ? serving::retryAfterMissing()
+                                         : serving::retryAfterFull(mCore.rng);
   retryDelay += std::chrono::ceil<base::Milliseconds>(mUnavailableFor);
   logEnd(telemetry::EventClass::Refused, "refused", 503, aReason, aNow);
   mSession.respond(503, { { "Retry-After", seconds(retryDelay) } }, {});
--- a/libs/relay/src/CallerSession.cpp
+++ b/libs/relay/src/CallerSession.cpp
@@ -283,7 +283,7 @@
     text += line.value;
     text += "\r\n";
   }
-  if (!mKeepAlive || mCore.leaving) {
+  if (!mKeepAlive || mCore.stop.hasStarted()) {
     text += "Connection: close\r\n";
   }
   return text;
@@ -365,7 +365,7 @@
 {
   mCall.reset();
   mIsAnswerComplete = true;
-  if (mCore.leaving) {
+  if (mCore.stop.hasStarted()) {
     mKeepAlive = false;
   }
   flush();
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -70,6 +70,7 @@
   , rng(options.seed)
   , endpoints(options.placement)
   , retryBudget(options.retries)
+  , stop(options.leaveAcceptTime, options.leaveLimit)
 {
 }
 
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -13,6 +13,7 @@
 #include "base/Rng.h"
 #include "relay/Relay.h"
 #include "serving/CrashSuspects.h"
+#include "serving/GracefulStop.h"
 #include "serving/PartQuarantine.h"
 #include "serving/PeerMessage.h"
 #include "serving/VersionSchedule.h"
@@ -93,7 +94,7 @@
   void broadcast(const serving::PeerMessage& aMessage);
   /** @param aSource "crash" for evidence, "peer" for the quarantine of another entry. */
   void logQuarantine(uint64_t aFingerprint, std::string_view aSource, base::TimePoint aNow);
-  bool isReady() const { return !leaving && deployment != nullptr && listConfirmedAt; }
+  bool isReady() const { return !stop.hasStarted() && deployment != nullptr && listConfirmedAt; }
 
   const RelayOptions options;
   const HeaderCodec& headerCodec;
@@ -109,8 +110,7 @@
   serving::PartQuarantine quarantine;
   std::map<std::string, serving::VersionSchedule, std::less<>> versions; ///< By model.
   std::optional<base::TimePoint> listConfirmedAt; ///< When the endpoint list was last confirmed.
-  bool leaving = false;
-  base::TimePoint leavingSince;
+  serving::GracefulStop stop;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions; ///< All open sessions.
   asio::ip::udp::socket peerSocket{ io };
   std::vector<asio::ip::udp::endpoint> peers;
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -134,11 +134,9 @@
   void startLeaving() override
   {
     post([this] {
-      if (mCore.leaving) {
+      if (!mCore.stop.start(std::chrono::steady_clock::now())) {
         return;
       }
-      mCore.leaving = true;
-      mCore.leavingSince = std::chrono::steady_clock::now();
       logState("leaving", { { "sessions", std::to_string(mCore.sessions.size()) } });
     });
   }
@@ -372,7 +370,7 @@
       mCore.spreadQuarantine(aNow);
     }
     mCore.log.flush(aNow);
-    if (mCore.leaving && advanceLeaving(aNow)) {
+    if (mCore.stop.hasStarted() && advanceLeaving(aNow)) {
       mCore.io.stop();
       return;
     }
@@ -382,8 +380,7 @@
   /** Advances a graceful stop. Returns true when it is complete. */
   bool advanceLeaving(base::TimePoint aNow)
   {
-    auto leavingFor = aNow - mCore.leavingSince;
-    if (leavingFor < mCore.options.leaveAcceptTime) {
+    if (mCore.stop.acceptsConnections(aNow)) {
       return false;
     }
     if (mCallerAcceptor.is_open()) {
@@ -395,7 +392,7 @@
     for (const auto& session : sessions) {
       session->closeIdle();
     }
-    return mCore.sessions.empty() || leavingFor > mCore.options.leaveLimit;
+    return mCore.sessions.empty() || mCore.stop.isOver(aNow);
   }
 
   telemetry::Registry& mMetrics;
--- /dev/null
+++ b/libs/relay/tests/LateRequestTest.cpp
@@ -0,0 +1,99 @@
+#define BOOST_TEST_MODULE relay_late_request
+#include <boost/test/unit_test.hpp>
+
+#include "RelayFixture.h"
+
+using namespace boragepitch;
+using namespace boragepitch::relay;
+using namespace boragepitch::relay::test;
+
+namespace {
+
+/** A relay that stops within a second. */
+struct StopFixture : Fixture
+{
+  StopFixture()
+    : Fixture(100, 1000ms)
+  {
+  }
+
+  void stop(base::Duration aWait)
+  {
+    relay->startLeaving();
+    std::this_thread::sleep_for(aWait);
+  }
+
+  /** Lists an endpoint whose answers take some time. */
+  void listSlow(base::Milliseconds aWork)
+  {
+    endpoint = std::make_unique<FakeEndpoint>([aWork](const std::string& aRequest) {
+      std::this_thread::sleep_for(aWork);
+      return answer(idOf(aRequest), "body");
+    });
+    list("e", endpoint->address());
+    while (!call(get("warm")).starts_with("HTTP/1.1 200")) {
+      std::this_thread::sleep_for(5ms);
+    }
+    requestsBefore = endpoint->requests().size();
+  }
+
+  size_t newRequests() { return endpoint->requests().size() - requestsBefore; }
+
+  std::unique_ptr<FakeEndpoint> endpoint;
+  size_t requestsBefore = 0;
+};
+
+} // namespace
+
+// Guards against a request that arrives late in the grace, is sent on and cut without an answer
+// (LOST).
+BOOST_FIXTURE_TEST_CASE(aRequestReadTooLateIsRefused, StopFixture)
+{
+  declare(serving::CallKind::Mutating, 2, 2000ms);
+  listSlow(600ms);
+  int socket = connectTo(callers);
+  std::string text = get("late");
+  sendAll(socket, text.substr(0, text.size() - 2));
+  std::this_thread::sleep_for(50ms);
+  stop(850ms);
+  sendAll(socket, text.substr(text.size() - 2));
+  std::string reply = readMessage(socket);
+  ::close(socket);
+  BOOST_TEST(reply.starts_with("HTTP/1.1 503"));
+  BOOST_TEST(reply.find("Retry-After: ") != std::string::npos);
+  BOOST_TEST(reply.find("Connection: close") != std::string::npos);
+  BOOST_TEST(newRequests() == 0U);
+}
+
+// Guards against a request on a new connection during the stop that takes longer than what is left.
+BOOST_FIXTURE_TEST_CASE(aLongRequestDuringTheStopIsRefused, StopFixture)
+{
+  declare(serving::CallKind::Idempotent, 2, 2000ms);
+  listSlow(1500ms);
+  stop(50ms);
+  BOOST_TEST(call(get("late")).starts_with("HTTP/1.1 503"));
+  BOOST_TEST(newRequests() == 0U);
+}
+
+// Guards against a request in flight that is cut without an answer at the end of the grace.
+BOOST_FIXTURE_TEST_CASE(aRequestInFlightIsAnsweredBeforeTheEnd, StopFixture)
+{
+  declare(serving::CallKind::Mutating, 2, 3000ms);
+  listSlow(1500ms);
+  std::string reply;
+  std::thread caller([&] { reply = call(get("early")); });
+  std::this_thread::sleep_for(50ms);
+  stop(0ms);
+  caller.join();
+  BOOST_TEST(reply.starts_with("HTTP/1.1 504"));
+  BOOST_TEST(newRequests() == 1U);
+}
+
+// Guards against refusals of requests that can be answered before the end.
+BOOST_FIXTURE_TEST_CASE(aShortRequestDuringTheStopIsServed, StopFixture)
+{
+  declare(serving::CallKind::Mutating, 2, 500ms);
+  listSlow(20ms);
+  stop(50ms);
+  BOOST_TEST(call(get("late")).ends_with("body"));
+}
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -277,7 +277,7 @@
 
 struct Fixture
 {
-  explicit Fixture(double aRetrySlack = 100)
+  explicit Fixture(double aRetrySlack = 100, base::Milliseconds aLeaveLimit = 5000ms)
   {
     RelayOptions options;
     options.node = "entry";
@@ -288,7 +288,7 @@
     options.placement = { .zone = "z", .region = "r" };
     options.retries = { .ratio = 0.2, .slack = aRetrySlack };
     options.leaveAcceptTime = 100ms;
-    options.leaveLimit = 5000ms;
+    options.leaveLimit = aLeaveLimit;
     callers = options.callers;
     readiness = options.readiness;
     peers = options.peers;
--- /dev/null
+++ b/libs/serving/src/GracefulStop.cpp
@@ -0,0 +1,55 @@
+#include "serving/GracefulStop.h"
+
+#include <algorithm>
+
+namespace boragepitch::serving {
+
+namespace {
+/** Time reserved at the end of a stop to write the last answers. */
+constexpr base::Milliseconds kAnswerMargin{ 200 };
+/** Share of its time that a request takes at most, except for few: deadlines cover overload and
+ * repeats. A repeatable request need not have more. */
+constexpr int kUsualShareOfDeadline = 2;
+} // namespace
+
+GracefulStop::GracefulStop(base::Duration aAcceptTime, base::Duration aLimit)
+  : mAcceptTime(aAcceptTime)
+  , mLimit(aLimit)
+{
+}
+
+bool GracefulStop::start(base::TimePoint aNow)
+{
+  if (mStartedAt) {
+    return false;
+  }
+  mStartedAt = aNow;
+  return true;
+}
+
+bool GracefulStop::acceptsConnections(base::TimePoint aNow) const
+{
+  return !mStartedAt || aNow - *mStartedAt < mAcceptTime;
+}
+
+bool GracefulStop::isOver(base::TimePoint aNow) const
+{
+  return mStartedAt && aNow - *mStartedAt > mLimit;
+}
+
+base::TimePoint GracefulStop::answerBy() const
+{
+  return mStartedAt ? *mStartedAt + mLimit - base::Duration(kAnswerMargin) : base::TimePoint::max();
+}
+
+bool GracefulStop::admits(base::TimePoint aDeadline, bool aMayRepeat, base::TimePoint aNow) const
+{
+  if (!mStartedAt || aDeadline <= answerBy()) {
+    return true;
+  }
+  // Later requests come on connections whose callers were told to close them.
+  bool mayBeCut = aMayRepeat && acceptsConnections(aNow);
+  return mayBeCut && aNow + (aDeadline - aNow) / kUsualShareOfDeadline <= answerBy();
+}
+
+} // namespace boragepitch::serving
