SharedRetryBudget: do not spend the whole slack before the other entries are known

What callers saw: nothing; found while looking for the cause of LIMIT elsewhere, among all amounts that entries share. Cause: until an entry has read the list of entries it took itself for the only one and had the whole slack of retries. Four that start together could spend three times of what is allowed (BUDGET). Change: four processes are assumed until their number is known. The fixture of the relay's tests says that its entry is the only one. Result: serving.BudgetsTest/processesThatDoNotKnowEachOtherKeepTheBudget, red before (304 retries, 102 allowed), passes.

--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -299,6 +299,7 @@
               .log(&log)
               .build();
     BOOST_REQUIRE(relay->start().has_value());
+    relay->setPeers({}); // The only entry.
     thread = std::thread([this] { relay->run(); });
   }
 
--- a/libs/serving/include/serving/SharedRetryBudget.h
+++ b/libs/serving/include/serving/SharedRetryBudget.h
@@ -27,7 +27,8 @@
   explicit SharedRetryBudget(RetryLimits aLimits);
 
   void setLimits(RetryLimits aLimits) { mLimits = aLimits; }
-  /** Sets the number of processes that share the slack. */
+  /** Sets the number of processes that share the slack, this one included. Until then as many are
+   * assumed as kAssumedProcesses says. */
   void setProcessCount(int aCount) { mProcessCount = aCount; }
   void recordRequest(std::string_view aService, base::TimePoint aNow);
   /** Spends one retry of the service's budget; false when the budget is exhausted. */
@@ -36,6 +37,9 @@
   double remaining(std::string_view aService, base::TimePoint aNow);
 
 private:
+  /** Processes that start together do not know each other for a moment. */
+  static constexpr int kAssumedProcesses = 4;
+
   struct Slice
   {
     base::TimePoint since;
@@ -53,7 +57,7 @@
   Window& windowOf(std::string_view aService);
 
   RetryLimits mLimits;
-  int mProcessCount = 1;
+  int mProcessCount = kAssumedProcesses;
   std::map<std::string, Window, std::less<>> mWindows;
 };
 
--- a/libs/serving/tests/BudgetsTest.cpp
+++ b/libs/serving/tests/BudgetsTest.cpp
@@ -51,6 +51,23 @@
   }
 }
 
+// Guards against processes that start together and each spend the whole slack before they know of
+// the others (BUDGET).
+BOOST_AUTO_TEST_CASE(processesThatDoNotKnowEachOtherKeepTheBudget)
+{
+  const RetryLimits limits{ .ratio = 0.2, .slack = 102, .window = 10s };
+  base::TimePoint now{ 1h };
+  int spent = 0;
+  for (int process = 0; process < 4; ++process) {
+    SharedRetryBudget budget(limits);
+    while (budget.tryRetry("s", now)) {
+      ++spent;
+    }
+  }
+  BOOST_TEST(spent > 0);
+  BOOST_TEST(spent <= limits.slack);
+}
+
 // Guards against a spent budget that is never refilled.
 BOOST_AUTO_TEST_CASE(budgetRecoversAfterTheWindow)
 {
