EndpointSet: do not use the whole cold rate before the other entries are known

Cause: until an entry has read the list of entries it took itself for the only one and used all of the rate that an endpoint bears in cold start. Change: as many entries are assumed as use one endpoint, as for the limit that an endpoint names. Result: serving.EndpointSetTest/anEntryThatKnowsNoOthersTakesAPartOfTheColdRate, red before (36 requests in a second, 9 allowed), passes.

--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -324,6 +324,9 @@
   bool isAllowed(const Endpoint& aEndpoint,
                  const PlacementRequest& aRequest,
                  base::TimePoint aNow) const;
+  /** The given number of entries, or the usual one while this process does not know the others,
+   * which may be sending already. */
+  size_t orAssumed(size_t aEntries) const;
   /** The entries among which the limit of an endpoint is divided. */
   LimitSharers limitSharers(const Endpoint& aEndpoint, const Service& aService) const;
   bool isColdShareUsed(const Endpoint& aEndpoint,
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -361,14 +361,14 @@
 
 LimitSharers EndpointSet::limitSharers(const Endpoint& aEndpoint, const Service& aService) const
 {
-  LimitSharers sharers{ static_cast<size_t>(sendersOf(aService)),
-                        mSubset.entryCount(),
-                        aEndpoint.entryRank };
-  if (!mAreEntriesKnown) {
-    // The others may be sending already while this process learns of them.
-    sharers.regular = std::max(sharers.regular, mOptions.subset.entriesPerEndpoint);
-  }
-  return sharers;
+  return { orAssumed(static_cast<size_t>(sendersOf(aService))),
+           mSubset.entryCount(),
+           aEndpoint.entryRank };
+}
+
+size_t EndpointSet::orAssumed(size_t aEntries) const
+{
+  return mAreEntriesKnown ? aEntries : std::max(aEntries, mOptions.subset.entriesPerEndpoint);
 }
 
 bool EndpointSet::isColdShareUsed(const Endpoint& aEndpoint,
@@ -381,7 +381,7 @@
   if (!aEndpoint.isInSubset) {
     return true;
   }
-  auto entries = static_cast<double>(mSubset.entriesOfEndpoint());
+  auto entries = static_cast<double>(orAssumed(mSubset.entriesOfEndpoint()));
   double share = std::max(1.0, std::floor(aService.coldRequestsPerSecond / entries));
   auto recent = std::count_if(aEndpoint.recentSends.begin(),
                               aEndpoint.recentSends.end(),
--- a/libs/serving/tests/EndpointSetTest.cpp
+++ b/libs/serving/tests/EndpointSetTest.cpp
@@ -481,6 +481,19 @@
   BOOST_TEST(place(created) == "new");
 }
 
+// Guards against an entry that takes the whole cold rate before it knows the other entries.
+BOOST_FIXTURE_TEST_CASE(anEntryThatKnowsNoOthersTakesAPartOfTheColdRate, Fixture)
+{
+  list("cold", "north", drafter, 1, 3000ms);
+  int sent = 0;
+  while (sent < 100 && !place(request(drafter)).empty()) {
+    ++sent;
+    beginAll();
+  }
+  BOOST_TEST(sent > 0);
+  BOOST_TEST(sent <= drafter.coldRequestsPerSecond / 4);
+}
+
 // An endpoint that restarts under the same id starts cold and without load; requests at the
 // previous instance do not count for the new one.
 BOOST_FIXTURE_TEST_CASE(restartUnderTheSameIdIsColdAndWithoutLoad, Fixture)
