--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <memory>
 #include <mutex>
 #include <system_error>
 #include <thread>
@@ -148,8 +149,8 @@
         ::shutdown(socket, SHUT_RDWR);
       }
     }
-    for (auto& thread : mServing) {
-      thread.join();
+    for (Serving& serving : mServing) {
+      serving.thread.join();
     }
   }
 
@@ -161,15 +162,38 @@
   const net::Address& address() const { return mAddress; }
 
 private:
+  struct Serving
+  {
+    std::thread thread;
+    std::shared_ptr<std::atomic<bool>> isDone;
+  };
+
   void accept()
   {
     for (int socket = 0; (socket = ::accept(mListener, nullptr, nullptr)) >= 0;) {
       std::lock_guard lock(mMutex);
       mSockets.push_back(socket);
-      mServing.emplace_back([this, socket] { serve(socket); });
+      joinDone();
+      auto isDone = std::make_shared<std::atomic<bool>>(false);
+      mServing.push_back({ std::thread([this, socket, isDone] {
+                             serve(socket);
+                             *isDone = true;
+                           }),
+                           isDone });
     }
   }
 
+  /** Sanitizers bear a limited number of threads that were not joined. */
+  void joinDone()
+  {
+    std::erase_if(mServing, [](Serving& aServing) {
+      if (*aServing.isDone) {
+        aServing.thread.join();
+      }
+      return !aServing.thread.joinable();
+    });
+  }
+
   void serve(int aSocket)
   {
     for (;;) {
@@ -231,7 +255,7 @@
   std::mutex mMutex;
   std::vector<std::string> mRequests;
   std::vector<int> mSockets;
-  std::vector<std::thread> mServing;
+  std::vector<Serving> mServing;
   std::thread mThread;
 };
 
