RequestLimit: entries make up for half a second only

Two entries that are added at once, before the others know of them, can bring the worst case of six sharers to 6 + 7 times the limit in 4 s; 5 + 6 times are tolerated. With half a second of credit it is 6 + 6 times. serving.RequestLimitTest passes unchanged (0.8 of the limit used).

--- a/libs/serving/include/serving/RequestLimit.h
+++ b/libs/serving/include/serving/RequestLimit.h
@@ -22,9 +22,9 @@
  * thread-safe.
  *
  * Entries that share the limit have equal rates, and make up for the time in which they did not
- * send within a second. Each may send one request more than its rate allows in any span of time, so
- * a low limit is divided among few entries; the others send only rarely and in turn, to learn when
- * it ends.
+ * send within half a second. Each may send one request more than its rate allows in any span of
+ * time, so a low limit is divided among few entries; the others send only rarely and in turn, to
+ * learn when it ends.
  */
 class RequestLimit
 {
--- a/libs/serving/src/RequestLimit.cpp
+++ b/libs/serving/src/RequestLimit.cpp
@@ -11,7 +11,7 @@
  * sharers exceed the limit by one request each and by kCredit of the limit at most. */
 constexpr size_t kMinSharers = 4;
 /** Time whose requests an entry may make up for. */
-constexpr base::Milliseconds kCredit{ 1000 };
+constexpr base::Milliseconds kCredit{ 500 };
 /** Bounds that prevent an overflow: the interval of the lower one is above kMaxInterval, and no
  * deployment has as many entries as would share the upper one. */
 constexpr double kMinPerSecond = 0.01;
