--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -141,9 +141,9 @@
   int waitingAtReport = 0; ///< Own requests that had no first event when the report arrived.
 
   base::TimePoint coldUntil;
-  base::TimePoint avoidUntil;  ///< End of the backoff after a failed request.
-  base::TimePoint pausedUntil; ///< The endpoint asked for no requests until then.
-  RequestLimit limit;
+  base::TimePoint avoidUntil;               ///< End of the backoff after a failed request.
+  base::TimePoint pausedUntil;              ///< The endpoint asked for no requests until then.
+  RequestLimit limit;                       ///< Named by the answers of the endpoint.
   uint32_t consecutiveSilences = 0;         ///< Consecutive requests with Outcome::Silent.
   double failureShare = 0;                  ///< Moving average over requests, 0 to 1.
   double predictionErrorMs = 0;             ///< Moving average of actual less predicted time.
@@ -324,8 +324,8 @@
   bool isAllowed(const Endpoint& aEndpoint,
                  const PlacementRequest& aRequest,
                  base::TimePoint aNow) const;
-  /** The given number of entries, or the usual one while this process does not know the others,
-   * which may be sending already. */
+  /** While this process does not know the other entries, which may be sending already, at least as
+   * many as usually use one endpoint; else the given number. */
   size_t orAssumed(size_t aEntries) const;
   /** The entries among which the limit of an endpoint is divided. */
   LimitSharers limitSharers(const Endpoint& aEndpoint, const Service& aService) const;
--- a/libs/serving/include/serving/RequestLimit.h
+++ b/libs/serving/include/serving/RequestLimit.h
@@ -21,10 +21,10 @@
  * it, and the part of this entry. Answers on different connections may overtake each other. Not
  * thread-safe.
  *
- * Entries that share the limit have equal rates, and make up for the time in which they did not
- * send within half a second. Each may send one request more than its rate allows in any span of
- * time, so a low limit is divided among few entries; the others send only rarely and in turn, to
- * learn when it ends.
+ * Entries that share the limit have equal rates; one that sent nothing for a while may catch up on
+ * half a second. Each may send one request more than its rate allows in any span of time, so a low
+ * limit is divided among few entries. The others send only rarely and in turn, to learn when it
+ * ends.
  */
 class RequestLimit
 {
@@ -33,7 +33,7 @@
    * @param aPerSecond requests a second; empty when the answer names no limit.
    * @param aSentAt when the request was sent that is answered. The endpoint has written the answer
    * since.
-   * @return true when this changes the limit. */
+   * @return true when the limit starts, ends or changes by more than a tenth. */
   bool record(std::optional<double> aPerSecond, base::TimePoint aSentAt, base::TimePoint aNow);
   /** Requests a second; empty when there is no limit. */
   std::optional<double> perSecond() const { return mPerSecond; }
--- a/libs/serving/src/GracefulStop.cpp
+++ b/libs/serving/src/GracefulStop.cpp
@@ -7,9 +7,9 @@
 namespace {
 /** Time reserved at the end of a stop to write the last answers. */
 constexpr base::Milliseconds kAnswerMargin{ 200 };
-/** Share of its time that a request takes at most, except for few: deadlines cover overload and
- * repeats. A repeatable request need not have more. */
-constexpr int kUsualShareOfDeadline = 2;
+/** Share of its time that nearly every request stays below: deadlines leave room for overload and
+ * repeats. */
+constexpr double kUsualShareOfTime = 0.5;
 } // namespace
 
 GracefulStop::GracefulStop(base::Duration aAcceptTime, base::Duration aLimit)
@@ -49,7 +49,7 @@
   }
   // Later requests come on connections whose callers were told to close them.
   bool mayBeCut = aMayRepeat && acceptsConnections(aNow);
-  return mayBeCut && aNow + (aDeadline - aNow) / kUsualShareOfDeadline <= answerBy();
+  return mayBeCut && kUsualShareOfTime * (aDeadline - aNow) <= answerBy() - aNow;
 }
 
 } // namespace boragepitch::serving
--- a/libs/serving/src/RequestLimit.cpp
+++ b/libs/serving/src/RequestLimit.cpp
@@ -1,6 +1,7 @@
 #include "serving/RequestLimit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace boragepitch::serving {
 
@@ -10,7 +11,7 @@
  * platform tolerates half of the limit, two requests for each one a second, and five more: the
  * sharers exceed the limit by one request each and by kCredit of the limit at most. */
 constexpr size_t kMinSharers = 4;
-/** Time whose requests an entry may make up for. */
+/** Time without requests that an entry may catch up on. */
 constexpr base::Milliseconds kCredit{ 500 };
 /** Bounds that prevent an overflow: the interval of the lower one is above kMaxInterval, and no
  * deployment has as many entries as would share the upper one. */
@@ -21,6 +22,16 @@
 constexpr base::Milliseconds kMaxInterval{ 5000 };
 /** Time between the requests of all entries that do not share the limit. */
 constexpr base::Milliseconds kOutsiderInterval{ 20000 };
+/** Smaller changes of the limit are not worth a log line: it may differ in every answer. */
+constexpr double kNotableShare = 0.1;
+
+bool differNotably(std::optional<double> aLeft, std::optional<double> aRight)
+{
+  if (!aLeft || !aRight) {
+    return aLeft.has_value() != aRight.has_value();
+  }
+  return std::abs(*aLeft - *aRight) > kNotableShare * std::max(*aLeft, *aRight);
+}
 
 } // namespace
 
@@ -34,7 +45,7 @@
     if (mPerSecond && aSentAt > mNamedAt) {
       mPerSecond.reset();
     }
-    return before != mPerSecond;
+    return differNotably(before, mPerSecond);
   }
   if (!mPerSecond) {
     mSince = aNow;
@@ -44,7 +55,7 @@
   mPerSecond = isNewest ? *aPerSecond : std::min(*mPerSecond, *aPerSecond);
   mSentAt = std::max(mSentAt, aSentAt);
   mNamedAt = aNow;
-  return before != mPerSecond;
+  return differNotably(before, mPerSecond);
 }
 
 size_t RequestLimit::sharersOf(const LimitSharers& aSharers) const
