--- a/libs/relay/tests/CutHeadTest.cpp
+++ b/libs/relay/tests/CutHeadTest.cpp
@@ -78,10 +78,14 @@
         if (aOnKept && endpoint.requests().size() == 1) {
           return answer(idOf(aRequest), "first");
         }
-        std::string head = aShape.head + "Id: " + idOf(aRequest) + "\r\n\r\n";
-        headSize = head.size();
-        size = head.size() + aShape.body.size();
-        return aShape.before + (head + aShape.body).substr(0, cut) + aEnd;
+        std::string text = aShape.head + "Id: " + idOf(aRequest) + "\r\n\r\n";
+        headSize = text.size();
+        text += aShape.body;
+        size = text.size();
+        text.resize(cut);
+        text.insert(0, aShape.before);
+        text += aEnd;
+        return text;
       });
       std::string id = "e" + std::to_string(sent);
       list(id, endpoint.address());
--- a/libs/serving/tests/RequestLimitTest.cpp
+++ b/libs/serving/tests/RequestLimitTest.cpp
@@ -134,7 +134,6 @@
 // Guards against an entry that takes the whole limit before it knows the other entries.
 BOOST_AUTO_TEST_CASE(anEntryThatKnowsNoOthersTakesAPart)
 {
-  RequestLimit limit;
   base::TimePoint now{ 1h };
   PlacementOptions options;
   EndpointSet set(options);
