--- a/tools/bpctl/src/Explain.cpp
+++ b/tools/bpctl/src/Explain.cpp
@@ -45,6 +45,9 @@
     "order",
     "staging_failed",
     "endpoint_announced_leave",
+    "endpoint_limited",
+    "endpoint_limit_ended",
+    "leaving",
   };
   return kChanges.contains(aLine.event);
 }
@@ -100,6 +103,18 @@
     return "refused: the endpoints with free capacity were in cold start and had reached their "
            "rate limit";
   }
+  if (reason == "limited") {
+    std::string cause = "refused: the endpoints with free capacity take no more requests of this "
+                        "process yet";
+    if (const LogLine* limited = lastBefore(aLines, aEnd, "endpoint_limited")) {
+      cause += "; the latest limit, of " + std::string(limited->field("endpoint")) + ", is " +
+               std::string(limited->field("per_second")) + " a second for all entries together";
+    }
+    return cause;
+  }
+  if (reason == "stopping") {
+    return "refused: the process was stopping and could not have answered it in time";
+  }
   if (reason == "no_endpoint") {
     std::string cause = "refused: no endpoint of the service was listed, allowed and had the "
                         "required weights";
--- a/tools/bpctl/tests/ExplainTest.cpp
+++ b/tools/bpctl/tests/ExplainTest.cpp
@@ -67,6 +67,20 @@
   BOOST_TEST(contains(cause, "version 7 was being rolled out"));
 }
 
+// Guards against taking a refusal before any send for one after a failed send.
+BOOST_AUTO_TEST_CASE(explainsRefusalsByALimitAndByAStop)
+{
+  auto limited = causeOf("t=1000 node=n event=endpoint_limited endpoint=e id=q per_second=1.900\n"
+                         "t=3000 node=n event=request id=r outcome=refused reason=limited\n",
+                         "r");
+  BOOST_TEST(contains(limited, "the latest limit, of e, is 1.900 a second"));
+  BOOST_TEST(!contains(limited, "failed send"));
+  auto stopping = causeOf("t=1000 node=n event=leaving sessions=4\n"
+                          "t=3000 node=n event=request id=r outcome=refused reason=stopping\n",
+                          "r");
+  BOOST_TEST(contains(stopping, "was stopping"));
+}
+
 // Guards against blaming a rollout that ended long before or that only another process saw.
 BOOST_AUTO_TEST_CASE(ignoresUnrelatedRollouts)
 {
