EndpointLimitTest: check every answer, not the last one only

The relay may rightly serve it: at two requests a second the ninth is due four seconds after the first, which is when the window ends.

The test now looks at all answers: each one is served or refused with a time to come back, as many are served as the endpoint took, and some are refused.

--- a/libs/relay/tests/EndpointLimitTest.cpp
+++ b/libs/relay/tests/EndpointLimitTest.cpp
@@ -16,6 +16,28 @@
 constexpr double kToleratedFactor = 1.5;
 constexpr size_t kTolerance = 5;
 
+/** The answers to the calls of some time. */
+struct Answers
+{
+  size_t served = 0;
+  size_t refused = 0; ///< Told when to come back.
+  std::vector<std::string> others;
+  base::Duration longest{ 0 }; ///< Longest time that an answer took.
+
+  void record(const std::string& aText, base::Duration aTime)
+  {
+    longest = std::max(longest, aTime);
+    if (aText.starts_with("HTTP/1.1 200")) {
+      ++served;
+    } else if (aText.starts_with("HTTP/1.1 503") &&
+               aText.find("Retry-After: ") != std::string::npos) {
+      ++refused;
+    } else {
+      others.push_back(aText);
+    }
+  }
+};
+
 struct LimitFixture : Fixture
 {
   LimitFixture()
@@ -33,22 +55,21 @@
                     : text;
   }
 
-  /** Calls for some time; returns the longest time that an answer took. */
-  base::Duration callFor(base::Duration aTime)
+  /** Calls one after another for some time. */
+  Answers callFor(base::Duration aTime)
   {
-    base::Duration longest{ 0 };
+    Answers answers;
     auto end = std::chrono::steady_clock::now() + aTime;
     for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
       auto begun = std::chrono::steady_clock::now();
-      lastAnswer = call(get("n" + std::to_string(i)));
-      longest = std::max<base::Duration>(longest, std::chrono::steady_clock::now() - begun);
+      std::string text = call(get("n" + std::to_string(i)));
+      answers.record(text, std::chrono::steady_clock::now() - begun);
       std::this_thread::sleep_for(10ms);
     }
-    return longest;
+    return answers;
   }
 
   std::atomic<bool> isInNeed{ true };
-  std::string lastAnswer;
   FakeEndpoint limited{ [this](const std::string& aRequest) { return answerLimited(aRequest); } };
 };
 
@@ -59,16 +80,18 @@
 {
   BOOST_TEST(call(get("first")).ends_with("body"));
   size_t before = limited.requests().size();
-  auto longest = callFor(kWindow);
+  Answers answers = callFor(kWindow);
   size_t count = limited.requests().size() - before;
   double limit = kLimitPerSecond * std::chrono::duration<double>(kWindow).count();
   BOOST_TEST(count <= static_cast<size_t>(kToleratedFactor * limit) + kTolerance);
   // Most of the limit is used.
   BOOST_TEST(count >= static_cast<size_t>(limit / 2));
+  // Each request that the endpoint took was served, and all others were told when to come back.
+  BOOST_TEST(answers.served == count);
+  BOOST_TEST(answers.refused > 0U);
+  BOOST_TEST(answers.others.empty());
   // Nobody waits for the next request that the endpoint takes.
-  BOOST_TEST((longest < 400ms));
-  BOOST_TEST(lastAnswer.starts_with("HTTP/1.1 503"));
-  BOOST_TEST(lastAnswer.find("Retry-After: ") != std::string::npos);
+  BOOST_TEST((answers.longest < 400ms));
 }
 
 // Guards against callers that are refused while another endpoint has no limit.
