RequestLimit: tell callers when any entry takes them, not when this one does

Callers of an entry outside the division of a limit were told to come back when that entry asks again whether the limit holds: after 20 to 300 s with 21 entries and a limit of two requests a second, while six other entries take a request every 3 s each.

Cause: the time for the caller was the wait of the entry itself. The two differ for entries outside the division, which send rarely and in turn.

The time is now the shorter of the entry's own wait and the interval of an entry that shares the limit, which is 5 s at most. What the entry sends is unchanged.

serving.RequestLimitTest/callersAreToldWhenAnyEntryTakesThem: with the former time it fails for ranks 6 and 20 of 21 entries; passes now.

--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -219,7 +219,8 @@
   /** Number of allowed endpoints that were considered: those that this process uses and, if none of
    * them can serve the request, others with spare slots. */
   int candidates = 0;
-  /** Time until the first of these takes requests again, if all are paused or at their limit. */
+  /** Time after which a refused caller may find a place, if all of these are paused or at their
+   * limit. */
   base::Duration unavailableFor{ 0 };
 };
 
--- a/libs/serving/include/serving/RequestLimit.h
+++ b/libs/serving/include/serving/RequestLimit.h
@@ -42,6 +42,8 @@
   void recordSend(const LimitSharers& aSharers, base::TimePoint aNow);
   /** Time until this entry may send the next request; zero when it may send now. */
   base::Duration waitTime(const LimitSharers& aSharers, base::TimePoint aNow) const;
+  /** Time after which a refused caller may find a place, at this entry or at another one. */
+  base::Duration retryTime(const LimitSharers& aSharers, base::TimePoint aNow) const;
 
 private:
   size_t sharersOf(const LimitSharers& aSharers) const;
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -476,11 +476,13 @@
   std::uniform_real_distribution<double> costJitter(0, kCostJitterMs);
   for (const EndpointPtr* pointer : aEndpoints) {
     const EndpointPtr& endpoint = *pointer;
-    auto limitedFor = base::Duration(0);
+    bool isLimited = false;
+    auto unavailableFor = std::max(base::Duration(0), endpoint->pausedUntil - aNow);
     if (endpoint->limit.perSecond()) {
-      limitedFor = endpoint->limit.waitTime(limitSharers(*endpoint, *aRequest.service), aNow);
+      auto sharers = limitSharers(*endpoint, *aRequest.service);
+      isLimited = endpoint->limit.waitTime(sharers, aNow) > base::Duration(0);
+      unavailableFor = std::max(unavailableFor, endpoint->limit.retryTime(sharers, aNow));
     }
-    auto unavailableFor = std::max(limitedFor, endpoint->pausedUntil - aNow);
     aBest.unavailableFor =
       aBest.candidates == 0 ? unavailableFor : std::min(aBest.unavailableFor, unavailableFor);
     ++aBest.candidates;
@@ -499,7 +501,7 @@
       aBest.refusal = aBest.endpoint ? aBest.refusal : Refusal::Cold;
       continue;
     }
-    if (limitedFor > base::Duration(0)) {
+    if (isLimited) {
       aBest.refusal = aBest.endpoint ? aBest.refusal : Refusal::Limited;
       continue;
     }
--- a/libs/serving/src/RequestLimit.cpp
+++ b/libs/serving/src/RequestLimit.cpp
@@ -103,4 +103,11 @@
   return mPerSecond ? std::max(base::Duration(0), nextSend(aSharers) - aNow) : base::Duration(0);
 }
 
+base::Duration RequestLimit::retryTime(const LimitSharers& aSharers, base::TimePoint aNow) const
+{
+  // An entry outside the division waits for minutes, while the others take requests.
+  return mPerSecond ? std::min(waitTime(aSharers, aNow), intervalOf(sharersOf(aSharers)))
+                    : base::Duration(0);
+}
+
 } // namespace boragepitch::serving
--- a/libs/serving/tests/RequestLimitTest.cpp
+++ b/libs/serving/tests/RequestLimitTest.cpp
@@ -131,6 +131,28 @@
   BOOST_TEST(result.mostInWindow <= kTolerance);
 }
 
+// Guards against callers that are told to wait minutes for one entry while others serve requests.
+BOOST_AUTO_TEST_CASE(callersAreToldWhenAnyEntryTakesThem)
+{
+  base::TimePoint now{ 1h };
+  for (size_t rank : { 0U, 5U, 6U, 20U }) {
+    LimitSharers sharers{ 21, 21, rank };
+    RequestLimit limit;
+    limit.recordSend(sharers, now);
+    limit.record(2, now, now + 5ms);
+    BOOST_TEST_CONTEXT("rank " << rank)
+    {
+      bool isOutside = rank >= 6;
+      BOOST_TEST((limit.waitTime(sharers, now + 10ms) > 10s) == isOutside);
+      // Six entries share two requests a second.
+      BOOST_TEST((limit.retryTime(sharers, now + 10ms) <= 3s));
+      BOOST_TEST((limit.retryTime(sharers, now + 10ms) > 0s));
+      limit.record(std::nullopt, now + 20ms, now + 25ms);
+      BOOST_TEST((limit.retryTime(sharers, now + 30ms) == 0s));
+    }
+  }
+}
+
 // Guards against an entry that takes the whole limit before it knows the other entries.
 BOOST_AUTO_TEST_CASE(anEntryThatKnowsNoOthersTakesAPart)
 {
