Derive the duration of a graceful stop from the platform's grace period

Callers of an entry that is stopped on a platform with a grace period below 7 s were cut without an answer when the platform killed the process.

Cause: deploy/router.ini set the stop's duration to 7 s whatever grace period the platform names; all sites so far name 8 s.

The stop reserves a twelfth of it, at most 1 s: 7.3 s of 8 s.

Whole seconds as in "{{...}}000" did not start with 2.5 s. The platform still kills the eight processes at the end of so short a grace, before and now; suspected, not traced: the feeds of the store take longer to stop than what is reserved.

--- a/tools/router/RouterSettings.cpp
+++ b/tools/router/RouterSettings.cpp
@@ -11,6 +11,9 @@
 constexpr base::Milliseconds kStoreAnswerTime{ 900 };
 constexpr base::Milliseconds kMinStoreWait{ 200 };
 constexpr base::Milliseconds kMaxStoreWait{ 5000 };
+/** Part of the grace period in which the process ends after its last answer, and its maximum. */
+constexpr int kEndDivisor = 12;
+constexpr base::Milliseconds kMaxEndTime{ 1000 };
 } // namespace
 
 base::Milliseconds storeWait(base::Milliseconds aDrainTime)
@@ -18,6 +21,12 @@
   return std::clamp(aDrainTime - kStoreAnswerTime, kMinStoreWait, kMaxStoreWait);
 }
 
+base::Milliseconds leaveLimit(std::chrono::duration<double> aGracePeriod)
+{
+  auto gracePeriod = std::chrono::duration_cast<base::Milliseconds>(aGracePeriod);
+  return gracePeriod - std::min(gracePeriod / kEndDivisor, kMaxEndTime);
+}
+
 settings::Schema routerSchema()
 {
   settings::Schema::Builder builder;
@@ -97,7 +106,13 @@
       1,
       1000,
       static_cast<int64_t>(serving::SubsetOptions().entriesPerEndpoint))
-    .duration("leave.limit", "Longest wait for requests in flight at shutdown.", 100, 600000, 7000);
+    .number("leave.grace_period",
+            "Time from the signal to stop until the platform kills the process. Requests in "
+            "flight are answered before.",
+            "s",
+            0.1,
+            600,
+            8);
   return builder.build();
 }
 
--- a/tools/router/RouterSettings.h
+++ b/tools/router/RouterSettings.h
@@ -12,4 +12,7 @@
  * for which endpoints serve after they announced their leave. */
 base::Milliseconds storeWait(base::Milliseconds aDrainTime);
 
+/** Maximum duration of a graceful stop, which ends before the platform kills the process. */
+base::Milliseconds leaveLimit(std::chrono::duration<double> aGracePeriod);
+
 } // namespace boragepitch::tools
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -52,7 +52,8 @@
   options.retries.ratio = aSettings.number("retries.ratio");
   options.retries.slack = aSettings.number("retries.slack");
   options.retries.window = aSettings.duration("retries.window");
-  options.leaveLimit = aSettings.duration("leave.limit");
+  options.leaveLimit =
+    tools::leaveLimit(std::chrono::duration<double>(aSettings.number("leave.grace_period")));
   options.seed = base::fastHash(base::asBytes(options.node));
   return options;
 }
