Accept a retry window with a fraction of a second

A platform that names a retry window such as 2.5 s would keep bp-router from starting: the template appended "000" to make milliseconds of it, and "2.5000" is no whole number.

retries.window is now in seconds, like leave.grace_period.

router.RouterSettingsTest/secondsMayHaveAFraction fills all bounds in seconds with 2.5; with the former template it fails on this key.

--- a/tools/router/RouterSettings.cpp
+++ b/tools/router/RouterSettings.cpp
@@ -21,10 +21,14 @@
   return std::clamp(aDrainTime - kStoreAnswerTime, kMinStoreWait, kMaxStoreWait);
 }
 
-base::Milliseconds leaveLimit(std::chrono::duration<double> aGracePeriod)
+base::Milliseconds milliseconds(double aSeconds)
 {
-  auto gracePeriod = std::chrono::duration_cast<base::Milliseconds>(aGracePeriod);
-  return gracePeriod - std::min(gracePeriod / kEndDivisor, kMaxEndTime);
+  return std::chrono::round<base::Milliseconds>(std::chrono::duration<double>(aSeconds));
+}
+
+base::Milliseconds leaveLimit(base::Milliseconds aGracePeriod)
+{
+  return aGracePeriod - std::min(aGracePeriod / kEndDivisor, kMaxEndTime);
 }
 
 settings::Schema routerSchema()
@@ -63,11 +67,12 @@
             0,
             100000,
             0)
-    .duration("retries.window",
-              "Length of the sliding window in which requests and retries are counted.",
-              100,
-              600000,
-              10000)
+    .number("retries.window",
+            "Length of the sliding window in which requests and retries are counted.",
+            "s",
+            0.1,
+            600,
+            10)
     .number(
       "cold.overshoot", "Factor on the rate that a cold endpoint can serve.", "", 0.1, 100, 1.5)
     .number(
--- a/tools/router/RouterSettings.h
+++ b/tools/router/RouterSettings.h
@@ -12,7 +12,10 @@
  * for which endpoints serve after they announced their leave. */
 base::Milliseconds storeWait(base::Milliseconds aDrainTime);
 
+/** Converts a setting in seconds, which the platform may give with a fraction. */
+base::Milliseconds milliseconds(double aSeconds);
+
 /** Maximum duration of a graceful stop, which ends before the platform kills the process. */
-base::Milliseconds leaveLimit(std::chrono::duration<double> aGracePeriod);
+base::Milliseconds leaveLimit(base::Milliseconds aGracePeriod);
 
 } // namespace boragepitch::tools
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -51,9 +51,9 @@
   options.placement.minBudget = aSettings.duration("admission.least_budget");
   options.retries.ratio = aSettings.number("retries.ratio");
   options.retries.slack = aSettings.number("retries.slack");
-  options.retries.window = aSettings.duration("retries.window");
+  options.retries.window = tools::milliseconds(aSettings.number("retries.window"));
   options.leaveLimit =
-    tools::leaveLimit(std::chrono::duration<double>(aSettings.number("leave.grace_period")));
+    tools::leaveLimit(tools::milliseconds(aSettings.number("leave.grace_period")));
   options.seed = base::fastHash(base::asBytes(options.node));
   return options;
 }
--- a/tools/router/tests/RouterSettingsTest.cpp
+++ b/tools/router/tests/RouterSettingsTest.cpp
@@ -17,37 +17,52 @@
   return std::regex_replace(aText, std::regex(aPattern), aValue);
 }
 
-/** The settings file that the platform makes of our template. */
-std::string settingsFile(double aGracePeriodSeconds)
+/** The settings file that the platform makes of our template.
+ * @param aSeconds value of all bounds in seconds. */
+std::string settingsFile(double aSeconds)
 {
   std::ifstream file(BP_ROUTER_TEMPLATE);
   std::ostringstream content;
   content << file.rdbuf();
-  std::string text = replaced(
-    content.str(), R"(\{\{bounds\.grace_period_s\}\})", std::to_string(aGracePeriodSeconds));
+  std::ostringstream seconds;
+  seconds << aSeconds;
+  std::string text = replaced(content.str(), R"(\{\{bounds\.[a-z_]+_s\}\})", seconds.str());
+  text = replaced(text, R"(\{\{bounds\.[a-z_]+_ms\}\})", "2000");
   text = replaced(text, R"(\{\{#zones\}\}[\s\S]*\{\{/zones\}\})", "north = region");
   text = replaced(text, R"(\{\{(listen|platform)\.[a-z]+\}\})", "127.0.0.1:7000");
   text = replaced(text, R"(\{\{ip\}\})", "127.0.0.1");
-  text = replaced(text, R"(\{\{bounds\.[a-z_]+_ms\}\})", "2000");
   return replaced(text, R"(\{\{[^}]+\}\})", "1");
 }
 
+settings::Settings settingsWith(double aSeconds)
+{
+  auto parsed = tools::routerSchema().parse(settingsFile(aSeconds), "router.ini");
+  BOOST_REQUIRE_MESSAGE(parsed.has_value(),
+                        (parsed ? std::string() : parsed.error().front().describe()));
+  return *parsed;
+}
+
 } // namespace
 
 // Guards against a stop that lasts until the platform kills the process, which cuts requests in
 // flight without an answer (LOST).
 BOOST_AUTO_TEST_CASE(aStopEndsBeforeTheProcessIsKilled)
 {
-  for (double seconds : { 1.0, 2.5, 5.0, 8.0, 30.0 }) {
-    BOOST_TEST_CONTEXT("grace period of " << seconds << " s")
+  for (auto gracePeriod : { 1000ms, 2500ms, 5000ms, 8000ms, 30000ms }) {
+    BOOST_TEST_CONTEXT("grace period of " << gracePeriod.count() << " ms")
     {
-      auto parsed = tools::routerSchema().parse(settingsFile(seconds), "router.ini");
-      BOOST_REQUIRE_MESSAGE(parsed.has_value(),
-                            (parsed ? std::string() : parsed.error().front().describe()));
-      std::chrono::duration<double> gracePeriod(seconds);
-      BOOST_TEST(parsed->number("leave.grace_period") == seconds);
-      BOOST_TEST((tools::leaveLimit(gracePeriod) < gracePeriod));
-      BOOST_TEST((tools::leaveLimit(gracePeriod) >= gracePeriod * 0.75));
+      double seconds = std::chrono::duration<double>(gracePeriod).count();
+      auto settings = settingsWith(seconds);
+      auto read = tools::milliseconds(settings.number("leave.grace_period"));
+      BOOST_TEST((read == gracePeriod));
+      BOOST_TEST((tools::leaveLimit(read) < gracePeriod));
+      BOOST_TEST((tools::leaveLimit(read) >= gracePeriod * 3 / 4));
     }
   }
 }
+
+// Guards against a program that does not start because a bound of the platform has a fraction.
+BOOST_AUTO_TEST_CASE(secondsMayHaveAFraction)
+{
+  BOOST_TEST((tools::milliseconds(settingsWith(2.5).number("retries.window")) == 2500ms));
+}
