Tests: give each test process a loopback host of its own

Tests that run beside each other failed at the start of a relay or of a scripted endpoint: 2 of 32 processes of eight test programs in the first round of a stress run, and nearly all of the later rounds, when 90,000 closed connections held the ports of 127.0.0.1.

Cause: unusedAddress() let the system pick a port, closed it and returned it. Until the server bound it, a connection or a server of any other process could get it.

Each test process now uses a host of 127.0.0.0/8 that follows from its id and ports below those that the system assigns to connections.

--- a/tests/support/TestAddress.h
+++ b/tests/support/TestAddress.h
@@ -5,23 +5,46 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <cerrno>
+#include <string>
+#include <system_error>
+
 #include "net/Address.h"
 
 namespace boragepitch::test {
 
-/** Returns a loopback address with a port that was just free, so that concurrent test runs do not
- * collide. */
-inline net::Address unusedAddress(const char* aHost = "127.0.0.1")
+/** A loopback host of this process alone, so that the servers of concurrent tests do not collide
+ * with each other or with the connections of other processes. */
+inline std::string ownHost()
+{
+  auto id = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(64 + (id >> 16 & 63)) + "." + std::to_string(id >> 8 & 255) + "." +
+         std::to_string(id & 255);
+}
+
+/** Returns a loopback address at which nobody listens. Each call returns another one. */
+inline net::Address unusedAddress()
 {
-  int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  inet_pton(AF_INET, aHost, &address.sin_addr);
-  socklen_t size = sizeof(address);
-  (void)::bind(socket, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(socket);
-  return { aHost, ntohs(address.sin_port) };
+  // Below the ports that the system assigns to connections.
+  constexpr int kFirstPort = 10000;
+  constexpr int kPorts = 20000;
+  static std::atomic<int> next{ 0 };
+  net::Address address{ ownHost(), 0 };
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  inet_pton(AF_INET, address.host.c_str(), &name.sin_addr);
+  for (int i = 0; i < kPorts; ++i) {
+    address.port = kFirstPort + next++ % kPorts;
+    name.sin_port = htons(static_cast<uint16_t>(address.port));
+    int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    bool isFree = ::bind(socket, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0;
+    ::close(socket);
+    if (isFree) {
+      return address;
+    }
+  }
+  throw std::system_error(EADDRINUSE, std::generic_category(), address.host);
 }
 
 } // namespace boragepitch::test
