Soak: longer streams, so that stops of entries meet some of them

Streams lasted 0.3 s at most and ended before an entry that was asked to stop had told the others. They last up to 1.5 s now. A trial with leave.drain_limit of 100 ms finds nothing, as the server still ends the answers in flight.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -34,6 +34,8 @@
 VERSIONS = 4
 BOOKING_CALLERS = 4
 STREAM_RATE = 20
+# Streams of up to 1.5 s, so that stops and pauses meet many of them.
+TOKEN_MS = 25
 TICK_SECONDS = 0.05
 # A zone that was taken out gets no new work from then on.
 ZONE_BOUND_SECONDS = 3
@@ -64,7 +66,7 @@
         self.fleet.start_platform(blobs=blobs)
         self.proxy = self.fleet.proxy_platform()
         self.deployment = Deployment(self.fleet, ZONES, models=self.options.models, services={SERVICE: SERVICES},
-                                     entries_per_zone=self.options.entries)
+                                     entries_per_zone=self.options.entries, engines={"token_ms": TOKEN_MS})
         self.fleet.wait_live()
         self.deployment.declare()
         self.deployment.declare_version("drafter/v1")
