--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -91,16 +91,20 @@
         load = ChainedLoad(self.fleet, "drafter", self.fleet.entries(), rate=STREAM_RATE, expect=expected)
         for caller in callers:
             caller.start()
-        self._play()
-        self._heal()
-        for caller in callers:
-            caller.stop()
-        self._check_streams(load.stop())
+        try:
+            self._play()
+            self._heal()
+        finally:
+            for caller in callers:
+                caller.stop()
+            streams = load.stop()
+        self._check_streams(streams)
         self._check_bookings(callers)
         self._check_service(expected)
         self.broken += [f"{name} ended with {code}" for name, code in self.fleet.unexpected_exits()]
 
     def _play(self):
+        """Begins and ends the faults at their times."""
         number = itertools.count()
         actions = []
         for fault in self.faults:
