Soak: links that pass one way, lose their open connections or are reset

The soak set "cut": "open" at the proxy, which takes a flag: no connection was ever reset. Connections that go silent for good while new ones work, and links that pass one way only, were not played at all.

fault-proxy takes silence "toTarget" and "toClient"; the test of the stand-ins shows that a write arrives whose answer is held back, and the reverse.

--- a/scripts/localfleet.py
+++ b/scripts/localfleet.py
@@ -129,7 +129,8 @@
         self.process = process
 
     def fault(self, **fault):
-        """Sets the faults delayMs, rate, cut or silence, on all links or only on the one given by listen."""
+        """Sets the faults delayMs, rate, cut or silence, on all links or only on the one given by listen; see
+        standins/README.md."""
         check_ok(http_call("POST", f"http://{self.admin}/fault", fault))
 
     def stats(self):
--- a/standins/fault-proxy/Link.cpp
+++ b/standins/fault-proxy/Link.cpp
@@ -39,6 +39,8 @@
     ++mSilenceEpoch;
   } else if (!silence.empty()) {
     mSilenceAll = silence == "all";
+    mSilenced[size_t(Direction::ToTarget)] = silence == "toTarget";
+    mSilenced[size_t(Direction::ToClient)] = silence == "toClient";
   }
   if (base::boolOr(aFault, "cut", false)) {
     ++mCutEpoch;
--- a/standins/fault-proxy/Link.h
+++ b/standins/fault-proxy/Link.h
@@ -33,7 +33,8 @@
   /**
    * Takes delayMs (each way, may have a fraction), rate (bytes a second each way, 0 for no limit),
    * cut (closes the open connections) and silence: "open" (the connections open now stay silent
-   * for ever), "all" (every connection, until "none").
+   * for ever), "all" (every connection), "toTarget" or "toClient" (bytes in this direction). The
+   * last three hold until another one of them or "none".
    */
   void apply(const Json::Value& aFault);
 
@@ -46,6 +47,7 @@
   /** Count of "open" silences; a connection that was opened at a smaller value stays silent. */
   uint64_t silenceEpoch() const { return mSilenceEpoch; }
   bool silencesAll() const { return mSilenceAll; }
+  bool silences(Direction aDirection) const { return mSilenced[size_t(aDirection)]; }
 
   void countConnection() { ++mConnections; }
   void countBytes(Direction aDirection, size_t aBytes) { mBytes[size_t(aDirection)] += aBytes; }
@@ -58,6 +60,7 @@
   std::atomic<uint64_t> mCutEpoch{ 0 };
   std::atomic<uint64_t> mSilenceEpoch{ 0 };
   std::atomic<bool> mSilenceAll{ false };
+  std::array<std::atomic<bool>, kDirections> mSilenced{};
   std::atomic<uint64_t> mConnections{ 0 };
   std::array<std::atomic<uint64_t>, kDirections> mBytes{};
   std::mutex mMutex;
--- a/standins/fault-proxy/Relay.cpp
+++ b/standins/fault-proxy/Relay.cpp
@@ -132,7 +132,7 @@
     base::Duration wait = kCheckInterval;
     std::array<size_t, kDirections> allowed{};
     for (size_t d = 0; d < kDirections; ++d) {
-      allowed[d] = sendable(d, wait);
+      allowed[d] = mLink->silences(Direction(d)) ? 0 : sendable(d, wait);
     }
     std::array<pollfd, kDirections> polled{};
     for (size_t d = 0; d < kDirections; ++d) {
--- a/standins/tests/localfleet_test.py
+++ b/standins/tests/localfleet_test.py
@@ -90,6 +90,25 @@
         reader.join()
         self.assertIsInstance(errors[0], TimeoutError)
 
+    def test_silence_of_one_direction(self):
+        """Guards against a one-way link that stops the request as well as its answer, or neither."""
+        self.fleet.start_platform()
+        proxy = self.fleet.proxy_platform()
+        url = f"http://{self.fleet.platform['table']}"
+
+        def rows():
+            direct = "http://" + self.fleet.platform_address("table")
+            return http_call("POST", direct + "/read", {"keys": ["toClient", "toTarget"]}).json()["rows"]
+
+        for direction in ("toClient", "toTarget"):
+            proxy.fault(silence=direction)
+            with self.assertRaises(TimeoutError):
+                put = {"id": direction, "puts": [{"key": direction, "value": "1"}]}
+                http_call("POST", url + "/txn", put, timeout=0.5)
+            self.assertEqual(["toClient"], [row["key"] for row in rows()])
+        proxy.fault(silence="none")
+        self.assertEqual(200, http_call("POST", url + "/read", {"keys": ["a"]}).status)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -18,7 +18,7 @@
     def test_faults_overlap_and_each_kind_comes(self):
         """Guards against a soak that plays one fault after the other, or leaves one out."""
         plans = [schedule.plan(seed, 20, TARGETS) for seed in SEEDS]
-        self.assertEqual(len({fault.kind for plan in plans for fault in plan}), 16)
+        self.assertEqual(len({fault.kind for plan in plans for fault in plan}), 19)
         for plan in plans:
             self.assertTrue(any(later.at < fault.until for fault, later in zip(plan, plan[1:])), plan)
 
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -46,7 +46,10 @@
 def _platform(targets, rng, _seed):
     kind, value = rng.choice([
         ("link_delay", rng.choice([20, 100, 400])),
-        ("link_silence", 0),
+        ("link_silent", 0),
+        ("link_loses_connections", 0),
+        ("link_to_platform_silent", 0),
+        ("link_from_platform_silent", 0),
         ("link_reset", 0),
         ("store_outage", rng.randint(300, 4000)),
         ("store_loses_answers", rng.randint(1, 6)),
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -125,8 +125,14 @@
             operation = self._take_out if fault.kind == "zone_out" else self._declare_next
             self._operations.append(self._operators.submit(operation, fault))
         elif fault.kind.startswith("link"):
-            setting = {"link_delay": {"delayMs": fault.value}, "link_silence": {"silence": "all"},
-                       "link_reset": {"cut": "open"}}[fault.kind]
+            setting = {
+                "link_delay": {"delayMs": fault.value},
+                "link_silent": {"silence": "all"},
+                "link_loses_connections": {"silence": "open"},
+                "link_to_platform_silent": {"silence": "toTarget"},
+                "link_from_platform_silent": {"silence": "toClient"},
+                "link_reset": {"cut": True},
+            }[fault.kind]
             self.proxy.fault(listen=fault.target, **setting)
         else:
             self._fault_standin(fault)
@@ -155,7 +161,7 @@
                 self._down[node.name] -= 1
         elif fault.kind == "link_delay":
             self.proxy.fault(listen=fault.target, delayMs=0)
-        elif fault.kind == "link_silence":
+        elif fault.kind.endswith("_silent"):
             self.proxy.fault(listen=fault.target, silence="none")
         elif fault.kind == "corrupt_chunks":
             self.fleet.fault("objects", corruptPercent=0)
