Fleet: end the read of the store when the process stops

A process that was asked to stop while it read a newer configuration never ended, and read the store without pause: the operator saw a stop that lasts until SIGKILL, and the store lost reads to it.

The stack of such a process, taken twice, shows the stop joining the work pool and one of its threads in refreshFromStore() at revision 8 of 9, each time in a read of the change log.

Cause: the loop ends when config() has reached the store's revision, but applyEffects() no longer publishes the configuration once the process stops, so that each pass reads and adopts the same entries again.

The loop ends with the stop. control.StopWhilePollingTest: 101 reads before, where the scripted store gives up; at most 2 now. The other loops of this library are bounded by a deadline or by the stop.

--- a/libs/control/src/FleetImpl.h
+++ b/libs/control/src/FleetImpl.h
@@ -69,6 +69,11 @@
   void publishTable(const Lock& aLock);
   void runCallbacks(Lock& aLock);
   base::TimePoint now() const { return mClock.now(); }
+  bool isStopped() const
+  {
+    Lock lock(mMutex);
+    return mStopped;
+  }
 
   // Communication with peers and the store (FleetTasks.cpp)
   void addMethods();
--- a/libs/control/src/FleetTasks.cpp
+++ b/libs/control/src/FleetTasks.cpp
@@ -220,7 +220,8 @@
 
 bool FleetImpl::refreshFromStore(uint64_t aRevision)
 {
-  while (true) {
+  // After a stop, config() no longer follows what is adopted.
+  while (!isStopped()) {
     uint64_t known = config()->revision();
     if (known >= aRevision) {
       return true;
@@ -247,6 +248,7 @@
       applyEffects(lock);
     }
   }
+  return false;
 }
 
 void FleetImpl::readVmList()
