--- a/review/standins/standin.py
+++ b/review/standins/standin.py
@@ -375,9 +375,13 @@
 
     def reset(self, handler):
         """Ends the channel as a process that dies does."""
-        handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        handler.connection.close()
         handler.close_connection = True
+        try:
+            handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            handler.connection.shutdown(socket.SHUT_RDWR)
+            os.close(handler.connection.detach())
+        except OSError:
+            pass
 
 
 def render(text, fields):
@@ -420,7 +424,7 @@
         log = open(self.folder / (name + ".log"), "ab")
         process = subprocess.Popen(self.roles[role]["run"].split(), cwd=ROOT, stdout=log, stderr=log,
                                    env={"PATH": os.environ["PATH"], "BORAGEPITCH_BOOT": str(path)})
-        process.name, process.log_path = name, self.folder / (name + ".log")
+        process.name, process.log_path, process.started_at = name, self.folder / (name + ".log"), time.monotonic()
         self.processes.append(process)
         self.record.add(f"{name} started")
         return process
