--- a/review/standins/standin.py
+++ b/review/standins/standin.py
@@ -22,7 +22,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -406,6 +405,16 @@
     return re.sub(r"\{\{([\w.]+)\}\}", lambda m: str(value(m.group(1), None, None)), text)
 
 
+def read_roles(text):
+    """The roles of the deploy file, with the values that are plain text."""
+    roles = {}
+    for section in re.split(r"^\[", text, flags=re.M)[1:]:
+        name = re.match(r"roles\.(\w+)\]", section)
+        if name:
+            roles[name.group(1)] = dict(re.findall(r'^(\w+) = "([^"]*)"', section, flags=re.M))
+    return roles
+
+
 class Fleet:
     """The system's own processes, as the deploy file starts them."""
 
@@ -414,7 +423,7 @@
         self.zones = zones or {"z1": "r1"}
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.processes = []
-        self.roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
+        self.roles = read_roles((ROOT / "deploy/system.toml").read_text())
         if not all((ROOT / role["run"].split()[0]).exists() for role in self.roles.values()):
             raise RuntimeError("target/bin has no programs: run the build line of deploy/system.toml")
 
