--- a/libs/rollout/include/rollout/SwitchCore.h
+++ b/libs/rollout/include/rollout/SwitchCore.h
@@ -42,6 +42,9 @@
                    base::Duration aAhead,
                    base::TimePoint aNow) const;
   void onOrderSent(const EngineWeights& aEngine, base::TimePoint aNow);
+  /** Makes an order due that loads the version which the engine holds once more.
+   * @return false if one was required before since the engine's start. */
+  bool requireReload(const EngineWeights& aEngine);
   uint64_t wantedVersion() const { return mWantedVersion; }
 
 private:
@@ -52,10 +55,21 @@
     base::TimePoint sentAt;
   };
 
+  /** Weights that the engine is to load again. */
+  struct Reload
+  {
+    uint64_t version = 0;
+    uint64_t incarnation = 0;
+    bool isOrdered = false;
+  };
+
+  bool mustReload(const EngineWeights& aEngine) const;
+
   const SwitchOptions mOptions;
   uint64_t mWantedVersion = 0;
   base::TimePoint mEarliestSwitch;
   std::optional<Order> mOrder;
+  std::optional<Reload> mReload;
 };
 
 /**
--- a/libs/rollout/src/SwitchCore.cpp
+++ b/libs/rollout/src/SwitchCore.cpp
@@ -36,7 +36,9 @@
 
 bool SwitchCore::isDue(const EngineWeights& aEngine, bool aIsStaged, base::TimePoint aNow) const
 {
-  if (mWantedVersion == 0 || !aIsStaged || aEngine.isBusy || aEngine.version >= mWantedVersion) {
+  bool reload = mustReload(aEngine);
+  bool isOutdated = aEngine.version < mWantedVersion;
+  if (mWantedVersion == 0 || !aIsStaged || aEngine.isBusy || (!isOutdated && !reload)) {
     return false;
   }
   bool isPending = mOrder && mOrder->version == mWantedVersion &&
@@ -45,7 +47,7 @@
   if (isPending) {
     return false;
   }
-  return aEngine.version == 0 || aNow >= mEarliestSwitch;
+  return aEngine.version == 0 || reload || aNow >= mEarliestSwitch;
 }
 
 bool SwitchCore::isDueWithin(const EngineWeights& aEngine,
@@ -59,6 +61,26 @@
 void SwitchCore::onOrderSent(const EngineWeights& aEngine, base::TimePoint aNow)
 {
   mOrder = Order{ mWantedVersion, aEngine.incarnation, aNow };
+  if (mustReload(aEngine)) {
+    mReload->isOrdered = true;
+  }
+}
+
+bool SwitchCore::requireReload(const EngineWeights& aEngine)
+{
+  if (mReload && mReload->version == aEngine.version &&
+      mReload->incarnation == aEngine.incarnation) {
+    return false;
+  }
+  mReload = Reload{ aEngine.version, aEngine.incarnation, false };
+  mOrder.reset();
+  return true;
+}
+
+bool SwitchCore::mustReload(const EngineWeights& aEngine) const
+{
+  return mReload && !mReload->isOrdered && mReload->version == aEngine.version &&
+         mReload->incarnation == aEngine.incarnation;
 }
 
 base::Duration staggeredSwitchDelay(size_t aRank,
--- a/libs/rollout/tests/SwitchTest.cpp
+++ b/libs/rollout/tests/SwitchTest.cpp
@@ -48,6 +48,24 @@
   BOOST_TEST(!core.isDue({ .incarnation = 1, .version = 2 }, true, kNow + 9s));
 }
 
+// Guards against an engine that keeps weights which may be corrupt, and against orders without end
+// if it refuses to load them again.
+BOOST_AUTO_TEST_CASE(requiredReloadIsOrderedOnce)
+{
+  SwitchCore core;
+  core.setWantedVersion(2, kNow);
+  EngineWeights engine{ .incarnation = 1, .version = 2 };
+  BOOST_TEST(!core.isDue(engine, true, kNow));
+  BOOST_TEST(core.requireReload(engine));
+  BOOST_TEST(core.isDue(engine, true, kNow));
+  core.onOrderSent(engine, kNow);
+  BOOST_TEST(!core.requireReload(engine));
+  BOOST_TEST(!core.isDue(engine, true, kNow + 1h));
+  BOOST_TEST(core.isDue({ .incarnation = 2, .version = 0 }, true, kNow + 1h));
+  core.setWantedVersion(3, kNow);
+  BOOST_TEST(core.isDue(engine, true, kNow + 1h));
+}
+
 // Guards against skipping a version for a newer one, declared 2 to 4 s later, that does not arrive.
 BOOST_AUTO_TEST_CASE(transferIsExpectedByItsProgress)
 {
--- a/libs/weights/src/StagedWeightHost.cpp
+++ b/libs/weights/src/StagedWeightHost.cpp
@@ -1,12 +1,24 @@
 #include "weights/StagedWeightHost.h"
 
 #include <algorithm>
+#include <atomic>
 #include <cstring>
+#include <numeric>
+#include <thread>
 
 namespace boragepitch::weights {
 
 namespace {
 
+using namespace std::chrono_literals;
+
+/** An engine answers a call in under a millisecond. When the calls for all chunks take longer than
+ * this, the VM is busy, and further threads shorten the time between the first and the last. */
+constexpr base::Milliseconds kOneThreadTime = 100ms;
+constexpr size_t kMaxThreads = 8;
+/** Passes over the chunks whose checks became too old during the pass before. */
+constexpr int kMaxPasses = 2;
+
 tl::unexpected<base::Error> notAllocated(const ManifestId& aId)
 {
   return base::fail(base::ErrorKind::NotFound, aId.toString(), "the version was released", "");
@@ -14,8 +26,20 @@
 
 } // namespace
 
-StagedWeightHost::StagedWeightHost(ChunkStaging& aStaging)
+std::vector<uint32_t> ChunkChecks::before(base::TimePoint aSince) const
+{
+  std::vector<uint32_t> chunks;
+  for (uint32_t chunk = 0; chunk < count(); ++chunk) {
+    if (!mCheckedAt[chunk] || *mCheckedAt[chunk] < aSince) {
+      chunks.push_back(chunk);
+    }
+  }
+  return chunks;
+}
+
+StagedWeightHost::StagedWeightHost(ChunkStaging& aStaging, const base::Clock& aClock)
   : mStaging(aStaging)
+  , mClock(aClock)
 {
 }
 
@@ -95,9 +119,67 @@
   return {};
 }
 
-base::Status StagedWeightHost::commit(const Manifest& aManifest)
+base::Status StagedWeightHost::forEach(std::span<const uint32_t> aChunks,
+                                       const ChunkAction& aAction,
+                                       ChunkChecks& aChecks) const
 {
-  for (uint32_t chunk = 0; chunk < aManifest.chunkCount(); ++chunk) {
+  std::atomic<size_t> next{ 0 };
+  std::atomic<bool> hasFailed{ false };
+  std::mutex mutex; // Guards aChecks and result.
+  base::Status result;
+  auto step = [&] {
+    size_t at = next++;
+    if (at >= aChunks.size() || hasFailed) {
+      return false;
+    }
+    auto startedAt = mClock.now();
+    auto status = aAction(aChunks[at]);
+    std::lock_guard lock(mutex);
+    if (status) {
+      aChecks.note(aChunks[at], startedAt);
+    } else if (!hasFailed.exchange(true)) {
+      result = status;
+    }
+    return !hasFailed;
+  };
+  std::vector<std::jthread> helpers;
+  auto beganAt = mClock.now();
+  while (step()) {
+    if (helpers.empty() && mClock.now() - beganAt > kOneThreadTime) {
+      size_t left = aChunks.size() - std::min(next.load(), aChunks.size());
+      for (size_t i = 0; i < std::min(left, kMaxThreads - 1); ++i) {
+        helpers.emplace_back([&step] {
+          while (step()) {
+          }
+        });
+      }
+    }
+  }
+  helpers.clear(); // Joins them.
+  return result;
+}
+
+base::Status StagedWeightHost::verifyStaged(const Manifest& aManifest, uint32_t aChunk) const
+{
+  auto staged = mStaging.chunk(aManifest.model(), aChunk);
+  if (!staged) {
+    return tl::make_unexpected(staged.error());
+  }
+  if (!aManifest.verifies(aChunk, base::asBytes(*staged))) {
+    return base::fail(base::ErrorKind::Corrupt,
+                      aManifest.id().toString() + "/" + std::to_string(aChunk),
+                      "the staged chunk differs from the manifest",
+                      "fetch it again");
+  }
+  return {};
+}
+
+base::Result<ChunkChecks> StagedWeightHost::commit(const Manifest& aManifest)
+{
+  ChunkChecks checks(aManifest.chunkCount());
+  std::vector<uint32_t> chunks(aManifest.chunkCount());
+  std::iota(chunks.begin(), chunks.end(), 0);
+  auto stage = [&](uint32_t aChunk) -> base::Status {
     std::string bytes;
     {
       std::lock_guard lock(mMutex);
@@ -105,28 +187,40 @@
       if (found == mVersions.end()) {
         return notAllocated(aManifest.id());
       }
-      bytes = found->second.chunks[chunk];
+      bytes = found->second.chunks[aChunk];
     }
-    if (!bytes.empty()) {
-      if (auto put = mStaging.putChunk(aManifest.model(), chunk, base::asBytes(bytes)); !put) {
-        return put;
-      }
-      continue;
+    return bytes.empty() ? verifyStaged(aManifest, aChunk)
+                         : mStaging.putChunk(aManifest.model(), aChunk, base::asBytes(bytes));
+  };
+  if (auto staged = forEach(chunks, stage, checks); !staged) {
+    return tl::make_unexpected(staged.error());
+  }
+  std::lock_guard lock(mMutex);
+  mNotStaged.erase(aManifest.id());
+  return checks;
+}
+
+base::Status StagedWeightHost::renewChecks(const Manifest& aManifest,
+                                           ChunkChecks& aChecks,
+                                           base::Duration aMaxAge) const
+{
+  for (int pass = 0; pass <= kMaxPasses; ++pass) {
+    auto outdated = aChecks.before(mClock.now() - aMaxAge);
+    if (outdated.empty()) {
+      return {};
     }
-    auto staged = mStaging.chunk(aManifest.model(), chunk);
-    if (!staged) {
-      return tl::make_unexpected(staged.error());
+    if (pass == kMaxPasses) {
+      break;
     }
-    if (!aManifest.verifies(chunk, base::asBytes(*staged))) {
-      return base::fail(base::ErrorKind::Corrupt,
-                        aManifest.id().toString() + "/" + std::to_string(chunk),
-                        "the staged chunk differs from the manifest",
-                        "fetch it again");
+    auto verify = [&](uint32_t aChunk) { return verifyStaged(aManifest, aChunk); };
+    if (auto verified = forEach(outdated, verify, aChecks); !verified) {
+      return verified;
     }
   }
-  std::lock_guard lock(mMutex);
-  mNotStaged.erase(aManifest.id());
-  return {};
+  return base::fail(base::ErrorKind::Timeout,
+                    aManifest.id().toString(),
+                    "the staging area is too slow to check all chunks shortly before a load",
+                    "retry when the VM is less busy");
 }
 
 size_t StagedWeightHost::memoryBytes() const
--- a/libs/weights/tests/StagedWeightHostTest.cpp
+++ b/libs/weights/tests/StagedWeightHostTest.cpp
@@ -68,7 +68,8 @@
 BOOST_AUTO_TEST_CASE(transferKeepsTheStagedVersion)
 {
   FakeStaging staging;
-  StagedWeightHost host(staging);
+  base::SteadyClock clock;
+  StagedWeightHost host(staging, clock);
   auto one = manifestOf("1", "aaaabbbb");
   auto two = manifestOf("2", "ccccdddd");
   fill(host, one, "aaaabbbb");
@@ -84,9 +85,10 @@
 BOOST_AUTO_TEST_CASE(commitRepairsOrRejectsCorruptChunks)
 {
   FakeStaging staging;
+  base::SteadyClock clock;
   auto one = manifestOf("1", "aaaabbbb");
   {
-    StagedWeightHost host(staging);
+    StagedWeightHost host(staging, clock);
     fill(host, one, "aaaabbbb");
     BOOST_REQUIRE(host.commit(one).has_value());
     staging.chunks[1] = "bbxb";
@@ -94,7 +96,7 @@
     BOOST_TEST(staged(staging) == "aaaabbbb");
   }
   // A restarted process has no chunks in memory: the staged chunks are used once verified.
-  StagedWeightHost host(staging);
+  StagedWeightHost host(staging, clock);
   BOOST_REQUIRE(host.allocate(one).has_value());
   BOOST_TEST(host.commit(one).has_value());
   staging.chunks[1] = "bbxb";
@@ -107,7 +109,8 @@
 BOOST_AUTO_TEST_CASE(newVersionsAreNotReadFromTheStagingArea)
 {
   FakeStaging staging;
-  StagedWeightHost host(staging);
+  base::SteadyClock clock;
+  StagedWeightHost host(staging, clock);
   auto two = manifestOf("2", "ccccdddd");
   host.noteNotStaged(two.id());
   BOOST_TEST(!host.mayHold(two.id()));
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -92,7 +92,8 @@
   , mMetrics(aMetrics)
   , mLog(aLog)
   , mRng(mOptions.seed)
-  , mStaging(aEngine)
+  , mStaging(aEngine, mClock)
+  , mOrder(aEngine, mStaging, mClock)
 {
 }
 
@@ -213,10 +214,7 @@
   rollout::EngineWeights engine{ report->load.startTimeMs,
                                  report->load.weightVersion,
                                  report->load.isSwitching };
-  if (mSwitching && engine.version >= mSwitch.wantedVersion() && !engine.isBusy) {
-    mSwitching = false;
-    log("weights_loaded", { { "version", std::to_string(engine.version) } });
-  }
+  settleOrder(engine, aNow);
   if (!newestStaged) {
     return;
   }
@@ -234,7 +232,7 @@
   bool staged = newestStagedVersion == mSwitch.wantedVersion();
   mSwitchesSoon = !isNewerArriving && mSwitch.isDueWithin(engine, staged, kSwitchNoticeTime, aNow);
   if (!isNewerArriving && mSwitch.isDue(engine, staged, aNow)) {
-    sendLoadOrder(*newestStaged, newestStagedVersion, aNow);
+    sendLoadOrder(newestStaged, newestStagedVersion, aNow);
   }
 }
 
@@ -421,15 +419,45 @@
   }
 }
 
-void WeightLoader::sendLoadOrder(const weights::Manifest& aManifest,
+void WeightLoader::settleOrder(const rollout::EngineWeights& aEngine, base::TimePoint aNow)
+{
+  if (!mSwitching || aEngine.isBusy) {
+    return;
+  }
+  switch (mOrder.prove(aEngine)) {
+    case LoadProof::Proven:
+      if (aEngine.version >= mSwitch.wantedVersion()) {
+        mSwitching = false;
+        log("weights_loaded", { { "version", std::to_string(aEngine.version) } });
+      }
+      break;
+    case LoadProof::Pending:
+      if (mOrder.isLost(aEngine, aNow)) {
+        mSwitching = false;
+        log("order_lost", { { "version", std::to_string(mSwitch.wantedVersion()) } });
+      }
+      break;
+    case LoadProof::Rejected:
+      // The engine takes no requests until it has loaded these weights again or a newer version.
+      if (mSwitch.requireReload(aEngine)) {
+        log("load_rejected", { { "version", std::to_string(aEngine.version) } });
+        mDistributor->invalidateHost();
+      }
+      break;
+  }
+}
+
+void WeightLoader::sendLoadOrder(const std::shared_ptr<const weights::Manifest>& aManifest,
                                  uint64_t aVersion,
                                  base::TimePoint aNow)
 {
-  // Staged chunks may become corrupt at any time, so all are written or verified just before the
-  // load order.
-  if (auto staged = mStaging.commit(aManifest); !staged) {
-    log("staging_failed", { { "error", staged.error().describe() } });
+  auto stagingFailed = [this](const base::Error& aError) {
+    log("staging_failed", { { "error", aError.describe() } });
+    mSwitching = mOrder.isRejected();
     mDistributor->invalidateHost();
+  };
+  if (auto staged = mOrder.stage(aManifest, aVersion); !staged) {
+    stagingFailed(staged.error());
     return;
   }
   mSwitching = true;
@@ -441,16 +469,22 @@
     rollout::chooseStreamHandling(setup && setup->mayMoveStreams, mFleet.rank().second);
   auto report = drain(streams);
   if (!report) {
-    mSwitching = false;
+    mSwitching = mOrder.isRejected();
     log("engine_silent", { { "error", report.error().describe() } });
     return;
   }
+  // Writing the chunks and the drain take time, and the VM may have been suspended meanwhile.
+  if (auto renewed = mOrder.renewChecks(); !renewed) {
+    if (renewed.error().kind != base::ErrorKind::Timeout) {
+      stagingFailed(renewed.error());
+      return;
+    }
+    // The engine then takes requests once the chunks have been checked after the load.
+    log("checks_too_slow", { { "error", renewed.error().describe() } });
+  }
   bool move = streams == rollout::StreamHandling::Move;
-  auto answer =
-    mEngine.orderLoad(aManifest.model(),
-                      aVersion,
-                      report->orderCount,
-                      move ? platform::RunningRequests::Stop : platform::RunningRequests::Finish);
+  auto answer = mOrder.send(
+    *report, move ? platform::RunningRequests::Stop : platform::RunningRequests::Finish);
   bool begun = answer && *answer != platform::OrderAnswer::Refused;
   log("order",
       { { "version", std::to_string(aVersion) },
@@ -466,7 +500,7 @@
   if (begun || !answer) {
     mSwitch.onOrderSent({ report->load.startTimeMs, report->load.weightVersion, true }, aNow);
   }
-  mSwitching = begun;
+  mSwitching = begun || !answer || mOrder.isRejected();
 }
 
 } // namespace boragepitch::tools
--- a/tools/loader/WeightLoader.h
+++ b/tools/loader/WeightLoader.h
@@ -11,6 +11,7 @@
 #include <thread>
 #include <vector>
 
+#include "LoadOrder.h"
 #include "LoaderFleet.h"
 #include "WeightTableListener.h"
 #include "base/Rng.h"
@@ -69,7 +70,8 @@
   void stop();
   /** Takes the latest report of the engine; called on the thread of the LoadReporter. */
   void onReport(const platform::EngineReport& aReport, base::TimePoint aNow);
-  /** True from just before a load order until it failed or the engine reports the new version. */
+  /** True from just before a load order until it failed or the engine holds the new version and its
+   * chunks are known to have been sound. */
   bool isSwitching() const { return mSwitching; }
   /** True if a load order is due shortly, so that entries prefer other endpoints. */
   bool switchesSoon() const { return mSwitchesSoon; }
@@ -106,7 +108,12 @@
   /** Removes versions that entries will not use any more once they are loaded. */
   void dropOutdatedTargets(std::vector<WeightTarget>& aTargets, base::TimePoint aNow) const;
   void dropObsoleteManifests(const std::vector<WeightTarget>& aTargets);
-  void sendLoadOrder(const weights::Manifest& aManifest, uint64_t aVersion, base::TimePoint aNow);
+  void sendLoadOrder(const std::shared_ptr<const weights::Manifest>& aManifest,
+                     uint64_t aVersion,
+                     base::TimePoint aNow);
+  /** Ends the switch once the engine holds the wanted version and its load is proven; has weights
+   * loaded again that may be corrupt. */
+  void settleOrder(const rollout::EngineWeights& aEngine, base::TimePoint aNow);
   /** Waits until the engine's streams may be interrupted; only for the announcement if the streams
    * are to finish.
    * @return the engine's latest report. */
@@ -120,6 +127,7 @@
   telemetry::Registry& mMetrics;
   telemetry::EventLog& mLog;
   base::Rng mRng;
+  base::SteadyClock mClock;
   weights::StagedWeightHost mStaging;
   ManifestCache mManifests;
   std::function<void()> mAnnounce;
@@ -142,6 +150,7 @@
   std::set<weights::ManifestId> mEverWanted;         ///< All manifests that were ever wanted.
   bool mHasWantedManifests = false; ///< Some manifest has been wanted since the process started.
   rollout::SwitchCore mSwitch;
+  LoadOrder mOrder;
   uint64_t mEngineStartTimeMs = 0;
   std::thread mThread;
 };
