--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -384,6 +384,7 @@
 {
   mHead = aHead;
   auto now = std::chrono::steady_clock::now();
+  mCore.recordLife(*mEndpoint, mExchange->connectionOpenedAt(), now);
   recordEndpointState(aHead, now);
   recordLimit(aHead, now);
   if (aHead.status / 100 != 2) {
@@ -406,6 +407,7 @@
     mBody += aBytes;
     return;
   }
+  mCore.recordLife(*mEndpoint, mExchange->connectionOpenedAt(), now);
   mSplitter.feed(aBytes);
   while (mExchange) {
     auto event = mSplitter.next();
@@ -536,10 +538,9 @@
     return;
   }
   if (aEnd == ExchangeEnd::CutShort && mSendEvents < kEventsPastBeginning) {
-    mCore.reportCrash({ mFingerprint,
-                        mEndpoint->record.id + "/" + std::to_string(mEndpoint->record.startTimeMs),
-                        mCore.quarantine.unproved(mFacts.sharedParts, now) },
-                      now);
+    mCore.reportCrash(
+      { mFingerprint, mEndpoint->crashKey(), mCore.quarantine.unproved(mFacts.sharedParts, now) },
+      now);
   }
   sendFailed({ Outcome::Broken, true, std::string(toString(aEnd)) }, now);
 }
@@ -558,7 +559,7 @@
     return;
   }
   endSend(Outcome::Success, aNow);
-  mCore.suspects.recordCompletion(mFingerprint, aNow);
+  mCore.recordCompletion(mFingerprint, aNow);
   if (!mIsStream || mSendEvents > 0) {
     mCore.quarantine.recordProof(mFacts.sharedParts, mIsStream ? mSendBegunAt : mSentAt);
   }
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -116,6 +116,7 @@
   if (!wasQuarantined && suspects.isQuarantined(aEvidence.fingerprint, aNow)) {
     logQuarantine(aEvidence.fingerprint, "crash", aNow);
   }
+  reportedCrashes.add(aEvidence, aNow);
   auto parts = quarantine.recordCrash(aEvidence, aNow);
   log.write(telemetry::EventClass::Refused,
             "crash_evidence",
@@ -129,6 +130,44 @@
   return true;
 }
 
+void Core::recordLife(const serving::Endpoint& aEndpoint,
+                      base::TimePoint aOpenedAt,
+                      base::TimePoint aNow)
+{
+  if (reportedCrashes.isEmpty()) {
+    return;
+  }
+  for (serving::CrashEvidence& evidence :
+       reportedCrashes.refute(aEndpoint.crashKey(), aOpenedAt, aNow)) {
+    retractCrash(evidence, "answer", aNow);
+    evidence.parts.clear();
+    broadcast(serving::CrashRefutation{ std::move(evidence) });
+  }
+}
+
+void Core::retractCrash(const serving::CrashEvidence& aEvidence,
+                        std::string_view aSource,
+                        base::TimePoint aNow)
+{
+  reportedCrashes.remove(aEvidence);
+  suspects.retract(aEvidence, aNow);
+  auto ended = quarantine.retract(aEvidence, aNow);
+  log.write(telemetry::EventClass::Refused,
+            "crash_refuted",
+            { { "endpoint", aEvidence.endpoint },
+              { "fingerprint", std::to_string(aEvidence.fingerprint) },
+              { "from", std::string(aSource) },
+              { "released", listOf(ended) } },
+            aNow);
+}
+
+void Core::recordCompletion(uint64_t aFingerprint, base::TimePoint aNow)
+{
+  if (suspects.recordCompletion(aFingerprint, aNow)) {
+    broadcast(serving::RequestNotice{ {}, { aFingerprint } });
+  }
+}
+
 void Core::setTrialDelay(std::span<const serving::EntryIdentity> aOthers)
 {
   auto earlier = std::count_if(
@@ -156,7 +195,7 @@
   }
   auto requests = suspects.quarantined(serving::kMaxQuarantinedRequestsOfNotice, aNow);
   if (!requests.empty()) {
-    notices.emplace_back(serving::RequestNotice{ std::move(requests) });
+    notices.emplace_back(serving::RequestNotice{ std::move(requests), {} });
   }
   return notices;
 }
@@ -179,6 +218,9 @@
 
 void Core::applyNotice(const serving::RequestNotice& aNotice, base::TimePoint aNow)
 {
+  for (uint64_t fingerprint : aNotice.completed) {
+    suspects.recordCompletion(fingerprint, aNow);
+  }
   for (const serving::QuarantinedRequest& told : aNotice.quarantined) {
     if (suspects.adopt(told, aNow)) {
       logQuarantine(told.fingerprint, "peer", aNow);
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -16,6 +16,7 @@
 #include "serving/GracefulStop.h"
 #include "serving/PartQuarantine.h"
 #include "serving/PeerMessage.h"
+#include "serving/ReportedCrashes.h"
 #include "serving/VersionSchedule.h"
 
 namespace boragepitch::relay {
@@ -72,6 +73,18 @@
   void reportCrash(const serving::CrashEvidence& aEvidence, base::TimePoint aNow);
   /** Records evidence of this or another entry. Returns true when it is new. */
   bool recordCrash(const serving::CrashEvidence& aEvidence, base::TimePoint aNow);
+  /** Withdraws the crash reports that an answer of the endpoint refutes, here and at the other
+   * entries. Parameters as of ReportedCrashes::refute(). */
+  void recordLife(const serving::Endpoint& aEndpoint,
+                  base::TimePoint aOpenedAt,
+                  base::TimePoint aNow);
+  /** Withdraws a crash report.
+   * @param aSource "answer" if this entry refuted it, "peer" if another one did. */
+  void retractCrash(const serving::CrashEvidence& aEvidence,
+                    std::string_view aSource,
+                    base::TimePoint aNow);
+  /** Records that a request completed; the other entries are told if it was under suspicion. */
+  void recordCompletion(uint64_t aFingerprint, base::TimePoint aNow);
   /** Lets entries try parts whose quarantine has ended one after another. */
   void setTrialDelay(std::span<const serving::EntryIdentity> aOthers);
   /** Tells a few other entries which requests and parts of prompts are in quarantine. */
@@ -107,6 +120,7 @@
   serving::EndpointSet endpoints;
   serving::SharedRetryBudget retryBudget;
   serving::CrashSuspects suspects;
+  serving::ReportedCrashes reportedCrashes;
   serving::PartQuarantine quarantine;
   std::map<std::string, serving::VersionSchedule, std::less<>> versions; ///< By model.
   std::optional<base::TimePoint> listConfirmedAt; ///< When the endpoint list was last confirmed.
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -343,6 +343,8 @@
       mCore.applyNotice(*notice, mSender, now);
     } else if (auto* requests = std::get_if<serving::RequestNotice>(&*message)) {
       mCore.applyNotice(*requests, now);
+    } else if (auto* refutation = std::get_if<serving::CrashRefutation>(&*message)) {
+      mCore.retractCrash(refutation->evidence, "peer", now);
     }
   }
 
--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -221,6 +221,7 @@
       self->finish(ExchangeEnd::ConnectFailed);
       return;
     }
+    self->mConnection->openedAt = std::chrono::steady_clock::now();
     ErrorCode ignored; // Without these options small writes are only delayed.
     self->mConnection->socket.set_option(Tcp::no_delay(true), ignored);
     self->mConnection->socket.non_blocking(true, ignored);
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -25,6 +25,7 @@
   }
   Tcp::socket socket;
   beast::flat_buffer buffer;
+  base::TimePoint openedAt;
   base::TimePoint usableUntil; ///< While idle: the endpoint may close the connection after this.
   base::TimePoint idleSince;
 
@@ -165,6 +166,8 @@
   bool isPaused() const { return mPaused; }
   bool isConnecting() const { return mState == State::Connecting; }
   bool isNewConnection() const { return mIsNew; }
+  /** When the connection of the exchange was opened; call it before the end only. */
+  base::TimePoint connectionOpenedAt() const { return mConnection->openedAt; }
 
 private:
   enum class State
--- a/libs/serving/include/serving/CrashSuspects.h
+++ b/libs/serving/include/serving/CrashSuspects.h
@@ -43,8 +43,11 @@
 
   /** Returns true when the evidence is new. */
   bool record(const CrashEvidence& aEvidence, base::TimePoint aNow);
-  /** Records that a request completed without a crash: earlier crashes no longer count. */
-  void recordCompletion(uint64_t aFingerprint, base::TimePoint aNow);
+  /** Records that a request completed without a crash: earlier crashes no longer count.
+   * @return true if there were any, so that other processes may count them, too. */
+  bool recordCompletion(uint64_t aFingerprint, base::TimePoint aNow);
+  /** Withdraws evidence of an endpoint that did not crash. A quarantine that rests on it ends. */
+  void retract(const CrashEvidence& aEvidence, base::TimePoint aNow);
   /** Takes over the quarantine of another process, unless the request has completed here since.
    * Returns true when the request was not in quarantine before. */
   bool adopt(const QuarantinedRequest& aTold, base::TimePoint aNow);
@@ -60,7 +63,7 @@
     std::set<std::string> crashedEndpoints;
     bool isAdopted = false; ///< Another process holds the request in quarantine.
     base::TimePoint updatedAt;
-    std::optional<base::TimePoint> completedAt; ///< Last run without a crash.
+    std::optional<base::TimePoint> clearedAt; ///< Older evidence of others does not count.
   };
 
   Record& recordOf(uint64_t aFingerprint, base::TimePoint aNow);
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -150,6 +150,8 @@
   std::vector<base::TimePoint> recentSends; ///< Times of the sends within the last second.
 
   bool isCold(base::TimePoint aNow) const { return aNow < coldUntil; }
+  /** Id and start time: names this start of the endpoint in crash reports. */
+  std::string crashKey() const { return record.id + "/" + std::to_string(record.startTimeMs); }
   /** Latest known version of its weights; 0 when it holds none. */
   uint64_t weightVersion() const;
 };
--- a/libs/serving/include/serving/PartQuarantine.h
+++ b/libs/serving/include/serving/PartQuarantine.h
@@ -77,6 +77,9 @@
   void recordProof(std::span<const PromptPart> aParts, base::TimePoint aBegunAt);
   /** Records a crash. Returns the parts that it puts into quarantine together. */
   std::vector<PromptPart> recordCrash(const CrashEvidence& aEvidence, base::TimePoint aNow);
+  /** Withdraws evidence of an endpoint that did not crash. Ends the quarantines that do not hold
+   * without it and returns their parts. */
+  std::vector<PromptPart> retract(const CrashEvidence& aEvidence, base::TimePoint aNow);
   /** Takes over the quarantine of another process without the parts that newer proofs of this
    * process contradict, and returns those. */
   std::vector<PromptPart> adopt(const QuarantinedParts& aTold, base::TimePoint aNow);
@@ -115,6 +118,13 @@
     base::TimePoint until;
     uint32_t count = 1;           ///< Number of quarantines of these parts so far.
     base::TimePoint trialUntil{}; ///< One request was let through after the end.
+    std::string renewedBy;        ///< Endpoint whose single crash renewed it.
+  };
+  /** A quarantine that ended because its evidence was wrong; others may still tell of it. */
+  struct Retracted
+  {
+    std::vector<PromptPart> parts;
+    base::TimePoint at;
   };
 
   Record& recordOf(PromptPart aPart, base::TimePoint aNow);
@@ -127,6 +137,8 @@
   void renew(Quarantine& aQuarantine, base::TimePoint aNow) const;
   /** Takes a part that is proved harmless out of the quarantines that rest on earlier crashes. */
   void exculpate(PromptPart aPart, base::TimePoint aBegunAt);
+  /** Whether the crashes of one of the parts suffice for the quarantine. */
+  bool holds(const Quarantine& aQuarantine) const;
   void add(Quarantine aQuarantine);
   void prune(base::TimePoint aNow);
 
@@ -135,6 +147,7 @@
   base::TimePoint mPrunedAt;
   std::map<PromptPart, Record> mRecords;
   std::vector<Quarantine> mQuarantines; ///< In force, and past ones that make parts suspect.
+  std::vector<Retracted> mRetracted;    ///< Oldest first.
   size_t mNextTold = 0;                 ///< Index into mQuarantines.
 };
 
--- a/libs/serving/include/serving/PeerMessage.h
+++ b/libs/serving/include/serving/PeerMessage.h
@@ -33,10 +33,18 @@
   std::vector<PromptPart> proved;
 };
 
-/** An entry tells others which requests it holds in quarantine. */
+/** An entry tells others which requests it holds in quarantine, and which suspected ones have been
+ * completed without a crash. */
 struct RequestNotice
 {
   std::vector<QuarantinedRequest> quarantined;
+  std::vector<uint64_t> completed; ///< Fingerprints.
+};
+
+/** An entry tells others that the endpoint of a crash report did not crash. */
+struct CrashRefutation
+{
+  CrashEvidence evidence; ///< Without parts.
 };
 
 /** Requests in quarantine that fit into a notice. */
@@ -48,7 +56,8 @@
 /** Payload of one datagram between processes. A lost load report is superseded by the next one;
  * crash evidence and notices are sent more than once. A list that would not fit into a datagram is
  * cut. */
-using PeerMessage = std::variant<LoadReport, CrashEvidence, EntryNotice, PartNotice, RequestNotice>;
+using PeerMessage =
+  std::variant<LoadReport, CrashEvidence, EntryNotice, PartNotice, RequestNotice, CrashRefutation>;
 
 std::string encode(const PeerMessage& aMessage);
 /** Parses a datagram; ErrorKind::Invalid when it is not a well-formed message. */
--- a/libs/serving/src/CrashSuspects.cpp
+++ b/libs/serving/src/CrashSuspects.cpp
@@ -38,12 +38,30 @@
   return record.crashedEndpoints.insert(aEvidence.endpoint).second;
 }
 
-void CrashSuspects::recordCompletion(uint64_t aFingerprint, base::TimePoint aNow)
+bool CrashSuspects::recordCompletion(uint64_t aFingerprint, base::TimePoint aNow)
 {
   // Requests without a record are not remembered: nearly all complete, and none is suspected.
   auto found = mRecords.find(aFingerprint);
-  if (found != mRecords.end()) {
-    found->second = { {}, false, aNow, aNow };
+  if (found == mRecords.end()) {
+    return false;
+  }
+  bool wasSuspected = found->second.isAdopted || !found->second.crashedEndpoints.empty();
+  found->second = { {}, false, aNow, aNow };
+  return wasSuspected;
+}
+
+void CrashSuspects::retract(const CrashEvidence& aEvidence, base::TimePoint aNow)
+{
+  auto found = mRecords.find(aEvidence.fingerprint);
+  if (found == mRecords.end()) {
+    return;
+  }
+  Record& record = found->second;
+  record.crashedEndpoints.erase(aEvidence.endpoint);
+  if (record.crashedEndpoints.size() < kCrashesToQuarantine) {
+    // A quarantine that others tell of rests on the same evidence.
+    record.isAdopted = false;
+    record.clearedAt = aNow;
   }
 }
 
@@ -54,7 +72,7 @@
     return false;
   }
   Record& record = recordOf(aTold.fingerprint, aNow);
-  if (record.completedAt && *record.completedAt >= evidenceAt) {
+  if (record.clearedAt && *record.clearedAt >= evidenceAt) {
     return false;
   }
   record.isAdopted = true;
--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr base::Milliseconds kPruneInterval{ 1000 };
+/** Retracted quarantines that are remembered. */
+constexpr size_t kMaxRetracted = 64;
 
 std::vector<PromptPart> sorted(std::span<const PromptPart> aParts)
 {
@@ -88,6 +90,7 @@
     // Parts that were quarantined before and crash an endpoint again are suspected at once.
     if (containsAll(suspects, quarantine.parts)) {
       renew(quarantine, aNow);
+      quarantine.renewedBy = aEvidence.endpoint;
       return quarantine.parts;
     }
   }
@@ -98,6 +101,62 @@
   return convicted;
 }
 
+std::vector<PromptPart> PartQuarantine::retract(const CrashEvidence& aEvidence,
+                                                base::TimePoint aNow)
+{
+  std::set<PromptPart> cleared;
+  for (auto& [part, record] : mRecords) {
+    auto erased = std::erase_if(record.crashes, [&](const Crash& aCrash) {
+      return aCrash.endpoint == aEvidence.endpoint && aCrash.fingerprint == aEvidence.fingerprint;
+    });
+    if (erased > 0) {
+      cleared.insert(part);
+    }
+  }
+  std::vector<PromptPart> ended;
+  std::erase_if(mQuarantines, [&](Quarantine& aQuarantine) {
+    if (aNow >= aQuarantine.until) {
+      return false;
+    }
+    if (aQuarantine.renewedBy == aEvidence.endpoint) {
+      // The evidence of the quarantine before stands; that one had ended.
+      aQuarantine.renewedBy.clear();
+      aQuarantine.until = aNow;
+      --aQuarantine.count;
+      ended.insert(ended.end(), aQuarantine.parts.begin(), aQuarantine.parts.end());
+      return false;
+    }
+    bool rests = std::any_of(aQuarantine.parts.begin(),
+                             aQuarantine.parts.end(),
+                             [&](PromptPart aPart) { return cleared.contains(aPart); });
+    if (!rests || holds(aQuarantine)) {
+      return false;
+    }
+    for (PromptPart part : aQuarantine.parts) {
+      if (auto found = mRecords.find(part); found != mRecords.end()) {
+        for (Crash& crash : found->second.crashes) {
+          crash.isExplained = false;
+        }
+      }
+    }
+    if (mRetracted.size() >= kMaxRetracted) {
+      mRetracted.erase(mRetracted.begin());
+    }
+    mRetracted.push_back({ aQuarantine.parts, aNow });
+    ended.insert(ended.end(), aQuarantine.parts.begin(), aQuarantine.parts.end());
+    return true;
+  });
+  return ended;
+}
+
+bool PartQuarantine::holds(const Quarantine& aQuarantine) const
+{
+  return std::any_of(aQuarantine.parts.begin(), aQuarantine.parts.end(), [&](PromptPart aPart) {
+    auto found = mRecords.find(aPart);
+    return found != mRecords.end() && isConvicted(found->second, mOptions.crashes, true);
+  });
+}
+
 std::vector<PromptPart> PartQuarantine::convict(const CrashEvidence& aEvidence,
                                                 base::TimePoint aNow)
 {
@@ -229,6 +288,13 @@
   Quarantine told{ sorted(aTold.parts),
                    since,
                    aNow + base::Duration(std::min(aTold.left, mOptions.maxDuration)) };
+  bool isRetracted =
+    std::any_of(mRetracted.begin(), mRetracted.end(), [&](const Retracted& aRetracted) {
+      return aRetracted.parts == told.parts && since <= aRetracted.at;
+    });
+  if (isRetracted) {
+    return contradicted;
+  }
   std::erase_if(told.parts, [&](PromptPart aPart) {
     bool isProved = provedAt(aPart) > since;
     if (isProved) {
--- a/libs/serving/src/PeerMessage.cpp
+++ b/libs/serving/src/PeerMessage.cpp
@@ -54,6 +54,14 @@
   return json;
 }
 
+Json::Value toJson(const CrashRefutation& aRefutation)
+{
+  Json::Value json = toJson(aRefutation.evidence);
+  json["kind"] = "refutation";
+  json.removeMember("parts");
+  return json;
+}
+
 Json::Value toJson(const PartNotice& aNotice)
 {
   Json::Value json;
@@ -89,6 +97,12 @@
     row["age"] = Json::Int64{ request.evidenceAge.count() };
     json["quarantined"].append(std::move(row));
   }
+  for (uint64_t fingerprint : aNotice.completed) {
+    if (json["completed"].size() >= kMaxQuarantinedRequestsOfNotice) {
+      break; // Their quarantines end at the next completion.
+    }
+    json["completed"].append(std::to_string(fingerprint));
+  }
   return json;
 }
 
@@ -196,10 +210,16 @@
         { std::strtoull(fingerprint->c_str(), nullptr, 10), base::Milliseconds(*age) });
     }
   }
+  const Json::Value& completed = aJson["completed"];
+  for (const Json::Value& row : completed.isArray() ? completed : Json::Value(Json::arrayValue)) {
+    if (row.isString() && notice.completed.size() < kMaxQuarantinedRequestsOfNotice) {
+      notice.completed.push_back(std::strtoull(row.asCString(), nullptr, 10));
+    }
+  }
   return PeerMessage(notice);
 }
 
-base::Result<PeerMessage> crashFrom(const Json::Value& aJson)
+base::Result<CrashEvidence> crashFrom(const Json::Value& aJson)
 {
   auto fingerprint = base::requireString(aJson, "fingerprint");
   auto endpoint = base::requireString(aJson, "endpoint");
@@ -210,7 +230,7 @@
   evidence.fingerprint = std::strtoull(fingerprint->c_str(), nullptr, 10);
   evidence.endpoint = *endpoint;
   evidence.parts = partsFrom(aJson["parts"]);
-  return PeerMessage(evidence);
+  return evidence;
 }
 
 base::Result<PeerMessage> noticeFrom(const Json::Value& aJson)
@@ -254,8 +274,13 @@
   if (kind == "load") {
     return loadFrom(*json);
   }
-  if (kind == "crash") {
-    return crashFrom(*json);
+  if (kind == "crash" || kind == "refutation") {
+    auto evidence = crashFrom(*json);
+    if (!evidence) {
+      return tl::make_unexpected(evidence.error());
+    }
+    return kind == "crash" ? PeerMessage(std::move(*evidence))
+                           : PeerMessage(CrashRefutation{ std::move(*evidence) });
   }
   if (kind == "parts") {
     return partNoticeFrom(*json);
--- a/libs/serving/tests/OddMessagesTest.cpp
+++ b/libs/serving/tests/OddMessagesTest.cpp
@@ -15,7 +15,8 @@
          R"("memory":0.5,"weights":2,"switching":true,"soon":false})",
          R"({"kind":"crash","fingerprint":"9","endpoint":"i-1","parts":["1","2"]})",
          R"({"kind":"parts","quarantined":[{"parts":["3","4"],"age":5,"left":6}],"proved":["1"]})",
-         R"({"kind":"requests","quarantined":[{"fingerprint":"9","age":5}]})",
+         R"({"kind":"requests","quarantined":[{"fingerprint":"9","age":5}],"completed":["7"]})",
+         R"({"kind":"refutation","fingerprint":"9","endpoint":"i-1"})",
          R"({"kind":"entry","name":"e","region":"north","address":"10.0.0.9:80",)"
          R"("weights":{"m":2}})" }) {
     BOOST_REQUIRE(decode(sound).has_value());
