--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -5,6 +5,7 @@
 #include <span>
 
 #include "CallerSession.h"
+#include "serving/Fragments.h"
 
 namespace boragepitch::relay {
 
@@ -203,8 +204,7 @@
 void Core::tellQuarantine(const asio::ip::udp::endpoint& aReceiver, base::TimePoint aNow)
 {
   for (const serving::PeerMessage& notice : quarantineNotices(aNow)) {
-    ErrorCode ignored; // The notices of the next rounds reach the entry as well.
-    peerSocket.send_to(asio::buffer(serving::encode(notice)), aReceiver, 0, ignored);
+    sendTo(datagramsOf(notice), aReceiver);
   }
 }
 
@@ -235,13 +235,33 @@
   }
 }
 
-void Core::sendToSome(const serving::PeerMessage& aMessage)
+std::vector<std::string> Core::datagramsOf(const serving::PeerMessage& aMessage)
 {
   std::string text = serving::encode(aMessage);
+  auto datagrams = serving::split(text, ++sentMessages);
+  if (datagrams.empty()) {
+    log.write(telemetry::EventClass::Critical,
+              "message_too_long",
+              { { "bytes", std::to_string(text.size()) } },
+              std::chrono::steady_clock::now());
+  }
+  return datagrams;
+}
+
+void Core::sendTo(const std::vector<std::string>& aDatagrams,
+                  const asio::ip::udp::endpoint& aReceiver)
+{
+  for (const std::string& datagram : aDatagrams) {
+    ErrorCode ignored; // Further copies and the notices of the next rounds reach the entry as well.
+    peerSocket.send_to(asio::buffer(datagram), aReceiver, 0, ignored);
+  }
+}
+
+void Core::sendToSome(const serving::PeerMessage& aMessage)
+{
+  auto datagrams = datagramsOf(aMessage);
   for (size_t i = 0; i < std::min(kQuarantineFanOut, peers.size()); ++i) {
-    ErrorCode ignored; // The next round tells other entries.
-    peerSocket.send_to(
-      asio::buffer(text), peers[base::uniformBelow(rng, peers.size())], 0, ignored);
+    sendTo(datagrams, peers[base::uniformBelow(rng, peers.size())]);
   }
 }
 
@@ -280,11 +300,10 @@
 
 void Core::broadcast(const serving::PeerMessage& aMessage)
 {
-  std::string text = serving::encode(aMessage);
+  auto datagrams = datagramsOf(aMessage);
   for (const auto& peer : peers) {
     for (int copy = 0; copy < kBroadcastCopies; ++copy) {
-      ErrorCode ignored; // An unreachable peer still records the crashes that it sees itself.
-      peerSocket.send_to(asio::buffer(text), peer, 0, ignored);
+      sendTo(datagrams, peer);
     }
   }
 }
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -101,6 +101,9 @@
   void tellQuarantine(const asio::ip::udp::endpoint& aReceiver, base::TimePoint aNow);
   /** The notices that name what is in quarantine; empty when nothing is. */
   std::vector<serving::PeerMessage> quarantineNotices(base::TimePoint aNow);
+  /** The datagrams of a message. */
+  std::vector<std::string> datagramsOf(const serving::PeerMessage& aMessage);
+  void sendTo(const std::vector<std::string>& aDatagrams, const asio::ip::udp::endpoint& aReceiver);
   /** Sends to a few other entries, chosen at random. */
   void sendToSome(const serving::PeerMessage& aMessage);
   /** Sends to the other entries, several times, since a datagram may be lost. */
@@ -128,6 +131,10 @@
   std::unordered_set<std::shared_ptr<CallerSession>> sessions; ///< All open sessions.
   asio::ip::udp::socket peerSocket{ io };
   std::vector<asio::ip::udp::endpoint> peers;
+  /** Numbers the messages for MessageAssembler; starts with the time, as a former start may have
+   * used other numbers shortly before. */
+  uint64_t sentMessages =
+    static_cast<uint64_t>(std::chrono::steady_clock::now().time_since_epoch().count());
 };
 
 } // namespace boragepitch::relay
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -5,6 +5,7 @@
 
 #include "CallerSession.h"
 #include "Core.h"
+#include "serving/Fragments.h"
 
 namespace boragepitch::relay {
 
@@ -16,7 +17,6 @@
 constexpr base::Milliseconds kTickInterval = 50ms;
 /** Interval of housekeeping: idle connections are closed, the quarantine is told to others. */
 constexpr base::Milliseconds kHousekeepingInterval = 1000ms;
-constexpr size_t kMaxDatagramBytes = 2048;
 constexpr int kListenBacklog = 512;
 
 Tcp::endpoint endpointOf(const net::Address& aAddress)
@@ -330,7 +330,11 @@
   void handleDatagram(std::string_view aText)
   {
     auto now = std::chrono::steady_clock::now();
-    auto message = serving::decode(aText);
+    auto text = mAssembler.add(aText, mSender.address().to_string(), now);
+    if (!text) {
+      return; // The other datagrams of the message are still to come.
+    }
+    auto message = serving::decode(*text);
     if (!message) {
       logState("datagram_invalid", { { "error", message.error().describe() } });
       return;
@@ -404,7 +408,8 @@
   Tcp::acceptor mMetricsAcceptor{ mCore.io };
   asio::steady_timer mTimer{ mCore.io };
   base::TimePoint mHousekeepingAt;
-  std::array<char, kMaxDatagramBytes> mDatagram{};
+  std::array<char, serving::kMaxDatagramBytes> mDatagram{};
+  serving::MessageAssembler mAssembler;
   asio::ip::udp::endpoint mSender;
   bool mHasAskedPeers = false; ///< Other entries were asked for their quarantine after the start.
   const StatusSession::Answer mReadinessAnswer = [this](std::string_view aTarget) {
--- a/libs/serving/include/serving/PartQuarantine.h
+++ b/libs/serving/include/serving/PartQuarantine.h
@@ -42,13 +42,11 @@
   /** Time for which a proof is remembered: against the quarantine of another process, and to tell
    * the parts of a request apart. */
   base::Milliseconds proofMemory{ 10000 };
-  size_t maxParts = 8192;      ///< Parts whose crashes and proofs are remembered.
+  /** Parts whose crashes and proofs are remembered; about 10 MB. */
+  size_t maxParts = 65536;
   size_t maxQuarantines = 512; ///< Quarantines remembered.
 };
 
-/** Parts of one quarantine at most, so that it fits into a datagram. */
-inline constexpr size_t kMaxQuarantinedTogether = 8;
-
 /** A quarantine, as processes tell each other. It stops the requests that contain all its parts. */
 struct QuarantinedParts
 {
@@ -92,8 +90,8 @@
   bool admit(std::span<const PromptPart> aParts, base::TimePoint aNow);
   /** Returns true if a request with these parts that was admitted is to be stopped. */
   bool isQuarantined(std::span<const PromptPart> aParts, base::TimePoint aNow) const;
-  /** The quarantines in force, with at most aMaxParts parts in all; further calls continue with the
-   * others, so that each is told. */
+  /** The quarantines in force, with at most aMaxParts parts in all, but at least one; further calls
+   * continue with the others, so that each is told. */
   std::vector<QuarantinedParts> quarantined(size_t aMaxParts, base::TimePoint aNow);
   size_t size() const { return mRecords.size(); }
 
--- a/libs/serving/include/serving/PeerMessage.h
+++ b/libs/serving/include/serving/PeerMessage.h
@@ -50,12 +50,13 @@
 /** Requests in quarantine that fit into a notice. */
 inline constexpr size_t kMaxQuarantinedRequestsOfNotice = 32;
 
-/** Parts in quarantine that fit into a notice. */
+/** Parts of the quarantines in one notice, unless a single one has more. */
 inline constexpr size_t kMaxQuarantinedPartsOfNotice = 20;
 
-/** Payload of one datagram between processes. A lost load report is superseded by the next one;
- * crash evidence and notices are sent more than once. A list that would not fit into a datagram is
- * cut. */
+/** Message between processes, sent in one datagram or several (see split()). A lost load report is
+ * superseded by the next one; crash evidence and notices are sent more than once. Lists of parts
+ * are not cut: evidence without the part that caused the crash would miss it, and a quarantine
+ * without some of its parts would match more requests. */
 using PeerMessage =
   std::variant<LoadReport, CrashEvidence, EntryNotice, PartNotice, RequestNotice, CrashRefutation>;
 
--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -192,11 +192,6 @@
   if (isUnclear || !certain.empty()) {
     convicted = std::move(certain);
   }
-  // Requests share their first parts most.
-  if (convicted.size() > kMaxQuarantinedTogether) {
-    convicted.erase(convicted.begin(),
-                    convicted.end() - static_cast<ptrdiff_t>(kMaxQuarantinedTogether));
-  }
   return convicted;
 }
 
@@ -362,7 +357,7 @@
     if (aNow >= quarantine.until) {
       continue;
     }
-    if (parts + quarantine.parts.size() > aMaxParts) {
+    if (!list.empty() && parts + quarantine.parts.size() > aMaxParts) {
       break;
     }
     parts += quarantine.parts.size();
--- a/libs/serving/src/PeerMessage.cpp
+++ b/libs/serving/src/PeerMessage.cpp
@@ -3,15 +3,13 @@
 #include <limits>
 
 #include "base/Json.h"
+#include "serving/Fragments.h"
 
 namespace boragepitch::serving {
 
 namespace {
 
-constexpr size_t kMaxMessageBytes = 2048;
 constexpr int64_t kMaxCount = 1'000'000;
-/** Entries of a list of parts; a part takes up to 24 bytes. */
-constexpr Json::ArrayIndex kMaxParts = 12;
 /** Quarantines of a notice; one takes up to 50 bytes beside its parts. */
 constexpr size_t kMaxQuarantines = kMaxQuarantinedPartsOfNotice;
 constexpr int64_t kMaxAgeMs = 86'400'000;
@@ -20,10 +18,8 @@
 {
   Json::Value list(Json::arrayValue);
   for (PromptPart part : aParts) {
-    if (list.size() < kMaxParts) {
-      // As text, since readers of JSON may hold numbers with less than 64 bits.
-      list.append(std::to_string(part));
-    }
+    // As text, since readers of JSON may hold numbers with less than 64 bits.
+    list.append(std::to_string(part));
   }
   return list;
 }
@@ -67,12 +63,7 @@
   Json::Value json;
   json["kind"] = "parts";
   json["quarantined"] = Json::Value(Json::arrayValue);
-  size_t parts = 0;
   for (const QuarantinedParts& quarantine : aNotice.quarantined) {
-    parts += quarantine.parts.size();
-    if (parts > kMaxQuarantinedPartsOfNotice) {
-      break; // A truncated quarantine would match more requests.
-    }
     Json::Value row;
     row["parts"] = toJson(quarantine.parts);
     row["age"] = Json::Int64{ quarantine.evidenceAge.count() };
@@ -160,7 +151,7 @@
 {
   std::vector<PromptPart> parts;
   for (const Json::Value& part : aList.isArray() ? aList : Json::Value(Json::arrayValue)) {
-    if (part.isString() && parts.size() < kMaxParts) {
+    if (part.isString()) {
       parts.push_back(std::strtoull(part.asCString(), nullptr, 10));
     }
   }
