Incident VERSION: a declared version is dated by the store's clock and by other entries' records

Cause: a change counted as declared when it was read, unless a call had failed. An answer that waits in the socket of a suspended or busy process, or on a slow path, is older than that.

Change: serving::ServiceClock dates an answer by the store's clock in it, against the quickest recent answer; entries and loaders date declarations by it. An entry that finds another one's record of the same version takes over the earlier time. Why this works: the age of an answer is known at once, whatever held it up, and what the store told one entry late, another entry has recorded.

--- a/tools/loader/WeightTableListener.cpp
+++ b/tools/loader/WeightTableListener.cpp
@@ -140,7 +140,9 @@
 
 void WeightTableListener::applyDeclaration(const DeclaredRow& aRow, base::TimePoint aNow)
 {
-  auto age = std::max(mServiceTime - aRow.declaredAt, base::Milliseconds(0));
+  auto sinceAnswer = aNow - mServiceClock.givenAt(mServiceTime, aNow);
+  auto age = std::max(mServiceTime - aRow.declaredAt, base::Milliseconds(0)) +
+             std::chrono::duration_cast<base::Milliseconds>(sinceAnswer);
   {
     std::lock_guard lock(mMutex);
     if (!mDeclared[aRow.model].emplace(aRow.version, aNow - age).second) {
--- a/tools/loader/WeightTableListener.h
+++ b/tools/loader/WeightTableListener.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "WeightRows.h"
+#include "serving/ServiceClock.h"
 #include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
 #include "weights/Manifest.h"
@@ -51,6 +52,7 @@
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
   void onServiceTime(base::Milliseconds aServiceTime) override { mServiceTime = aServiceTime; }
+  void onCallSucceeded(base::TimePoint aNow) override { mServiceClock.observe(mServiceTime, aNow); }
 
 private:
   void applyRow(const stores::RowChange& aRow, base::TimePoint aNow);
@@ -65,6 +67,7 @@
   telemetry::EventLog& mLog;
   std::function<void()> mOnChange;
   base::Milliseconds mServiceTime{ 0 }; ///< Clock of the store at its latest answer.
+  serving::ServiceClock mServiceClock;
 
   mutable std::mutex mMutex;
   std::optional<WeightSetup> mSetup;
--- a/tools/loader/tests/WeightNewsTest.cpp
+++ b/tools/loader/tests/WeightNewsTest.cpp
@@ -84,6 +84,17 @@
   BOOST_TEST((weightTable.oldestMissingDeclaredAt("m", 1, now) == now - 4s));
 }
 
+// Guards against a switch delay that starts when a suspended loader reads the declaration.
+BOOST_FIXTURE_TEST_CASE(countsADeclarationFromTheTimeOfItsAnswer, Fixture)
+{
+  weightTable.onServiceTime(5000ms);
+  weightTable.onCallSucceeded(now);
+  weightTable.onServiceTime(9000ms);
+  now += 6s;
+  receiveDeclaration(2, 8000ms);
+  BOOST_TEST((weightTable.oldestMissingDeclaredAt("m", 1, now) == now - 3s));
+}
+
 // Guards against accepting a row that is not a valid manifest, and against a deletion that removes
 // the last known value.
 BOOST_FIXTURE_TEST_CASE(rejectsInvalidManifestsAndIgnoresDeletions, Fixture)
--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -116,13 +116,16 @@
     return;
   }
   bool isReadAtOnce = aSource == RowSource::Change && !mFailedCallAt;
-  auto evidence = isReadAtOnce ? serving::DeclarationEvidence{ .notBefore = aNow }
+  auto givenAt = mServiceClock.givenAt(mServiceTime, aNow);
+  auto evidence = isReadAtOnce ? serving::DeclarationEvidence{ .notBefore = givenAt }
                                : evidenceOfLateRead(*declared, aSource, aNow);
   auto left = enforceVersion(*declared, aSource, evidence, aNow);
   if (!evidence.age) {
     // Loaders learn of the version from its record, whose time must match the enforcement here.
-    mPublisher.queueDeclaration(
-      declared->model, declared->version, mServiceTime - (mTiming.afterDeclaration - left));
+    auto sinceAnswer = std::chrono::duration_cast<base::Milliseconds>(aNow - givenAt);
+    mPublisher.queueDeclaration(declared->model,
+                                declared->version,
+                                mServiceTime + sinceAnswer - (mTiming.afterDeclaration - left));
   }
   mNotifier.declareVersion(declared->model, declared->version);
 }
@@ -173,24 +176,30 @@
   auto left = std::chrono::duration_cast<base::Milliseconds>(from - aNow);
   auto sinceLastCall =
     mLastCallAt ? std::to_string(base::toMilliseconds(aNow - *mLastCallAt)) : std::string("-");
-  mLog.write(telemetry::EventClass::Critical,
-             "version_read",
-             { { "model", aDeclared.model },
-               { "version", std::to_string(aDeclared.version) },
-               { "source", aSource == RowSource::Change ? "change" : "snapshot" },
-               { "age_ms", aEvidence.age ? std::to_string(aEvidence.age->count()) : "-" },
-               { "last_call_ms", sinceLastCall },
-               { "enforced_in_ms", std::to_string(left.count()) } },
-             aNow);
+  mLog.write(
+    telemetry::EventClass::Critical,
+    "version_read",
+    { { "model", aDeclared.model },
+      { "version", std::to_string(aDeclared.version) },
+      { "source", aSource == RowSource::Change ? "change" : "snapshot" },
+      { "age_ms", aEvidence.age ? std::to_string(aEvidence.age->count()) : "-" },
+      { "answer_age_ms",
+        std::to_string(base::toMilliseconds(aNow - mServiceClock.givenAt(mServiceTime, aNow))) },
+      { "last_call_ms", sinceLastCall },
+      { "enforced_in_ms", std::to_string(left.count()) } },
+    aNow);
   mRelay.declareVersion(aDeclared.model, aDeclared.version, from);
   if (mServiceTime.count() > 0) {
-    mPending.add({ aDeclared.model, aDeclared.version, from }, mServiceTime, aNow);
+    mPending.add({ aDeclared.model, aDeclared.version, from },
+                 mServiceTime,
+                 mServiceClock.givenAt(mServiceTime, aNow));
   }
   return left;
 }
 
 void OperatorListener::onCallSucceeded(base::TimePoint aNow)
 {
+  mServiceClock.observe(mServiceTime, aNow);
   mLastCallAt = aNow;
   mFailedCallAt.reset();
   for (const std::string& model : std::exchange(mModelsToRead, {})) {
@@ -203,7 +212,8 @@
   for (const auto& moved : mPending.observe(mServiceTime, aNow)) {
     mRelay.declareVersion(moved.model, moved.version, moved.enforceFrom);
   }
-  mPublisher.writeQueued(aNow);
+  // Another entry recorded these versions first, maybe long before this one read them.
+  mModelsToRead.merge(mPublisher.writeQueued(aNow));
 }
 
 void OperatorListener::onReachable(bool aReachable,
--- a/tools/router/OperatorListener.h
+++ b/tools/router/OperatorListener.h
@@ -10,6 +10,7 @@
 #include "platform/OperatorRows.h"
 #include "relay/Relay.h"
 #include "serving/PendingVersions.h"
+#include "serving/ServiceClock.h"
 #include "serving/VersionTiming.h"
 #include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
@@ -75,6 +76,7 @@
   bool mHasDeployment = false;
   std::set<std::string> mEvacuated;
   base::Milliseconds mServiceTime{ 0 }; ///< Zero until the store named its clock.
+  serving::ServiceClock mServiceClock;
   serving::PendingVersions mPending;
   std::optional<base::TimePoint> mLastCallAt;
   std::set<std::string> mModelsToRead; ///< Models whose records could not be read yet.
--- a/tools/router/WeightPublisher.cpp
+++ b/tools/router/WeightPublisher.cpp
@@ -13,7 +13,8 @@
                                        uint64_t aVersion,
                                        base::Milliseconds aAt)
 {
-  mPendingRecords.emplace(declaredKey(aModel, aVersion), writeDeclaredTime(aAt));
+  mPendingRecords.emplace(declaredKey(aModel, aVersion),
+                          PendingRecord{ aModel, writeDeclaredTime(aAt) });
 }
 
 void WeightPublisher::setDeployment(const serving::Deployment& aDeployment)
@@ -35,10 +36,11 @@
   }
 }
 
-void WeightPublisher::writeQueued(base::TimePoint aNow)
+std::set<std::string> WeightPublisher::writeQueued(base::TimePoint aNow)
 {
+  std::set<std::string> recordedByOthers;
   if (mPendingRecords.empty() && mSetups == mWrittenSetups) {
-    return;
+    return recordedByOthers;
   }
   auto feed = mMakeFeed();
   auto logFailure = [&](const std::string& aKey, const base::Error& aError) {
@@ -49,11 +51,14 @@
                aNow);
   };
   while (!mPendingRecords.empty()) {
-    const auto& [key, value] = *mPendingRecords.begin();
-    auto written = feed->create(kWeightTable, key, value);
+    const auto& [key, record] = *mPendingRecords.begin();
+    auto written = feed->create(kWeightTable, key, record.value);
     if (!written && written.error().kind != base::ErrorKind::Conflict) {
       logFailure(key, written.error());
-      return;
+      return recordedByOthers;
+    }
+    if (!written) {
+      recordedByOthers.insert(record.model);
     }
     mPendingRecords.erase(mPendingRecords.begin());
   }
@@ -64,10 +69,11 @@
     }
     if (auto written = writeSetup(*feed, key, value); !written) {
       logFailure(key, written.error());
-      return;
+      return recordedByOthers;
     }
     mWrittenSetups[key] = value;
   }
+  return recordedByOthers;
 }
 
 base::Status WeightPublisher::writeSetup(stores::RowFeed& aFeed,
--- a/tools/router/WeightPublisher.h
+++ b/tools/router/WeightPublisher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "WeightRows.h"
@@ -26,7 +27,9 @@
   void queueDeclaration(const std::string& aModel, uint64_t aVersion, base::Milliseconds aAt);
   /** Queues the setup of each service with engines; an unchanged setup is not written again. */
   void setDeployment(const serving::Deployment& aDeployment);
-  void writeQueued(base::TimePoint aNow);
+  /** Writes what is queued.
+   * @return the models of declarations that another process has recorded before. */
+  std::set<std::string> writeQueued(base::TimePoint aNow);
 
   /** Time since each version of the model was declared, by version, as far as there are valid
    * records. Fails if the store does not answer. */
@@ -42,9 +45,14 @@
 
   const stores::TableWatcher::MakeFeed mMakeFeed;
   telemetry::EventLog& mLog;
-  std::map<std::string, std::string> mPendingRecords; ///< Declarations to be written, by key.
-  std::map<std::string, std::string> mSetups;         ///< The latest setup of each service, by key.
-  std::map<std::string, std::string> mWrittenSetups;  ///< Setups already written, by key.
+  struct PendingRecord
+  {
+    std::string model;
+    std::string value;
+  };
+  std::map<std::string, PendingRecord> mPendingRecords; ///< Declarations to be written, by key.
+  std::map<std::string, std::string> mSetups;        ///< The latest setup of each service, by key.
+  std::map<std::string, std::string> mWrittenSetups; ///< Setups already written, by key.
 };
 
 } // namespace boragepitch::tools
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -207,6 +207,55 @@
   BOOST_TEST((process.relay.declared.at(2) == now + 7s));
 }
 
+// Guards against an answer that a suspended or busy process read late, and that counts from then
+// until the next answer (VERSION on peachwarm-router). The others learn of the version from the
+// record.
+BOOST_AUTO_TEST_CASE(datesAVersionByTheTimeOfItsAnswer)
+{
+  for (base::Milliseconds late : { 30ms, 400ms, 1000ms, 3500ms, 6900ms }) {
+    FakeWeightTable table;
+    Process process(table);
+    base::TimePoint now{ 1h };
+    process.listener.onServiceTime(5000ms);
+    process.listener.onSnapshot({}, now);
+    process.listener.onCallSucceeded(now);
+    process.listener.onServiceTime(6000ms);
+    process.listener.onChanges({ declaration(2) }, now + 1s + late);
+    process.listener.onCallSucceeded(now + 1s + late);
+    BOOST_TEST((process.relay.declared.at(2) == now + 8s));
+    BOOST_TEST(table.rows.at("declared/m/2") == "6000");
+    // A further answer moves it no more.
+    process.listener.onServiceTime(base::Milliseconds(6100) + late);
+    process.listener.onCallSucceeded(now + 1100ms + late);
+    BOOST_TEST((process.relay.declared.at(2) == now + 8s));
+  }
+}
+
+// Guards against an entry to which the store told a version late, without a call that failed: the
+// record of another entry counts.
+BOOST_AUTO_TEST_CASE(enforcesAVersionThatAnotherEntryReadEarlierAtItsTime)
+{
+  FakeWeightTable table;
+  Process first(table);
+  Process late(table);
+  base::TimePoint now{ 1h };
+  for (auto* process : { &first, &late }) {
+    process->listener.onServiceTime(table.time);
+    process->listener.onSnapshot({}, now);
+    process->listener.onCallSucceeded(now);
+  }
+  first.listener.onChanges({ declaration(2) }, now);
+  first.listener.onCallSucceeded(now);
+  table.time += 2s;
+  late.listener.onServiceTime(table.time);
+  late.listener.onChanges({ declaration(2) }, now + 2s);
+  late.listener.onCallSucceeded(now + 2s);
+  table.time += 1s;
+  late.listener.onServiceTime(table.time);
+  late.listener.onCallSucceeded(now + 3s);
+  BOOST_TEST((late.relay.declared == first.relay.declared));
+}
+
 // Guards against a superseded version that stays unknown because the store failed when the records
 // were read.
 BOOST_AUTO_TEST_CASE(readsTheRecordsOnceTheStoreAnswersAgain)
