--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -698,7 +698,7 @@
 
 bool Call::isStartOverdue(base::TimePoint aNow) const
 {
-  auto since = aNow - base::Duration(mCore.options.versionStartGrace);
+  auto since = aNow - mCore.startGrace();
   return mService->engine && !mSendHadEvent &&
          mEndpoint->weightVersion() < mCore.requiredVersion(mFacts.model, since);
 }
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -89,11 +89,18 @@
   auto found = versions.find(aModel);
   auto next = found == versions.end() ? std::nullopt : found->second.next(aNow);
   if (next) {
-    next->at += base::Duration(options.versionStartGrace);
+    next->at += startGrace();
   }
   return next;
 }
 
+base::Duration Core::startGrace() const
+{
+  auto grace = base::Duration(options.versionStartGrace);
+  return grace -
+         std::clamp(loopDelay.value().value_or(base::Duration(0)), base::Duration(0), grace);
+}
+
 uint64_t Core::newestVersion(const std::string& aModel) const
 {
   auto found = versions.find(aModel);
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -16,6 +16,7 @@
 #include "serving/GracefulStop.h"
 #include "serving/PartQuarantine.h"
 #include "serving/PeerMessage.h"
+#include "serving/RecentMaximum.h"
 #include "serving/ReportedCrashes.h"
 #include "serving/VersionSchedule.h"
 
@@ -61,6 +62,9 @@
    * one; empty when none is due. */
   std::optional<serving::DueVersion> dueVersion(const std::string& aModel,
                                                 base::TimePoint aNow) const;
+  /** Time after the enforcement of a version in which a request may still begin on an older one. A
+   * process that is behind with its timers withdraws requests late, so it allows for that. */
+  base::Duration startGrace() const;
   /** The newest declared version of the model; 0 when none was declared. */
   uint64_t newestVersion(const std::string& aModel) const;
   /** Time since the list of endpoints was last confirmed; negative before the first time. */
@@ -127,6 +131,8 @@
   serving::PartQuarantine quarantine;
   std::map<std::string, serving::VersionSchedule, std::less<>> versions; ///< By model.
   std::optional<base::TimePoint> listConfirmedAt; ///< When the endpoint list was last confirmed.
+  /** How late the event loop has recently run its timer. */
+  serving::RecentMaximum loopDelay{ std::chrono::milliseconds(2500) };
   serving::GracefulStop stop;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions; ///< All open sessions.
   asio::ip::udp::socket peerSocket{ io };
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -354,7 +354,8 @@
 
   void scheduleTick()
   {
-    mTimer.expires_after(kTickInterval);
+    mTickDueAt = std::chrono::steady_clock::now() + base::Duration(kTickInterval);
+    mTimer.expires_at(mTickDueAt);
     mTimer.async_wait([this](ErrorCode aError) {
       if (!aError) {
         tick(std::chrono::steady_clock::now());
@@ -364,6 +365,7 @@
 
   void tick(base::TimePoint aNow)
   {
+    mCore.loopDelay.observe(aNow - mTickDueAt, aNow);
     // A tick may close sessions, which changes the set: iterate over a copy.
     std::vector<std::shared_ptr<CallerSession>> sessions(mCore.sessions.begin(),
                                                          mCore.sessions.end());
@@ -407,6 +409,7 @@
   Tcp::acceptor mReadinessAcceptor{ mCore.io };
   Tcp::acceptor mMetricsAcceptor{ mCore.io };
   asio::steady_timer mTimer{ mCore.io };
+  base::TimePoint mTickDueAt;
   base::TimePoint mHousekeepingAt;
   std::array<char, serving::kMaxDatagramBytes> mDatagram{};
   serving::MessageAssembler mAssembler;
