--- a/libs/stores/include/stores/TableWatcher.h
+++ b/libs/stores/include/stores/TableWatcher.h
@@ -25,6 +25,8 @@
   virtual void onChanges(const std::vector<RowChange>& aRows, base::TimePoint aNow) = 0;
   /** Called after the first call and whenever the service becomes reachable or unreachable. */
   virtual void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) = 0;
+  /** Called before each call. */
+  virtual void onCallStarted(base::TimePoint /*aNow*/) {}
   /** Clock of the service; called before the rows of the same answer are delivered. */
   virtual void onServiceTime(base::Milliseconds /*aServiceTime*/) {}
   /** Called after each successful call, at least once per WatchOptions::wait. */
--- a/libs/stores/src/TableWatcher.cpp
+++ b/libs/stores/src/TableWatcher.cpp
@@ -67,6 +67,7 @@
   auto feed = makeFeed();
   while (!mStopping) {
     auto startedAt = std::chrono::steady_clock::now();
+    mListener.onCallStarted(startedAt);
     auto status = step(*feed);
     if (mStopping) {
       return;
--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -8,6 +8,13 @@
 
 using platform::OperatorRowKind;
 
+namespace {
+/** A call that takes longer has waited for the change that it returns. */
+constexpr base::Milliseconds kMaxRoundTrip{ 100 };
+/** Pauses between calls that are part of the watch; the enforcement leaves room for more. */
+constexpr base::Milliseconds kMaxPause{ 200 };
+} // namespace
+
 OperatorListener::OperatorListener(relay::Relay& aRelay,
                                    LoaderNotifier& aNotifier,
                                    telemetry::EventLog& aLog,
@@ -115,7 +122,7 @@
   if (mKnownVersions.contains({ declared->model, declared->version })) {
     return;
   }
-  bool isReadAtOnce = aSource == RowSource::Change && !mFailedCallAt;
+  bool isReadAtOnce = aSource == RowSource::Change && !mFailedCallAt && !mayPrecedeCall(aNow);
   auto givenAt = mServiceClock.givenAt(mServiceTime, aNow);
   auto evidence = isReadAtOnce ? serving::DeclarationEvidence{ .notBefore = givenAt }
                                : evidenceOfLateRead(*declared, aSource, aNow);
@@ -147,10 +154,20 @@
   }
   // A call that starts after an outage succeeds, so the outage lasted beyond the start of the last
   // failed call. What was declared during it counts from its end.
-  evidence.notBefore = aSource == RowSource::Change ? mFailedCallAt : mLastCallAt;
+  bool hasFailed = aSource == RowSource::Change && mFailedCallAt;
+  evidence.notBefore = hasFailed ? mFailedCallAt : mLastAnswerGivenAt;
   return evidence;
 }
 
+bool OperatorListener::mayPrecedeCall(base::TimePoint aNow) const
+{
+  // After a suspension the answer of the former call is read first, however old it is; the next
+  // call returns at once what has changed since that answer was given.
+  return mCallStartedAt && mLastAnswerGivenAt &&
+         aNow - *mCallStartedAt <= base::Duration(kMaxRoundTrip) &&
+         *mCallStartedAt - *mLastAnswerGivenAt > base::Duration(kMaxPause);
+}
+
 void OperatorListener::enforceRecorded(const std::string& aModel,
                                        const std::map<uint64_t, base::Milliseconds>& aAges,
                                        RowSource aSource,
@@ -201,6 +218,7 @@
 {
   mServiceClock.observe(mServiceTime, aNow);
   mLastCallAt = aNow;
+  mLastAnswerGivenAt = mServiceClock.givenAt(mServiceTime, aNow);
   mFailedCallAt.reset();
   for (const std::string& model : std::exchange(mModelsToRead, {})) {
     if (auto ages = mPublisher.declarationAges(model, aNow)) {
--- a/tools/router/OperatorListener.h
+++ b/tools/router/OperatorListener.h
@@ -34,6 +34,7 @@
   void onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
+  void onCallStarted(base::TimePoint aNow) override { mCallStartedAt = aNow; }
   void onServiceTime(base::Milliseconds aServiceTime) override { mServiceTime = aServiceTime; }
   void onCallSucceeded(base::TimePoint aNow) override;
   void onCallFailed(base::TimePoint aStartedAt) override { mFailedCallAt = aStartedAt; }
@@ -51,6 +52,8 @@
                  base::TimePoint aNow);
   void applyDeployment(const stores::RowChange& aRow, base::TimePoint aNow);
   void applyVersion(const stores::RowChange& aRow, RowSource aSource, base::TimePoint aNow);
+  /** Whether a change that is read at aNow may have been there before the call that returned it. */
+  bool mayPrecedeCall(base::TimePoint aNow) const;
   /** Evidence for a version that may have been declared long before it was read. Enforces older
    * versions that this process missed. */
   serving::DeclarationEvidence evidenceOfLateRead(const platform::DeclaredWeights& aDeclared,
@@ -78,7 +81,10 @@
   base::Milliseconds mServiceTime{ 0 }; ///< Zero until the store named its clock.
   serving::ServiceClock mServiceClock;
   serving::PendingVersions mPending;
-  std::optional<base::TimePoint> mLastCallAt;
+  std::optional<base::TimePoint> mCallStartedAt; ///< Start of the present call.
+  std::optional<base::TimePoint> mLastCallAt;    ///< When the latest answer was read.
+  /** When the store gave that answer: what it did not name was declared later. */
+  std::optional<base::TimePoint> mLastAnswerGivenAt;
   std::set<std::string> mModelsToRead; ///< Models whose records could not be read yet.
   /** Start of the latest call, if it failed. */
   std::optional<base::TimePoint> mFailedCallAt;
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -231,6 +231,58 @@
   }
 }
 
+// Guards against an entry that was suspended, reads an old answer without changes first, and counts
+// a version from the answer after it (VERSION on peachwarm-router).
+BOOST_AUTO_TEST_CASE(datesAVersionThatWasDeclaredWhileTheEntryWasSuspended)
+{
+  for (bool isRecorded : { true, false }) {
+    FakeWeightTable table;
+    Process first(table);
+    Process late(table);
+    base::TimePoint now{ 1h };
+    for (auto* process : { &first, &late }) {
+      process->listener.onCallStarted(now);
+      process->listener.onServiceTime(5000ms);
+      process->listener.onSnapshot({}, now);
+      process->listener.onCallSucceeded(now);
+    }
+    table.time = 8000ms;
+    if (isRecorded) {
+      first.listener.onServiceTime(table.time);
+      first.listener.onChanges({ declaration(2) }, now + 3s);
+      first.listener.onCallSucceeded(now + 3s);
+    }
+    // The store answered the call of the other one without a change after 2.5 s.
+    late.listener.onServiceTime(7500ms);
+    late.listener.onCallSucceeded(now + 5500ms);
+    late.listener.onCallStarted(now + 5501ms);
+    table.time = 10503ms;
+    late.listener.onServiceTime(table.time);
+    late.listener.onChanges({ declaration(2) }, now + 5504ms);
+    late.listener.onCallSucceeded(now + 5504ms);
+    auto expected = now + 7s + (isRecorded ? 3s : 2500ms);
+    auto difference = late.relay.declared.at(2) - expected;
+    BOOST_TEST((difference <= 2ms && difference >= -2ms));
+  }
+}
+
+// Guards against changes that the entry waited for and that count as older than they are: engines
+// still load when they are enforced.
+BOOST_AUTO_TEST_CASE(changesThatTheCallWaitedForCountFromTheirAnswer)
+{
+  FakeWeightTable table;
+  Process process(table);
+  base::TimePoint now{ 1h };
+  process.listener.onServiceTime(5000ms);
+  process.listener.onSnapshot({}, now);
+  process.listener.onCallSucceeded(now);
+  process.listener.onCallStarted(now + 5ms);
+  process.listener.onServiceTime(7000ms);
+  process.listener.onChanges({ declaration(2) }, now + 2s);
+  process.listener.onCallSucceeded(now + 2s);
+  BOOST_TEST((process.relay.declared.at(2) == now + 9s));
+}
+
 // Guards against an entry to which the store told a version late, without a call that failed: the
 // record of another entry counts.
 BOOST_AUTO_TEST_CASE(enforcesAVersionThatAnotherEntryReadEarlierAtItsTime)
