Serving: an unfinished line of a stream is searched once

Cause: EventSplitter::next looked through the unfinished line from its start with each read: n bytes cost n².

Change: it remembers how far the line has no end.

Result: serving.TextTest/longLinesAreSearchedOnce (4 MiB in reads of 512 bytes within 300 ms of processor time) fails without the change.

--- a/libs/serving/include/serving/EventSplitter.h
+++ b/libs/serving/include/serving/EventSplitter.h
@@ -29,6 +29,7 @@
   void restart();
   /** Buffered bytes after the last complete event. */
   std::string_view pending() const { return std::string_view(mBuffer).substr(mStart); }
+  size_t heldBytes() const { return mBuffer.capacity(); }
   /** False if the stream may end here: nothing but whole comments and empty lines is pending. */
   bool isInsideEvent() const;
 
@@ -36,6 +37,7 @@
   std::string mBuffer;
   size_t mStart = 0;     ///< Start of the next event in the buffer.
   size_t mLineStart = 0; ///< Start of the first line that is not yet known to be complete.
+  size_t mScanned = 0;   ///< Up to here that line has no end: a long one is not searched again.
 };
 
 } // namespace boragepitch::serving
--- a/libs/serving/src/EventSplitter.cpp
+++ b/libs/serving/src/EventSplitter.cpp
@@ -58,6 +58,7 @@
   if (mStart > 0) {
     mBuffer.erase(0, mStart);
     mLineStart -= mStart;
+    mScanned -= std::min(mScanned, mStart);
     mStart = 0;
   }
   mBuffer.append(aBytes);
@@ -67,10 +68,12 @@
 {
   // An event ends at an empty line.
   for (;;) {
-    size_t end = mBuffer.find_first_of("\r\n", mLineStart);
+    size_t end = mBuffer.find_first_of("\r\n", std::max(mLineStart, mScanned));
     if (end == std::string::npos) {
+      mScanned = mBuffer.size();
       return std::nullopt;
     }
+    mScanned = end;
     bool isEmpty = end == mLineStart;
     bool endsWithCr = mBuffer[end] == '\r';
     if (endsWithCr && end + 1 == mBuffer.size()) {
@@ -101,9 +104,10 @@
 
 void EventSplitter::restart()
 {
-  mBuffer.clear();
+  mBuffer = {};
   mStart = 0;
   mLineStart = 0;
+  mScanned = 0;
 }
 
 } // namespace boragepitch::serving
--- a/libs/serving/tests/TextTest.cpp
+++ b/libs/serving/tests/TextTest.cpp
@@ -1,4 +1,6 @@
 #define BOOST_TEST_MODULE serving_text
+#include <ctime>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -51,6 +53,30 @@
   RC_ASSERT(cut.pending().empty());
 }
 
+// Guards against an event without end that costs processor time with the square of its bytes, so
+// that other requests are not served meanwhile.
+BOOST_AUTO_TEST_CASE(longLinesAreSearchedOnce)
+{
+  constexpr size_t kBytes = 4 << 20;
+  constexpr size_t kReadBytes = 512;
+  auto processorMs = [] {
+    timespec time{};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return time.tv_sec * 1000 + time.tv_nsec / 1'000'000;
+  };
+  EventSplitter splitter;
+  std::string part(kReadBytes, 'a');
+  auto before = processorMs();
+  for (size_t bytes = 0; bytes < kBytes; bytes += kReadBytes) {
+    splitter.feed(part);
+    BOOST_REQUIRE(!splitter.next().has_value());
+  }
+  BOOST_TEST(processorMs() - before < 300);
+  splitter.feed("\r\n\n");
+  BOOST_REQUIRE(splitter.next().has_value());
+  BOOST_TEST(splitter.pending().empty());
+}
+
 namespace {
 std::string commentedEvent(uint64_t aId, const std::string& aLineEnd)
 {
