Relay: the bytes of all bodies and answers together are bounded

Cause: each body and answer is bounded, their sum was not; bodies were held twice, in the call and in the message being sent.

Change: serving::MemoryBudget counts what a router holds for bodies, answers being received and answers not yet written: 112 MiB. Beyond it the answer that holds most is given up; bodies that do not fit are refused before they are read. The body is shared by call and exchange, and the C library gives long blocks back at once, so that what is held is what the process takes.

--- a/libs/relay/include/relay/Relay.h
+++ b/libs/relay/include/relay/Relay.h
@@ -29,6 +29,10 @@
   std::optional<net::Address> metrics; ///< Serves the metrics as text at any path.
   net::Address peers;                  ///< Receives datagrams of the other processes.
   size_t maxCallerConnections = 3000;
+  /** Bytes of bodies of requests and of answers that are held at once. Under half of the memory of
+   * a process, 240 MB or more: the process itself takes some 30 MB, and strings that grow are
+   * copied. */
+  size_t maxHeldBytes = 112 << 20;
   serving::PlacementOptions placement;
   serving::RetryLimits retries;
   /** Time after the enforcement of a version in which a request that was sent before may still
@@ -43,6 +47,10 @@
   uint64_t seed = 1;
 };
 
+/** Has the C library return the memory of long bodies to the system once they are freed, so that
+ * the process holds no more than it uses. Call it once, before other threads start. */
+void limitHeldMemory();
+
 /** Another entry. */
 struct Peer
 {
--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -164,7 +164,7 @@
   }
   mLastEvent = mFacts.lastEvent;
   mCore.retryBudget.recordRequest(mService->name, aNow);
-  mFingerprint = serving::requestFingerprint(mRequest.target, mFacts.key, mRequest.body);
+  mFingerprint = serving::requestFingerprint(mRequest.target, mFacts.key, *mRequest.body);
   if (mCore.suspects.isQuarantined(mFingerprint, aNow) ||
       !mCore.quarantine.admit(mFacts.sharedParts, aNow)) {
     mCore.metrics.quarantined.add();
@@ -248,13 +248,14 @@
   ++mSendCount;
   mTriedEndpoints.push_back(record.id);
   mHead.reset();
-  mBody.clear();
+  mBody = {};
   mIsStream = false;
   mSendHadEvent = false;
   mSendEvents = 0;
   mSendLastEvent.reset();
   mSplitter.restart();
   mEarlyComments.clear();
+  chargeAnswer(aNow);
   mSentAt = aNow;
   mProgressAt = aNow;
   mLoadAtSend = serving::EndpointSet::load(*mEndpoint, aNow);
@@ -272,13 +273,13 @@
   exchange.maxIdle = mRoute->mayRepeat() ? kMaxIdle : kMaxIdleForSingleRun;
   mExchange = std::make_shared<Exchange>(
     mCore.io, mCore.pool, mCore.headerCodec, std::move(exchange), weak_from_this());
-  mExchange->start(forwardMessage(aNow), aNow);
+  mExchange->start(forwardHead(aNow), mRequest.body, aNow);
   if (mExchange->isNewConnection()) {
     mCore.metrics.connects.add();
   }
 }
 
-std::string Call::forwardMessage(base::TimePoint aNow) const
+std::string Call::forwardHead(base::TimePoint aNow) const
 {
   ForwardFacts facts;
   facts.endpointId = mEndpoint->record.id;
@@ -306,11 +307,10 @@
     text += line.value;
     text += "\r\n";
   }
-  if (!mRequest.body.empty() || mRequest.method == "POST" || mRequest.method == "PUT") {
-    text += "Content-Length: " + std::to_string(mRequest.body.size()) + "\r\n";
+  if (!mRequest.body->empty() || mRequest.method == "POST" || mRequest.method == "PUT") {
+    text += "Content-Length: " + std::to_string(mRequest.body->size()) + "\r\n";
   }
   text += "\r\n";
-  text += mRequest.body;
   return text;
 }
 
@@ -405,6 +405,7 @@
   auto now = std::chrono::steady_clock::now();
   if (!mIsStream) {
     mBody += aBytes;
+    chargeAnswer(now);
     return;
   }
   mCore.recordLife(*mEndpoint, mExchange->connectionOpenedAt(), now);
@@ -418,7 +419,32 @@
   }
   if (mExchange && mSplitter.pending().size() > kMaxEventBytes) {
     abortSend({ Outcome::Broken, true, "event_too_large" }, now);
+    return;
+  }
+  chargeAnswer(now);
+}
+
+bool Call::chargeAnswer(base::TimePoint aNow)
+{
+  mCharge.set(mBody.capacity() + mSplitter.heldBytes() + mEarlyComments.capacity() +
+              (mAnsweredError ? mAnsweredError->second.capacity() : 0));
+  if (mCore.memory.isExceeded()) {
+    mCore.relieveMemory(aNow);
   }
+  return mExchange != nullptr;
+}
+
+void Call::giveUpAnswer(base::TimePoint aNow)
+{
+  auto self = shared_from_this(); // The end of the request may release it.
+  mAnsweredError.reset();
+  if (mExchange) {
+    abortSend({ Outcome::Broken, true, "memory" }, aNow);
+  }
+  mBody = {};
+  mEarlyComments = {};
+  mSplitter.restart();
+  mCharge.set(0);
 }
 
 void Call::handleEvent(const serving::StreamEvent& aEvent, base::TimePoint aNow)
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -38,6 +38,10 @@
   void onCallerLeft();
   /** All bytes written to the caller's connection have been sent. */
   void onCallerDrained();
+  /** Bytes held of the answer that is being received. */
+  size_t heldBytes() const { return mCharge.bytes(); }
+  /** Gives up the endpoint's answer because the process holds too many bytes. */
+  void giveUpAnswer(base::TimePoint aNow);
 
   void onSent() override;
   void onHead(const AnswerHead& aHead) override;
@@ -51,7 +55,8 @@
   const serving::Service* pickService();
   serving::PlacementRequest placementRequest(base::TimePoint aNow) const;
   void send(base::TimePoint aNow);
-  std::string forwardMessage(base::TimePoint aNow) const;
+  /** Head of the request as sent to the endpoint. */
+  std::string forwardHead(base::TimePoint aNow) const;
   /** Whether the endpoint must decline the request if it holds other weights than believed. */
   bool needsExpectedVersion(base::TimePoint aNow) const;
   void sendFailed(const SendResult& aResult, base::TimePoint aNow);
@@ -64,6 +69,8 @@
   std::string_view obstacleToRetry(base::TimePoint aNow);
   void endSend(serving::Outcome aOutcome, base::TimePoint aNow);
   void abortSend(const SendResult& aResult, base::TimePoint aNow);
+  /** Accounts for the bytes held of the answer. Returns false if it was given up. */
+  bool chargeAnswer(base::TimePoint aNow);
   void handleEvent(const serving::StreamEvent& aEvent, base::TimePoint aNow);
   /** Takes comments and empty lines between the events of a stream. */
   void handleComment(std::string_view aText);
@@ -132,6 +139,7 @@
   /** Server error that an endpoint answered; passed on if no later send succeeds. */
   std::optional<std::pair<AnswerHead, std::string>> mAnsweredError;
 
+  serving::MemoryCharge mCharge{ mCore.memory }; ///< Of the bytes of the answer.
   serving::EventSplitter mSplitter;
   std::string mEarlyComments;         ///< Comments that precede the first event of the stream.
   bool mStreamBegan = false;          ///< The head of a stream was sent to the caller.
--- a/libs/relay/src/CallerSession.cpp
+++ b/libs/relay/src/CallerSession.cpp
@@ -5,6 +5,7 @@
 #include <boost/algorithm/string/predicate.hpp>
 
 #include "Call.h"
+#include "serving/RetryAdvice.h"
 
 namespace boragepitch::relay {
 
@@ -81,6 +82,8 @@
 {
   mPhase = Phase::Idle;
   mPhaseStart = std::chrono::steady_clock::now();
+  mBodyBytes = 0;
+  updateCharge();
   if (mBuffer.size() > 0) {
     readHead();
   } else {
@@ -178,6 +181,11 @@
     onRequest({});
     return;
   }
+  auto length = mParser->content_length();
+  if (!mCore.memory.admits(length ? static_cast<size_t>(*length) : 0)) {
+    refuseForMemory();
+    return;
+  }
   if (boost::algorithm::iequals(view(mParser->get()[http::field::expect]), "100-continue")) {
     mQueued += "HTTP/1.1 100 Continue\r\n\r\n";
     flush();
@@ -210,12 +218,57 @@
 
 void CallerSession::readBody()
 {
-  http::async_read(
+  http::async_read_some(
     mSocket, mBuffer, *mParser, [self = shared_from_this()](ErrorCode aError, size_t) {
-      self->onRequest(aError);
+      self->onBodyBytes(aError);
     });
 }
 
+void CallerSession::onBodyBytes(ErrorCode aError)
+{
+  if (mPhase != Phase::Reading) {
+    return;
+  }
+  // A length that the head names is reserved, and takes memory as the bytes arrive.
+  const std::string& body = mParser->get().body();
+  mBodyBytes = mParser->content_length() ? body.size() : body.capacity();
+  updateCharge();
+  if (aError || mParser->is_done()) {
+    onRequest(aError);
+  } else if (mCore.memory.isExceeded()) {
+    refuseForMemory();
+  } else {
+    readBody();
+  }
+}
+
+void CallerSession::refuseForMemory()
+{
+  mCore.metrics.refused.add();
+  mCore.log.write(telemetry::EventClass::Refused,
+                  "request_unread",
+                  { { "reason", "memory" },
+                    { "read_bytes", std::to_string(mBodyBytes) },
+                    { "held_bytes", std::to_string(mCore.memory.held()) } },
+                  std::chrono::steady_clock::now());
+  mParser.reset();
+  mBodyBytes = 0;
+  mKeepAlive = false;
+  mPhase = Phase::Serving;
+  mIsStreaming = false;
+  mIsAnswerComplete = false;
+  mIsHead = false;
+  auto delay = std::chrono::duration<double>(serving::retryAfterFull(mCore.rng));
+  char seconds[32];
+  std::snprintf(seconds, sizeof(seconds), "%.3f", delay.count());
+  respond(503, { { "Retry-After", seconds } }, {});
+}
+
+void CallerSession::updateCharge()
+{
+  mCharge.set(mBodyBytes + backlog());
+}
+
 void CallerSession::onRequest(ErrorCode aError)
 {
   if (mPhase != Phase::Reading) {
@@ -237,7 +290,7 @@
   request.target = std::string(message.target());
   request.host = std::string(message[http::field::host]);
   request.headers = endToEndHeaders(message);
-  request.body = std::move(message.body());
+  request.body = std::make_shared<const std::string>(std::move(message.body()));
   request.received = std::chrono::steady_clock::now();
   mKeepAlive = message.keep_alive();
   mIsChunked = message.version() == 11;
@@ -373,6 +426,7 @@
 
 void CallerSession::flush()
 {
+  updateCharge();
   if (!mWriting.empty() || mPhase == Phase::Closed) {
     return;
   }
@@ -383,7 +437,13 @@
   mWriting.swap(mQueued);
   asio::async_write(
     mSocket, asio::buffer(mWriting), [self = shared_from_this()](ErrorCode aError, size_t) {
+      // Gives the memory of a long answer back, and keeps that of a short one for the next.
+      constexpr size_t kKeptBytes = 16384;
+      if (self->mWriting.capacity() > kKeptBytes) {
+        self->mWriting = {};
+      }
       self->mWriting.clear();
+      self->updateCharge();
       self->onWritten(aError);
     });
 }
--- a/libs/relay/src/CallerSession.h
+++ b/libs/relay/src/CallerSession.h
@@ -17,9 +17,9 @@
   std::string method;
   std::string target; ///< Path and query as sent, not decoded.
   std::string host;
-  HeaderLines headers; ///< End-to-end headers only.
-  std::string body;
-  base::TimePoint received; ///< When the request was read completely.
+  HeaderLines headers;                     ///< End-to-end headers only.
+  std::shared_ptr<const std::string> body; ///< Never null; shared with the exchange that sends it.
+  base::TimePoint received;                ///< When the request was read completely.
 };
 
 /**
@@ -38,7 +38,8 @@
   /** True while a request is read or answered. */
   bool isBusy() const { return mCall != nullptr || mPhase != Phase::Idle; }
   void closeIdle();
-  bool hasCall() const { return mCall != nullptr; }
+  /** The request being answered; may be null. */
+  const std::shared_ptr<Call>& call() const { return mCall; }
 
   /** Sends a complete answer. */
   void respond(int aStatus, const HeaderLines& aHeaders, std::string_view aBody);
@@ -66,6 +67,10 @@
   void readHead();
   void onHead(ErrorCode aError);
   void readBody();
+  void onBodyBytes(ErrorCode aError);
+  /** Refuses the request being read because the process holds too many bytes. */
+  void refuseForMemory();
+  void updateCharge();
   void onRequest(ErrorCode aError);
   /** Returns 0 when the request's head is well formed, else the status to answer. */
   int checkHead() const;
@@ -94,9 +99,11 @@
   bool mIsHead = false;           ///< The request's method is HEAD.
   bool mIsAnswerComplete = false; ///< The whole answer is in mQueued or mWriting, or was written.
   bool mIsCut = false;            ///< The answer is a stream that ends incomplete.
-  std::string mQueued;            ///< Bytes to write after mWriting.
-  std::string mWriting;           ///< Bytes of the outstanding write.
-  base::TimePoint mPhaseStart;    ///< Start of the phase.
+  size_t mBodyBytes = 0;          ///< Body of the request that is read or answered.
+  serving::MemoryCharge mCharge{ mCore.memory };
+  std::string mQueued;         ///< Bytes to write after mWriting.
+  std::string mWriting;        ///< Bytes of the outstanding write.
+  base::TimePoint mPhaseStart; ///< Start of the phase.
 };
 
 } // namespace boragepitch::relay
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <span>
 
+#include "Call.h"
 #include "CallerSession.h"
 #include "serving/Fragments.h"
 
@@ -176,6 +177,23 @@
   }
 }
 
+void Core::relieveMemory(base::TimePoint aNow)
+{
+  while (memory.isExceeded()) {
+    std::shared_ptr<Call> largest;
+    for (const auto& session : sessions) {
+      auto call = session->call();
+      if (call && call->heldBytes() > (largest ? largest->heldBytes() : 0)) {
+        largest = call;
+      }
+    }
+    if (!largest) {
+      return; // Only bodies of requests and answers to slow callers are left; no new ones are read.
+    }
+    largest->giveUpAnswer(aNow);
+  }
+}
+
 void Core::setTrialDelay(std::span<const serving::EntryIdentity> aOthers)
 {
   auto earlier = std::count_if(
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -14,6 +14,7 @@
 #include "relay/Relay.h"
 #include "serving/CrashSuspects.h"
 #include "serving/GracefulStop.h"
+#include "serving/MemoryBudget.h"
 #include "serving/PartQuarantine.h"
 #include "serving/PeerMessage.h"
 #include "serving/RecentMaximum.h"
@@ -112,6 +113,8 @@
   void sendToSome(const serving::PeerMessage& aMessage);
   /** Sends to the other entries, several times, since a datagram may be lost. */
   void broadcast(const serving::PeerMessage& aMessage);
+  /** Gives up the answers that hold most until the memory budget is kept. */
+  void relieveMemory(base::TimePoint aNow);
   /** @param aSource "crash" for evidence, "peer" for the quarantine of another entry. */
   void logQuarantine(uint64_t aFingerprint, std::string_view aSource, base::TimePoint aNow);
   bool isReady() const { return !stop.hasStarted() && deployment != nullptr && listConfirmedAt; }
@@ -121,6 +124,7 @@
   telemetry::EventLog& log;
   RelayMetrics metrics;
   asio::io_context io{ 1 };
+  serving::MemoryBudget memory{ options.maxHeldBytes }; ///< Outlives the sessions.
   ConnectionPool pool;
   base::Rng rng;
   std::shared_ptr<const serving::Deployment> deployment;
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include <malloc.h>
+
 #include "CallerSession.h"
 #include "Core.h"
 #include "serving/Fragments.h"
@@ -18,6 +20,8 @@
 /** Interval of housekeeping: idle connections are closed, the quarantine is told to others. */
 constexpr base::Milliseconds kHousekeepingInterval = 1000ms;
 constexpr int kListenBacklog = 512;
+/** Blocks of this size are rare: most bodies and answers are far shorter. */
+constexpr int kLongAllocationBytes = 256 << 10;
 
 Tcp::endpoint endpointOf(const net::Address& aAddress)
 {
@@ -424,6 +428,13 @@
   };
 };
 
+void limitHeldMemory()
+{
+  // Otherwise the C library raises the threshold with each long block that is freed, and keeps
+  // later ones in its heap. The call fails for values out of range only.
+  static_cast<void>(::mallopt(M_MMAP_THRESHOLD, kLongAllocationBytes));
+}
+
 Relay::Builder& Relay::Builder::options(RelayOptions aOptions)
 {
   mOptions = std::move(aOptions);
--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -185,9 +185,12 @@
 {
 }
 
-void Exchange::start(std::string aMessage, base::TimePoint aNow)
+void Exchange::start(std::string aHead,
+                     std::shared_ptr<const std::string> aBody,
+                     base::TimePoint aNow)
 {
-  mMessage = std::move(aMessage);
+  mHead = std::move(aHead);
+  mBody = std::move(aBody);
   // On a used connection only the id distinguishes the answer from one to an earlier request.
   if (!mRequest.attemptId.empty()) {
     mConnection = mPool.take(mRequest.endpoint, mRequest.attemptId, mRequest.maxIdle, aNow);
@@ -234,8 +237,9 @@
 {
   startParser();
   asio::async_write(mConnection->socket,
-                    asio::buffer(mMessage),
+                    std::array<asio::const_buffer, 2>{ asio::buffer(mHead), asio::buffer(*mBody) },
                     [self = shared_from_this()](ErrorCode aError, size_t) {
+                      self->mBody.reset();
                       if (self->mState != State::Exchanging) {
                         return;
                       }
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -157,8 +157,9 @@
            ExchangeRequest aRequest,
            std::weak_ptr<ExchangeHandler> aHandler);
 
-  /** @param aMessage head and body of the request as sent. */
-  void start(std::string aMessage, base::TimePoint aNow);
+  /** @param aHead head of the request as sent.
+   * @param aBody its body; not null, and shared with the request, which may be sent again. */
+  void start(std::string aHead, std::shared_ptr<const std::string> aBody, base::TimePoint aNow);
   /** Closes the connection; the endpoint stops working on the request. */
   void abort();
   /** Stops reading while paused: backpressure from a slow caller to the endpoint. */
@@ -196,7 +197,8 @@
   const ExchangeRequest mRequest;
   const std::weak_ptr<ExchangeHandler> mHandler;
   std::unique_ptr<Connection> mConnection;
-  std::string mMessage;
+  std::string mHead;
+  std::shared_ptr<const std::string> mBody; ///< Until it has been written.
   std::optional<Parser> mParser;
   State mState = State::Idle;
   bool mIsNew = false;
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -138,6 +138,7 @@
 
 int main(int aCount, char** aArguments)
 {
+  relay::limitHeldMemory();
   return tools::runNode(
     aCount,
     aArguments,
