--- a/libs/weights/include/weights/StagedWeightHost.h
+++ b/libs/weights/include/weights/StagedWeightHost.h
@@ -22,8 +22,10 @@
   virtual base::Status putChunk(const std::string& aModel,
                                 uint32_t aChunk,
                                 std::span<const std::byte> aBytes) = 0;
-  /** NotFound when the chunk is absent. */
-  virtual base::Result<std::string> chunk(const std::string& aModel, uint32_t aChunk) = 0;
+  /** NotFound when the chunk is absent, TooLarge when it has more than aMaxBytes. */
+  virtual base::Result<std::string> chunk(const std::string& aModel,
+                                          uint32_t aChunk,
+                                          size_t aMaxBytes) = 0;
 };
 
 /**
--- a/libs/weights/src/StagedWeightHost.cpp
+++ b/libs/weights/src/StagedWeightHost.cpp
@@ -101,7 +101,11 @@
     }
   }
   if (bytes.empty()) {
-    auto staged = mStaging.chunk(model, aChunk);
+    auto staged = mStaging.chunk(model, aChunk, aTarget.size());
+    if (!staged && staged.error().kind == base::ErrorKind::TooLarge) {
+      return base::fail(
+        base::ErrorKind::Corrupt, aId.toString(), "the staged chunk is too long", "fetch it again");
+    }
     if (!staged) {
       return tl::make_unexpected(staged.error());
     }
@@ -161,11 +165,12 @@
 
 base::Status StagedWeightHost::verifyStaged(const Manifest& aManifest, uint32_t aChunk) const
 {
-  auto staged = mStaging.chunk(aManifest.model(), aChunk);
-  if (!staged) {
+  auto staged = mStaging.chunk(aManifest.model(), aChunk, aManifest.sizeOf(aChunk));
+  bool isTooLong = !staged && staged.error().kind == base::ErrorKind::TooLarge;
+  if (!staged && !isTooLong) {
     return tl::make_unexpected(staged.error());
   }
-  if (!aManifest.verifies(aChunk, base::asBytes(*staged))) {
+  if (isTooLong || !aManifest.verifies(aChunk, base::asBytes(*staged))) {
     return base::fail(base::ErrorKind::Corrupt,
                       aManifest.id().toString() + "/" + std::to_string(aChunk),
                       "the staged chunk differs from the manifest",
--- a/libs/weights/tests/StagedWeightHostTest.cpp
+++ b/libs/weights/tests/StagedWeightHostTest.cpp
@@ -21,7 +21,7 @@
     chunks[aChunk] = base::asText(aBytes);
     return {};
   }
-  base::Result<std::string> chunk(const std::string&, uint32_t aChunk) override
+  base::Result<std::string> chunk(const std::string&, uint32_t aChunk, size_t) override
   {
     ++reads;
     auto found = chunks.find(aChunk);
--- a/tools/loader/tests/LoadOrderTest.cpp
+++ b/tools/loader/tests/LoadOrderTest.cpp
@@ -58,7 +58,7 @@
     return {};
   }
 
-  base::Result<std::string> chunk(const std::string&, uint32_t aChunk) override
+  base::Result<std::string> chunk(const std::string&, uint32_t aChunk, size_t) override
   {
     std::this_thread::sleep_for(callTime);
     std::lock_guard lock(mMutex);
