--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -123,8 +123,9 @@
   const HeaderCodec& headerCodec;
   telemetry::EventLog& log;
   RelayMetrics metrics;
+  /** Outlives the sessions, which may live as long as io. */
+  serving::MemoryBudget memory{ options.maxHeldBytes };
   asio::io_context io{ 1 };
-  serving::MemoryBudget memory{ options.maxHeldBytes }; ///< Outlives the sessions.
   ConnectionPool pool;
   base::Rng rng;
   std::shared_ptr<const serving::Deployment> deployment;
--- a/tools/loader/LoadOrder.h
+++ b/tools/loader/LoadOrder.h
@@ -42,6 +42,8 @@
                                            platform::RunningRequests aRunning);
   /** Whether the engine, which reports aEngine after send(), loaded sound chunks. */
   LoadProof prove(const rollout::EngineWeights& aEngine);
+  /** True from an order without a timely answer until prove() has settled it. */
+  bool isUnproven() const { return mUnproven.has_value(); }
   /** True while the engine holds weights that may be corrupt. */
   bool isRejected() const { return mUnproven && mUnproven->isRejected; }
   /** True if an order without a timely answer has had no effect for so long that it is taken as
--- a/tools/loader/WeightLoader.cpp
+++ b/tools/loader/WeightLoader.cpp
@@ -421,23 +421,25 @@
 
 void WeightLoader::settleOrder(const rollout::EngineWeights& aEngine, base::TimePoint aNow)
 {
-  if (!mSwitching || aEngine.isBusy) {
+  // An order that counted as lost may still take effect.
+  if (aEngine.isBusy || (!mSwitching && !mOrder.isUnproven())) {
     return;
   }
   switch (mOrder.prove(aEngine)) {
     case LoadProof::Proven:
-      if (aEngine.version >= mSwitch.wantedVersion()) {
+      if (mSwitching && aEngine.version >= mSwitch.wantedVersion()) {
         mSwitching = false;
         log("weights_loaded", { { "version", std::to_string(aEngine.version) } });
       }
       break;
     case LoadProof::Pending:
-      if (mOrder.isLost(aEngine, aNow)) {
+      if (mSwitching && mOrder.isLost(aEngine, aNow)) {
         mSwitching = false;
         log("order_lost", { { "version", std::to_string(mSwitch.wantedVersion()) } });
       }
       break;
     case LoadProof::Rejected:
+      mSwitching = true;
       // The engine takes no requests until it has loaded these weights again or a newer version.
       if (mSwitch.requireReload(aEngine)) {
         log("load_rejected", { { "version", std::to_string(aEngine.version) } });
--- a/tools/loader/tests/LoadOrderTest.cpp
+++ b/tools/loader/tests/LoadOrderTest.cpp
@@ -77,6 +77,9 @@
     if (beforeOrder) {
       beforeOrder();
     }
+    if (refuses) {
+      return platform::OrderAnswer::Refused;
+    }
     if (version == aVersion) {
       return platform::OrderAnswer::AlreadyDone;
     }
@@ -103,6 +106,7 @@
   base::Milliseconds callTime{ 0 };
   std::function<void()> beforeOrder;
   bool losesAnswers = false;
+  bool refuses = false;
   uint64_t version = 1;
   bool tookOutdatedChunk = false;
   int orders = 0;
@@ -241,6 +245,22 @@
   BOOST_TEST(engine.reads == static_cast<int>(kChunks));
 }
 
+// Guards against an order that counts as lost, takes effect all the same, and is not checked any
+// more because the order after it was refused.
+BOOST_FIXTURE_TEST_CASE(anOrderThatTakesEffectLateIsStillChecked, Fixture)
+{
+  engine.losesAnswers = true;
+  BOOST_REQUIRE(loadOrder.stage(fill(2), 2).has_value());
+  BOOST_TEST(order());
+  BOOST_TEST(loadOrder.isLost({ 1, 1, false }, clock.now() + 4s));
+  engine.refuses = true;
+  BOOST_REQUIRE(loadOrder.stage(fill(2), 2).has_value());
+  BOOST_TEST(order());
+  BOOST_TEST(loadOrder.isUnproven());
+  engine.corrupt(9);
+  BOOST_TEST((loadOrder.prove(engine.weights()) == LoadProof::Rejected));
+}
+
 // Guards against keeping a restarted engine out of service for the weights that it has lost.
 BOOST_FIXTURE_TEST_CASE(restartEndsTheDoubt, Fixture)
 {
