Tests: the search of long lines is judged by its growth, not by a time

longLinesAreSearchedOnce wanted 4 MiB to be read within 300 ms of processor time. Now four times the bytes may take at most eight times as long: linear work takes four times, the fault sixteen. As strict, in any build and on any machine.

Call::chargeAnswer() returns nothing: its result was not used.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -424,14 +424,13 @@
   chargeAnswer(now);
 }
 
-bool Call::chargeAnswer(base::TimePoint aNow)
+void Call::chargeAnswer(base::TimePoint aNow)
 {
   mCharge.set(mBody.capacity() + mSplitter.heldBytes() + mEarlyComments.capacity() +
               (mAnsweredError ? mAnsweredError->second.capacity() : 0));
   if (mCore.memory.isExceeded()) {
     mCore.relieveMemory(aNow);
   }
-  return mExchange != nullptr;
 }
 
 void Call::giveUpAnswer(base::TimePoint aNow)
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -69,8 +69,8 @@
   std::string_view obstacleToRetry(base::TimePoint aNow);
   void endSend(serving::Outcome aOutcome, base::TimePoint aNow);
   void abortSend(const SendResult& aResult, base::TimePoint aNow);
-  /** Accounts for the bytes held of the answer. Returns false if it was given up. */
-  bool chargeAnswer(base::TimePoint aNow);
+  /** Accounts for the bytes held of the answer, which may be given up thereby. */
+  void chargeAnswer(base::TimePoint aNow);
   void handleEvent(const serving::StreamEvent& aEvent, base::TimePoint aNow);
   /** Takes comments and empty lines between the events of a stream. */
   void handleComment(std::string_view aText);
--- a/libs/serving/tests/TextTest.cpp
+++ b/libs/serving/tests/TextTest.cpp
@@ -53,11 +53,11 @@
   RC_ASSERT(cut.pending().empty());
 }
 
-// Guards against an event without end that costs processor time with the square of its bytes, so
-// that other requests are not served meanwhile.
-BOOST_AUTO_TEST_CASE(longLinesAreSearchedOnce)
+namespace {
+
+/** Processor time for reading an event of one line in short reads, in milliseconds. */
+long readLongLineMs(size_t aBytes)
 {
-  constexpr size_t kBytes = 4 << 20;
   constexpr size_t kReadBytes = 512;
   auto processorMs = [] {
     timespec time{};
@@ -67,14 +67,29 @@
   EventSplitter splitter;
   std::string part(kReadBytes, 'a');
   auto before = processorMs();
-  for (size_t bytes = 0; bytes < kBytes; bytes += kReadBytes) {
+  for (size_t bytes = 0; bytes < aBytes; bytes += kReadBytes) {
     splitter.feed(part);
     BOOST_REQUIRE(!splitter.next().has_value());
   }
-  BOOST_TEST(processorMs() - before < 300);
+  auto took = processorMs() - before;
   splitter.feed("\r\n\n");
   BOOST_REQUIRE(splitter.next().has_value());
   BOOST_TEST(splitter.pending().empty());
+  return took;
+}
+
+} // namespace
+
+// Guards against an event without end that costs processor time with the square of its bytes, so
+// that other requests are not served meanwhile.
+BOOST_AUTO_TEST_CASE(longLinesAreSearchedOnce)
+{
+  constexpr size_t kBytes = 1 << 20;
+  // Four times the bytes take four times as long if each is looked at once, otherwise sixteen
+  // times. The ratio holds for any build and machine; the constant covers the resolution of the
+  // clock.
+  long once = readLongLineMs(kBytes);
+  BOOST_TEST(readLongLineMs(4 * kBytes) < 8 * once + 50);
 }
 
 namespace {
