Relay: log what a stop shortens and what the end of the process breaks off

Callers of a stopping entry lost streams; the log could not tell why. Lines about a request did not say whether the caller or the stop limited its time, nor when the stop began; requests in progress at the end left no line, and the last lines were dropped when the pipe was full for a moment.

Added: left_ms, limit and stop_ms of send_failed; time_ms, limit and stop_ms of request; signal_age_ms and in_flight of leaving; lines for each request or answer that the end breaks off, and their count in left; counters bp_relay_refused_by_stop_total and bp_relay_cut_by_stop_total. The last flush waits up to 100 ms for the reader of the log. No decision changes.

--- a/libs/relay/include/relay/Relay.h
+++ b/libs/relay/include/relay/Relay.h
@@ -93,8 +93,9 @@
   virtual void run() = 0;
 
   /** Any thread: initiates a graceful stop. The relay reports not ready, still serves requests that
-   * arrive and can be answered in time, completes those in flight, and then ends run(). */
-  virtual void startLeaving() = 0;
+   * arrive and can be answered in time, completes those in flight, and then ends run().
+   * @param aSignalledAt when the process was told to stop; the event loop may learn of it late. */
+  virtual void startLeaving(base::TimePoint aSignalledAt) = 0;
   /** Any thread: sets the configuration, unless it is not newer than the present one. */
   virtual void setDeployment(std::shared_ptr<const serving::Deployment> aDeployment) = 0;
   /** Any thread: applies changes of the list of endpoints in the order given. */
--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -66,11 +66,6 @@
   return decimal(std::chrono::duration<double>(aTime).count());
 }
 
-std::string milliseconds(base::Duration aTime)
-{
-  return std::to_string(base::toMilliseconds(aTime));
-}
-
 std::string_view pathOf(std::string_view aTarget)
 {
   return aTarget.substr(0, aTarget.find('?'));
@@ -152,10 +147,11 @@
     mDeadline = std::min(mDeadline, mRequest.received + base::Duration(*mFacts.timeLeft));
   }
   if (!mCore.stop.admits(mDeadline, mRoute->mayRepeat(), aNow)) {
+    mCore.metrics.refusedByStop.add();
     refuse(kStopping, aNow);
     return false;
   }
-  mDeadline = std::min(mDeadline, mCore.stop.answerBy());
+  limitByStop();
   mFirstEventDue = mRequest.received + base::Duration(mRoute->latencyTarget);
   mService = pickService();
   if (mService == nullptr) {
@@ -174,6 +170,14 @@
   return true;
 }
 
+void Call::limitByStop()
+{
+  if (mCore.stop.answerBy() < mDeadline) {
+    mDeadline = mCore.stop.answerBy();
+    mIsLimitedByStop = true;
+  }
+}
+
 bool Call::isQuarantined(base::TimePoint aNow) const
 {
   return mCore.suspects.isQuarantined(mFingerprint, aNow) ||
@@ -668,7 +672,10 @@
       { "retry_after_ms",
         mHead && mHead->facts.retryAfter ? milliseconds(*mHead->facts.retryAfter) : "-" },
       { "again", isRetried ? "yes" : "no" },
-      { "obstacle", isRetried ? "-" : std::string(obstacle) } },
+      { "obstacle", isRetried ? "-" : std::string(obstacle) },
+      { "left_ms", milliseconds(mDeadline - aNow) },
+      { "limit", mIsLimitedByStop ? "stop" : "caller" },
+      { "stop_ms", milliseconds(mCore.stop.elapsed(aNow)) } },
     aNow);
   if (!isRetried) {
     giveUp(aNow, aResult.reason);
@@ -737,7 +744,7 @@
     abortSend({ Outcome::Silent, false, "connect_timeout" }, aNow);
     return;
   }
-  mDeadline = std::min(mDeadline, mCore.stop.answerBy());
+  limitByStop();
   if (aNow >= mDeadline) {
     bool sent = !mExchange->isConnecting();
     auto exchange = mExchange;
@@ -780,8 +787,18 @@
   }
 }
 
+void Call::logUnfinished(base::TimePoint aNow)
+{
+  if (!mDone) {
+    logEnd(telemetry::EventClass::Refused, "unfinished", 0, "end_of_process", aNow);
+  }
+}
+
 void Call::giveUp(base::TimePoint aNow, std::string_view aReason)
 {
+  if (mIsLimitedByStop && mPossibleRuns > 0) {
+    mCore.metrics.cutByStop.add();
+  }
   if (mStreamBegan) {
     mDone = true;
     mCore.metrics.failed.add();
@@ -884,7 +901,10 @@
                     { "events", std::to_string(mEventCount) },
                     { "first_ms", firstMs },
                     { "gap_ms", milliseconds(mLongestGap) },
-                    { "ms", milliseconds(aNow - mRequest.received) } },
+                    { "ms", milliseconds(aNow - mRequest.received) },
+                    { "time_ms", milliseconds(mDeadline - mRequest.received) },
+                    { "limit", mIsLimitedByStop ? "stop" : "caller" },
+                    { "stop_ms", milliseconds(mCore.stop.elapsed(aNow)) } },
                   aNow);
 }
 
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -36,6 +36,8 @@
   void start(base::TimePoint aNow);
   void tick(base::TimePoint aNow);
   void onCallerLeft();
+  /** Logs a request that the end of the process breaks off. */
+  void logUnfinished(base::TimePoint aNow);
   /** All bytes written to the caller's connection have been sent. */
   void onCallerDrained();
   /** Bytes held of the answer that is being received. */
@@ -51,6 +53,8 @@
 
 private:
   bool admit(base::TimePoint aNow);
+  /** Moves the deadline before the end of the process. */
+  void limitByStop();
   bool checkKey();
   const serving::Service* pickService();
   serving::PlacementRequest placementRequest(base::TimePoint aNow) const;
@@ -110,7 +114,8 @@
   const serving::Workspace* mWorkspace = nullptr;
   const serving::Service* mService = nullptr;
   uint64_t mFingerprint = 0;
-  base::TimePoint mDeadline;
+  base::TimePoint mDeadline = mRequest.received; ///< Set on admission.
+  bool mIsLimitedByStop = false; ///< The end of the process precedes the end of the caller's time.
   bool mDone = false;
 
   std::shared_ptr<Exchange> mExchange;
--- a/libs/relay/src/CallerSession.cpp
+++ b/libs/relay/src/CallerSession.cpp
@@ -18,6 +18,8 @@
 /** Timeout for reading a request with a body. */
 constexpr base::Milliseconds kBodyTimeout = 15000ms;
 constexpr size_t kDiscardBytes = 4096;
+/** Reason of what is broken off, in log lines. */
+constexpr const char* kEndOfProcess = "end_of_process";
 
 std::string_view view(beast::string_view aText)
 {
@@ -528,6 +530,21 @@
   }
 }
 
+void CallerSession::logUnfinished(base::TimePoint aNow) const
+{
+  if (mCall) {
+    mCall->logUnfinished(aNow);
+  } else if (mPhase == Phase::Reading || backlog() > 0) {
+    mCore.log.write(telemetry::EventClass::Refused,
+                    mPhase == Phase::Reading ? "request_unread" : "answer_unwritten",
+                    { { "reason", kEndOfProcess },
+                      { "read_bytes", std::to_string(mBodyBytes) },
+                      { "unwritten_bytes", std::to_string(backlog()) },
+                      { "phase_ms", milliseconds(aNow - mPhaseStart) } },
+                    aNow);
+  }
+}
+
 void CallerSession::tick(base::TimePoint aNow)
 {
   serving::CallerLimits limits;
--- a/libs/relay/src/CallerSession.h
+++ b/libs/relay/src/CallerSession.h
@@ -38,6 +38,8 @@
   /** True while a request is read or answered. */
   bool isBusy() const { return mCall != nullptr || mPhase != Phase::Idle; }
   void closeIdle();
+  /** Logs the request or the answer that the end of the process breaks off. */
+  void logUnfinished(base::TimePoint aNow) const;
   /** The request being answered; may be null. */
   const std::shared_ptr<Call>& call() const { return mCall; }
 
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -35,12 +35,22 @@
 }
 } // namespace
 
+std::string milliseconds(std::optional<base::Duration> aTime)
+{
+  return aTime ? std::to_string(base::toMilliseconds(*aTime)) : "-";
+}
+
 RelayMetrics::RelayMetrics(telemetry::Registry& aRegistry)
   : served(aRegistry.counter("bp_relay_served_total", "Requests answered with success"))
   , refused(aRegistry.counter("bp_relay_refused_total", "Requests refused without being run"))
   , rejected(aRegistry.counter("bp_relay_rejected_total", "Requests answered 4xx by the entry"))
   , failed(aRegistry.counter("bp_relay_failed_total", "Requests that may have run and failed"))
   , abandoned(aRegistry.counter("bp_relay_abandoned_total", "Requests whose caller left"))
+  , refusedByStop(
+      aRegistry.counter("bp_relay_refused_by_stop_total",
+                        "Requests refused because the process may end before their answer"))
+  , cutByStop(aRegistry.counter("bp_relay_cut_by_stop_total",
+                                "Requests given up because the process ends"))
   , repeats(aRegistry.counter("bp_relay_repeats_total", "Sends to a further endpoint"))
   , resumes(aRegistry.counter("bp_relay_resumes_total", "Streams continued on another endpoint"))
   , connects(aRegistry.counter("bp_relay_connects_total", "New connections to endpoints"))
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -25,6 +25,9 @@
 
 class CallerSession;
 
+/** A duration as the value of a field in log lines; "-" when there is none. */
+std::string milliseconds(std::optional<base::Duration> aTime);
+
 struct RelayMetrics
 {
   explicit RelayMetrics(telemetry::Registry& aRegistry);
@@ -34,6 +37,8 @@
   telemetry::Counter& rejected; ///< Answered 4xx: invalid request, unknown key or route.
   telemetry::Counter& failed;
   telemetry::Counter& abandoned;
+  telemetry::Counter& refusedByStop;
+  telemetry::Counter& cutByStop;
   telemetry::Counter& repeats;
   telemetry::Counter& resumes;
   telemetry::Counter& connects;
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -135,13 +135,17 @@
 
   void run() override { mCore.io.run(); }
 
-  void startLeaving() override
+  void startLeaving(base::TimePoint aSignalledAt) override
   {
-    post([this] {
-      if (!mCore.stop.start(std::chrono::steady_clock::now())) {
+    post([this, aSignalledAt] {
+      auto now = std::chrono::steady_clock::now();
+      if (!mCore.stop.start(now)) {
         return;
       }
-      logState("leaving", { { "sessions", std::to_string(mCore.sessions.size()) } });
+      logState("leaving",
+               { { "sessions", std::to_string(mCore.sessions.size()) },
+                 { "in_flight", std::to_string(callsInFlight()) },
+                 { "signal_age_ms", std::to_string(base::toMilliseconds(now - aSignalledAt)) } });
     });
   }
 
@@ -381,14 +385,36 @@
       mCore.pool.prune(aNow);
       mCore.spreadQuarantine(aNow);
     }
-    mCore.log.flush(aNow);
     if (mCore.stop.hasStarted() && advanceLeaving(aNow)) {
+      logUnfinished(aNow);
+      mCore.log.flush(aNow);
       mCore.io.stop();
       return;
     }
+    mCore.log.flush(aNow);
     scheduleTick();
   }
 
+  size_t callsInFlight() const
+  {
+    return static_cast<size_t>(
+      std::count_if(mCore.sessions.begin(), mCore.sessions.end(), [](const auto& aSession) {
+        return aSession->call() != nullptr;
+      }));
+  }
+
+  /** Logs what the end of the process breaks off. */
+  void logUnfinished(base::TimePoint aNow)
+  {
+    for (const auto& session : mCore.sessions) {
+      session->logUnfinished(aNow);
+    }
+    logState("left",
+             { { "sessions", std::to_string(mCore.sessions.size()) },
+               { "in_flight", std::to_string(callsInFlight()) },
+               { "stop_ms", milliseconds(mCore.stop.elapsed(aNow)) } });
+  }
+
   /** Advances a graceful stop. Returns true when it is complete. */
   bool advanceLeaving(base::TimePoint aNow)
   {
--- a/libs/relay/tests/BrokenStreamTest.cpp
+++ b/libs/relay/tests/BrokenStreamTest.cpp
@@ -266,7 +266,7 @@
   // The leave limit is as long as connectTo() lets a read wait.
   timeval limit{ .tv_sec = 10, .tv_usec = 0 };
   setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-  relay->startLeaving();
+  relay->startLeaving(std::chrono::steady_clock::now());
   thread.join();
   relay.reset();
   Received received = readToEnd(socket);
--- a/libs/relay/tests/LateRequestTest.cpp
+++ b/libs/relay/tests/LateRequestTest.cpp
@@ -19,7 +19,7 @@
 
   void stop(base::Duration aWait)
   {
-    relay->startLeaving();
+    relay->startLeaving(std::chrono::steady_clock::now());
     std::this_thread::sleep_for(aWait);
   }
 
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -330,7 +330,7 @@
   ~Fixture()
   {
     if (thread.joinable()) {
-      relay->startLeaving();
+      relay->startLeaving(std::chrono::steady_clock::now());
       thread.join();
     }
   }
--- a/libs/relay/tests/RelayTest.cpp
+++ b/libs/relay/tests/RelayTest.cpp
@@ -230,7 +230,7 @@
   int socket = connectTo(callers);
   sendAll(socket, get("1"));
   std::this_thread::sleep_for(100ms);
-  relay->startLeaving();
+  relay->startLeaving(std::chrono::steady_clock::now());
   std::string text = readMessage(socket);
   BOOST_TEST(text.ends_with("late"));
   BOOST_TEST(text.find("Connection: close") != std::string::npos);
--- a/libs/serving/include/serving/GracefulStop.h
+++ b/libs/serving/include/serving/GracefulStop.h
@@ -22,6 +22,8 @@
   /** Returns false when the stop has begun before. */
   bool start(base::TimePoint aNow);
   bool hasStarted() const { return mStartedAt.has_value(); }
+  /** Time since the stop began; empty before. */
+  std::optional<base::Duration> elapsed(base::TimePoint aNow) const;
   bool acceptsConnections(base::TimePoint aNow) const;
   /** Whether the limit is reached. */
   bool isOver(base::TimePoint aNow) const;
--- a/libs/serving/src/GracefulStop.cpp
+++ b/libs/serving/src/GracefulStop.cpp
@@ -27,6 +27,11 @@
   return true;
 }
 
+std::optional<base::Duration> GracefulStop::elapsed(base::TimePoint aNow) const
+{
+  return mStartedAt ? std::optional(aNow - *mStartedAt) : std::nullopt;
+}
+
 bool GracefulStop::acceptsConnections(base::TimePoint aNow) const
 {
   return !mStartedAt || aNow - *mStartedAt < mAcceptTime;
--- a/libs/telemetry/include/telemetry/EventLog.h
+++ b/libs/telemetry/include/telemetry/EventLog.h
@@ -49,6 +49,9 @@
              std::initializer_list<Field> aFields,
              base::TimePoint aNow);
   void flush(base::TimePoint aNow);
+  /** Writes all buffered lines; waits for a slow reader, but not longer than aLimit. For the last
+   * lines of a process. */
+  void flushAll(base::TimePoint aNow, base::Milliseconds aLimit);
   /** Lines of a class dropped since the start. */
   uint64_t dropped(EventClass aClass) const;
   uint64_t writtenBytes() const;
--- a/libs/telemetry/src/EventLog.cpp
+++ b/libs/telemetry/src/EventLog.cpp
@@ -2,6 +2,7 @@
 
 #include <cerrno>
 #include <fcntl.h>
+#include <poll.h>
 #include <unistd.h>
 
 namespace boragepitch::telemetry {
@@ -95,6 +96,29 @@
   mWrittenBytes += written;
 }
 
+void EventLog::flushAll(base::TimePoint aNow, base::Milliseconds aLimit)
+{
+  const auto until = aNow + base::Duration(aLimit);
+  for (;;) {
+    flush(aNow);
+    aNow = std::chrono::steady_clock::now();
+    {
+      std::lock_guard lock(mMutex);
+      if (mPending.empty() || aNow >= until) {
+        return;
+      }
+    }
+    pollfd descriptor{ .fd = mDescriptor, .events = POLLOUT, .revents = 0 };
+    auto wait = std::chrono::ceil<base::Milliseconds>(until - aNow);
+    if (::poll(&descriptor, 1, static_cast<int>(wait.count())) < 0 && errno != EINTR) {
+      return;
+    }
+    if ((descriptor.revents & (POLLERR | POLLNVAL)) != 0) {
+      return; // Nobody reads the lines any more.
+    }
+  }
+}
+
 uint64_t EventLog::dropped(EventClass aClass) const
 {
   std::lock_guard lock(mMutex);
--- a/libs/telemetry/tests/EventLogTest.cpp
+++ b/libs/telemetry/tests/EventLogTest.cpp
@@ -1,6 +1,9 @@
 #define BOOST_TEST_MODULE telemetry_event_log
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
+#include <thread>
+
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -92,3 +95,41 @@
   BOOST_TEST(text.back() == '\n');
   BOOST_TEST(countOccurrences(text, "event=line text=") == countOccurrences(text, "\n"));
 }
+
+// Guards against last lines of a process that are lost because the pipe is full for a moment.
+BOOST_AUTO_TEST_CASE(lastLinesWaitForASlowReader)
+{
+  Pipe pipe;
+  EventLog log(pipe.ends[1], "n", { .linesPerSecond = { 0, 0, 100000 }, .pendingBytes = 1 << 20 });
+  constexpr size_t kLines = 5000;
+  for (size_t i = 0; i < kLines; ++i) {
+    log.write(EventClass::Critical, "line", { { "text", std::string(60, 'x') } }, kNow);
+  }
+  std::string text;
+  std::thread reader([&] {
+    while (countOccurrences(text, "event=line") < kLines) {
+      std::this_thread::sleep_for(5ms);
+      text += pipe.read();
+    }
+  });
+  log.flushAll(std::chrono::steady_clock::now(), 5000ms);
+  reader.join();
+  BOOST_TEST(countOccurrences(text, "event=line") == kLines);
+}
+
+// Guards against a process that does not end because nobody reads its log.
+BOOST_AUTO_TEST_CASE(lastLinesAreGivenUpAtTheLimit)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  Pipe pipe;
+  EventLog log(pipe.ends[1], "n", { .linesPerSecond = { 0, 0, 100000 }, .pendingBytes = 1 << 20 });
+  for (int i = 0; i < 5000; ++i) {
+    log.write(EventClass::Critical, "line", { { "text", std::string(60, 'x') } }, kNow);
+  }
+  auto start = std::chrono::steady_clock::now();
+  log.flushAll(start, 50ms);
+  BOOST_TEST((std::chrono::steady_clock::now() - start >= 50ms));
+  ::close(pipe.ends[0]);
+  log.flushAll(std::chrono::steady_clock::now(), 1h); // Returns, as the pipe has no reader.
+  pipe.ends[0] = ::dup(pipe.ends[1]);
+}
--- a/tools/loader/main.cpp
+++ b/tools/loader/main.cpp
@@ -121,7 +121,7 @@
     return {};
   }
 
-  void leave() override
+  void leave(base::TimePoint /*aSignalledAt*/) override
   {
     mReporter.stop();
     mStoreConnections.stop();
--- a/tools/node/RunNode.cpp
+++ b/tools/node/RunNode.cpp
@@ -7,6 +7,11 @@
 
 namespace boragepitch::tools {
 
+namespace {
+/** Time for the reader of the log to take the last lines; they say what the end broke off. */
+constexpr base::Milliseconds kLastFlushTime{ 100 };
+} // namespace
+
 int runNode(int aCount,
             char** aArguments,
             const std::string& aProgram,
@@ -39,10 +44,11 @@
       bool valid = aSchema.load(commandLine.settingsPath).has_value();
       log("reload", { { "settings", valid ? "valid" : "invalid" }, { "applied", "none" } });
     });
+  auto signalledAt = std::chrono::steady_clock::now();
   log("signal", { { "signal", "terminate" } });
-  process->leave();
+  process->leave(signalledAt);
   log("stopped", {});
-  process->log().flush(std::chrono::steady_clock::now());
+  process->log().flushAll(std::chrono::steady_clock::now(), kLastFlushTime);
   endProcess(ExitCode::Success);
 }
 
--- a/tools/node/RunNode.h
+++ b/tools/node/RunNode.h
@@ -16,8 +16,9 @@
 public:
   virtual ~NodeProcess() = default;
   virtual base::Status start() = 0;
-  /** Finishes requests in flight and stops all threads. */
-  virtual void leave() = 0;
+  /** Finishes requests in flight and stops all threads.
+   * @param aSignalledAt when the signal to stop was taken. */
+  virtual void leave(base::TimePoint aSignalledAt) = 0;
   virtual telemetry::EventLog& log() = 0;
 };
 
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -109,9 +109,9 @@
     return {};
   }
 
-  void leave() override
+  void leave(base::TimePoint aSignalledAt) override
   {
-    mRelay->startLeaving();
+    mRelay->startLeaving(aSignalledAt);
     mLoop.join();
     mStoreConnections.stop();
   }
--- a/tools/router/tests/RecordingRelay.h
+++ b/tools/router/tests/RecordingRelay.h
@@ -16,7 +16,7 @@
 public:
   base::Status start() override { return {}; }
   void run() override {}
-  void startLeaving() override {}
+  void startLeaving(base::TimePoint) override {}
   void setDeployment(std::shared_ptr<const serving::Deployment>) override { ++deployments; }
   void changeEndpoints(std::vector<serving::EndpointChange> aChanges) override
   {
