Incident, streams cut by a stop: a stop admits what it will finish, by measured durations

Callers of a stopping entry lost streams that it had admitted after SIGTERM: the connection closed in the middle.

Cause: GracefulStop admitted a request that may be repeated if half of its time fitted before the end (kUsualShareOfTime: "nearly every request stays below"). Where streams take five sixths of their time, those that were admitted later than about 2 s before the end were cut. The class: a duration that was assumed, not measured.

Without a recent request the whole time must fit, as for requests that may run once only. What is refused is answered 503 at once, as before, and goes to another entry.

GracefulStopTest stated the assumption itself (six seconds, repeatable, admitted for 2.5 s). It now states what is admitted for measured durations of 1, 3 and 5 s, and without any, and that 60 s are refused unless they are known to take less.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -146,7 +146,8 @@
   if (mFacts.timeLeft) {
     mDeadline = std::min(mDeadline, mRequest.received + base::Duration(*mFacts.timeLeft));
   }
-  if (!mCore.stop.admits(mDeadline, mRoute->mayRepeat(), aNow)) {
+  auto expected = mCore.durations.expected(mRoute->name, aNow);
+  if (!mCore.stop.admits(mDeadline, mRoute->mayRepeat(), expected, aNow)) {
     mCore.metrics.refusedByStop.add();
     refuse(kStopping, aNow);
     return false;
@@ -744,6 +745,10 @@
     abortSend({ Outcome::Silent, false, "connect_timeout" }, aNow);
     return;
   }
+  if (mCore.stop.hasStarted()) {
+    // Requests that arrive now may take as long as those in progress.
+    mCore.durations.record(mRoute->name, aNow - mRequest.received, aNow);
+  }
   limitByStop();
   if (aNow >= mDeadline) {
     bool sent = !mExchange->isConnecting();
@@ -906,6 +911,9 @@
                     { "limit", mIsLimitedByStop ? "stop" : "caller" },
                     { "stop_ms", milliseconds(mCore.stop.elapsed(aNow)) } },
                   aNow);
+  if (mSendCount > 0) {
+    mCore.durations.record(mRoute->name, aNow - mRequest.received, aNow);
+  }
 }
 
 } // namespace boragepitch::relay
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -18,6 +18,7 @@
 #include "serving/PartQuarantine.h"
 #include "serving/PeerMessage.h"
 #include "serving/RecentMaximum.h"
+#include "serving/RequestDurations.h"
 #include "serving/ReportedCrashes.h"
 #include "serving/VersionSchedule.h"
 
@@ -144,6 +145,7 @@
   /** How late the event loop has recently run its timer. */
   serving::RecentMaximum loopDelay{ std::chrono::milliseconds(2500) };
   serving::GracefulStop stop;
+  serving::RequestDurations durations;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions; ///< All open sessions.
   asio::ip::udp::socket peerSocket{ io };
   std::vector<asio::ip::udp::endpoint> peers;
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -383,6 +383,7 @@
     if (aNow - mHousekeepingAt > kHousekeepingInterval) {
       mHousekeepingAt = aNow;
       mCore.pool.prune(aNow);
+      mCore.durations.prune(aNow);
       mCore.spreadQuarantine(aNow);
     }
     if (mCore.stop.hasStarted() && advanceLeaving(aNow)) {
--- a/libs/serving/include/serving/GracefulStop.h
+++ b/libs/serving/include/serving/GracefulStop.h
@@ -32,8 +32,13 @@
   base::TimePoint answerBy() const;
   /** Whether a request that has been read may be sent to an endpoint.
    * @param aDeadline time until which its caller waits for the answer.
-   * @param aMayRepeat another process may run it again if it is not answered. */
-  bool admits(base::TimePoint aDeadline, bool aMayRepeat, base::TimePoint aNow) const;
+   * @param aMayRepeat another process may run it again if it is not answered.
+   * @param aExpected time in which nearly every request like it is answered; empty if unknown, and
+   * then its whole time must fit. */
+  bool admits(base::TimePoint aDeadline,
+              bool aMayRepeat,
+              std::optional<base::Duration> aExpected,
+              base::TimePoint aNow) const;
 
 private:
   const base::Duration mAcceptTime;
--- a/libs/serving/src/GracefulStop.cpp
+++ b/libs/serving/src/GracefulStop.cpp
@@ -7,9 +7,6 @@
 namespace {
 /** Time reserved at the end of a stop to write the last answers. */
 constexpr base::Milliseconds kAnswerMargin{ 200 };
-/** Share of its time that nearly every request stays below: deadlines leave room for overload and
- * repeats. */
-constexpr double kUsualShareOfTime = 0.5;
 } // namespace
 
 GracefulStop::GracefulStop(base::Duration aAcceptTime, base::Duration aLimit)
@@ -47,14 +44,17 @@
   return mStartedAt ? *mStartedAt + mLimit - base::Duration(kAnswerMargin) : base::TimePoint::max();
 }
 
-bool GracefulStop::admits(base::TimePoint aDeadline, bool aMayRepeat, base::TimePoint aNow) const
+bool GracefulStop::admits(base::TimePoint aDeadline,
+                          bool aMayRepeat,
+                          std::optional<base::Duration> aExpected,
+                          base::TimePoint aNow) const
 {
   if (!mStartedAt || aDeadline <= answerBy()) {
     return true;
   }
   // Later requests come on connections whose callers were told to close them.
   bool mayBeCut = aMayRepeat && acceptsConnections(aNow);
-  return mayBeCut && kUsualShareOfTime * (aDeadline - aNow) <= answerBy() - aNow;
+  return mayBeCut && aExpected && aNow + *aExpected <= answerBy();
 }
 
 } // namespace boragepitch::serving
--- a/libs/serving/tests/GracefulStopTest.cpp
+++ b/libs/serving/tests/GracefulStopTest.cpp
@@ -12,7 +12,7 @@
 {
   GracefulStop stop(2600ms, 7s);
   base::TimePoint start{ 1h };
-  BOOST_TEST(stop.admits(start + 100s, false, start));
+  BOOST_TEST(stop.admits(start + 100s, false, std::nullopt, start));
   BOOST_TEST((stop.answerBy() == base::TimePoint::max()));
   BOOST_TEST(stop.start(start));
   BOOST_TEST(!stop.start(start + 1s));
@@ -21,14 +21,19 @@
     auto now = start + at;
     BOOST_TEST_CONTEXT(at.count() << " ms after the start")
     {
-      BOOST_TEST(stop.admits(now + 600ms, false, now));
+      BOOST_TEST(stop.admits(now + 600ms, false, std::nullopt, now));
       // The whole time of a request that may not run again fits, or it is not sent.
-      BOOST_TEST(stop.admits(now + 6s, false, now) == (at <= 500ms));
-      BOOST_TEST(stop.admits(now + 6s, true, now) == (at <= 2500ms));
-      BOOST_TEST(!stop.admits(now + 60s, true, now));
+      BOOST_TEST(stop.admits(now + 6s, false, 1s, now) == (at <= 500ms));
+      BOOST_TEST(stop.admits(now + 6s, true, std::nullopt, now) == (at <= 500ms));
+      BOOST_TEST(stop.admits(now + 6s, true, 1s, now) == (at <= 2500ms));
+      BOOST_TEST(stop.admits(now + 6s, true, 3s, now) == (at <= 2500ms));
+      BOOST_TEST(stop.admits(now + 6s, true, 5s, now) == (at <= 500ms));
+      BOOST_TEST(stop.admits(now + 60s, true, 3s, now) == (at <= 2500ms));
+      BOOST_TEST(!stop.admits(now + 60s, true, 7s, now));
+      BOOST_TEST(!stop.admits(now + 60s, true, std::nullopt, now));
     }
   }
-  BOOST_TEST(!stop.admits(start + 6950ms, true, start + 6900ms));
+  BOOST_TEST(!stop.admits(start + 6950ms, true, 10ms, start + 6900ms));
 }
 
 BOOST_AUTO_TEST_CASE(connectionsAreAcceptedForAWhile)
