--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -142,10 +142,12 @@
     reject(401, "unknown_key", aNow);
     return false;
   }
-  mDeadline = mRequest.received + base::Duration(mRoute->timeout);
+  mCallerDeadline = mRequest.received + base::Duration(mRoute->timeout);
   if (mFacts.timeLeft) {
-    mDeadline = std::min(mDeadline, mRequest.received + base::Duration(*mFacts.timeLeft));
+    mCallerDeadline =
+      std::min(mCallerDeadline, mRequest.received + base::Duration(*mFacts.timeLeft));
   }
+  mDeadline = mCallerDeadline;
   auto expected = mCore.durations.expected(mRoute->name, aNow);
   if (!mCore.stop.admits(mDeadline, mRoute->mayRepeat(), expected, aNow)) {
     mCore.metrics.refusedByStop.add();
@@ -288,7 +290,8 @@
 {
   ForwardFacts facts;
   facts.endpointId = mEndpoint->record.id;
-  facts.timeLeft = std::chrono::duration_cast<base::Milliseconds>(mDeadline - aNow);
+  // Not the end of this process: the endpoint would break the answer off before it is lost here.
+  facts.timeLeft = std::chrono::duration_cast<base::Milliseconds>(mCallerDeadline - aNow);
   facts.workspace = mWorkspace != nullptr ? mWorkspace->name : "";
   facts.priority = mRoute->priority;
   if (mWorkspace != nullptr && mWorkspace->priority) {
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -114,7 +114,9 @@
   const serving::Workspace* mWorkspace = nullptr;
   const serving::Service* mService = nullptr;
   uint64_t mFingerprint = 0;
-  base::TimePoint mDeadline = mRequest.received; ///< Set on admission.
+  base::TimePoint mCallerDeadline =
+    mRequest.received;                         ///< End of the caller's time; set on admission.
+  base::TimePoint mDeadline = mCallerDeadline; ///< When the request is given up; not after that.
   bool mIsLimitedByStop = false; ///< The end of the process precedes the end of the caller's time.
   bool mDone = false;
 
--- a/libs/relay/tests/LateRequestTest.cpp
+++ b/libs/relay/tests/LateRequestTest.cpp
@@ -97,3 +97,18 @@
   stop(50ms);
   BOOST_TEST(call(get("late")).ends_with("body"));
 }
+
+// Guards against endpoints that break an answer off before the stop does, because they were told that
+// the caller waits no longer (LOST).
+BOOST_FIXTURE_TEST_CASE(endpointsAreToldTheTimeOfTheCaller, StopFixture)
+{
+  declare(serving::CallKind::Idempotent, 2, 3000ms);
+  listSlow(20ms);
+  stop(50ms);
+  BOOST_TEST(call(get("late")).ends_with("body"));
+  BOOST_REQUIRE(newRequests() == 1U);
+  std::string request = endpoint->requests().back();
+  size_t at = request.find("Time-Left: ");
+  BOOST_REQUIRE(at != std::string::npos);
+  BOOST_TEST(std::stoi(request.substr(at + 11)) > 2500);
+}
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -46,6 +46,7 @@
     if (aFacts.weightVersion) {
       aHeaders.push_back({ "Expect-Version", std::to_string(*aFacts.weightVersion) });
     }
+    aHeaders.push_back({ "Time-Left", std::to_string(aFacts.timeLeft.count()) });
     if (aFacts.lastEvent) {
       aHeaders.push_back({ "Last", std::to_string(*aFacts.lastEvent) });
     }
