Incident, streams cut by a stop: the stop counts from the signal

Suspected, not seen in the users' record: on a busy machine the event loop learns of the signal late. The stop began only then, so requests were taken for longer than the callers' side allows, and the end of the stop, with its last answers, moved towards the moment at which the platform kills the process.

Change: the stop begins when the signal was taken; that time is passed through NodeProcess::leave() and Relay::startLeaving().

Not covered: a process whose thread for signals gets no processor time.

--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -139,7 +139,7 @@
   {
     post([this, aSignalledAt] {
       auto now = std::chrono::steady_clock::now();
-      if (!mCore.stop.start(now)) {
+      if (!mCore.stop.start(aSignalledAt)) {
         return;
       }
       logState("leaving",
--- a/libs/relay/tests/LateRequestTest.cpp
+++ b/libs/relay/tests/LateRequestTest.cpp
@@ -98,8 +98,8 @@
   BOOST_TEST(call(get("late")).ends_with("body"));
 }
 
-// Guards against endpoints that break an answer off before the stop does, because they were told that
-// the caller waits no longer (LOST).
+// Guards against endpoints that break an answer off before the stop does, because they were told
+// that the caller waits no longer (LOST).
 BOOST_FIXTURE_TEST_CASE(endpointsAreToldTheTimeOfTheCaller, StopFixture)
 {
   declare(serving::CallKind::Idempotent, 2, 3000ms);
@@ -112,3 +112,20 @@
   BOOST_REQUIRE(at != std::string::npos);
   BOOST_TEST(std::stoi(request.substr(at + 11)) > 2500);
 }
+
+// Guards against a stop that begins when a busy event loop learns of it, and ends after the process
+// was killed, with requests in progress (LOST).
+BOOST_FIXTURE_TEST_CASE(theStopCountsFromTheSignal, StopFixture)
+{
+  declare(serving::CallKind::Mutating, 2, 3000ms);
+  listSlow(1500ms);
+  std::string reply;
+  std::thread caller([&] { reply = call(get("early")); });
+  std::this_thread::sleep_for(50ms);
+  auto start = std::chrono::steady_clock::now();
+  relay->startLeaving(start - 700ms);
+  caller.join();
+  thread.join();
+  BOOST_TEST(reply.starts_with("HTTP/1.1 504"));
+  BOOST_TEST((std::chrono::steady_clock::now() - start < 700ms));
+}
--- a/libs/serving/include/serving/GracefulStop.h
+++ b/libs/serving/include/serving/GracefulStop.h
@@ -20,7 +20,7 @@
   GracefulStop(base::Duration aAcceptTime, base::Duration aLimit);
 
   /** Returns false when the stop has begun before. */
-  bool start(base::TimePoint aNow);
+  bool start(base::TimePoint aSignalledAt);
   bool hasStarted() const { return mStartedAt.has_value(); }
   /** Time since the stop began; empty before. */
   std::optional<base::Duration> elapsed(base::TimePoint aNow) const;
--- a/libs/serving/src/GracefulStop.cpp
+++ b/libs/serving/src/GracefulStop.cpp
@@ -15,12 +15,12 @@
 {
 }
 
-bool GracefulStop::start(base::TimePoint aNow)
+bool GracefulStop::start(base::TimePoint aSignalledAt)
 {
   if (mStartedAt) {
     return false;
   }
-  mStartedAt = aNow;
+  mStartedAt = aSignalledAt;
   return true;
 }
 
