Incident, streams cut by a stop: the next request on a kept connection is answered

Callers of a stopping entry whose stream had begun before the signal sent their next request on the same connection and saw it closed: 16 to 20 of 20 callers, once each (RemoteDisconnected), in integration.slow_streams_at_stop. The request was read and dropped.

Cause: an answer whose head had not announced the close was followed by a shutdown of the connection as soon as a stop had begun; what came after it was discarded.

Change: a connection is closed after an answer only if that answer's head announced it. Otherwise it stays open for the next request, whose answer announces it; idle ones are closed 200 ms after their last answer once the stop takes no new connections, unless bytes wait in them. The stop does not wait for idle callers.

--- a/libs/relay/src/CallerSession.cpp
+++ b/libs/relay/src/CallerSession.cpp
@@ -18,6 +18,9 @@
 /** Timeout for reading a request with a body. */
 constexpr base::Milliseconds kBodyTimeout = 15000ms;
 constexpr size_t kDiscardBytes = 4096;
+/** Time after an answer in which a stopping process still takes the caller's next request. Callers
+ * that have more to ask do so at once. */
+constexpr base::Milliseconds kNextRequestTime = 200ms;
 /** Reason of what is broken off, in log lines. */
 constexpr const char* kEndOfProcess = "end_of_process";
 
@@ -326,8 +329,10 @@
   respond(aStatus, {}, {});
 }
 
-std::string CallerSession::headText(int aStatus, const HeaderLines& aHeaders) const
+std::string CallerSession::headText(int aStatus, const HeaderLines& aHeaders)
 {
+  // The caller is told here or not at all: after a head without it, it may send its next request.
+  mKeepAlive = mKeepAlive && !mCore.stop.hasStarted();
   std::string text = "HTTP/1.1 " + std::to_string(aStatus) + " ";
   auto reason = http::obsolete_reason(http::int_to_status(static_cast<unsigned>(aStatus)));
   text.append(reason.data(), reason.size());
@@ -338,7 +343,7 @@
     text += line.value;
     text += "\r\n";
   }
-  if (!mKeepAlive || mCore.stop.hasStarted()) {
+  if (!mKeepAlive) {
     text += "Connection: close\r\n";
   }
   return text;
@@ -420,9 +425,6 @@
 {
   mCall.reset();
   mIsAnswerComplete = true;
-  if (mCore.stop.hasStarted()) {
-    mKeepAlive = false;
-  }
   flush();
 }
 
@@ -523,9 +525,13 @@
   mCore.sessions.erase(shared_from_this());
 }
 
-void CallerSession::closeIdle()
+void CallerSession::closeIdle(base::TimePoint aNow)
 {
-  if (mPhase == Phase::Idle) {
+  if (mPhase != Phase::Idle || aNow - mPhaseStart < base::Duration(kNextRequestTime)) {
+    return;
+  }
+  ErrorCode error;
+  if (mSocket.available(error) == 0 || error) {
     close();
   }
 }
--- a/libs/relay/src/CallerSession.h
+++ b/libs/relay/src/CallerSession.h
@@ -37,7 +37,8 @@
   void tick(base::TimePoint aNow);
   /** True while a request is read or answered. */
   bool isBusy() const { return mCall != nullptr || mPhase != Phase::Idle; }
-  void closeIdle();
+  /** Closes the connection if it is idle and the caller is not about to use it. */
+  void closeIdle(base::TimePoint aNow);
   /** Logs the request or the answer that the end of the process breaks off. */
   void logUnfinished(base::TimePoint aNow) const;
   /** The request being answered; may be null. */
@@ -86,7 +87,8 @@
   void onWritten(ErrorCode aError);
   void callerLeft();
   void close();
-  std::string headText(int aStatus, const HeaderLines& aHeaders) const;
+  /** Text of the answer's head; says whether the connection will be closed. */
+  std::string headText(int aStatus, const HeaderLines& aHeaders);
 
   Core& mCore;
   Tcp::socket mSocket;
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -429,7 +429,7 @@
     std::vector<std::shared_ptr<CallerSession>> sessions(mCore.sessions.begin(),
                                                          mCore.sessions.end());
     for (const auto& session : sessions) {
-      session->closeIdle();
+      session->closeIdle(aNow);
     }
     return mCore.sessions.empty() || mCore.stop.isOver(aNow);
   }
--- a/tests/integration/slow_streams_at_stop.py
+++ b/tests/integration/slow_streams_at_stop.py
@@ -150,6 +150,14 @@
         """Guards against streams that are admitted during a stop and cut at its end (LOST)."""
         self.check(20, 0.1, 2.6, 3.0, 30, signals=3)
 
+    def test_short_streams_are_served_during_a_stop(self):
+        """Guards against requests that are refused or dropped during a stop though they end well before the process: the
+        next requests on kept connections, whose last answers did not announce the close."""
+        _, stopped_at, results = self.check(10, 0.05, 6.0, 8.0, 20)
+        early = [outcome for _, sent_at, _, outcome in results if 0 < sent_at - stopped_at < 2.0]
+        self.assertGreater(len(early), 20)
+        self.assertEqual(early.count("whole"), len(early), collections.Counter(early))
+
 
 if __name__ == "__main__":
     unittest.main()
