--- a/libs/stores/include/stores/RowFeed.h
+++ b/libs/stores/include/stores/RowFeed.h
@@ -57,6 +57,10 @@
   virtual base::Status create(std::string_view aTable,
                               std::string_view aKey,
                               std::string_view aValue) = 0;
+  /** Number of the service's history according to its latest answer to this object, also to a call
+   * that failed. A service that came back from an older copy of its rows names a greater one: rows
+   * that it acknowledged before may be gone, and positions are given out again. 0 if unknown. */
+  virtual uint64_t era() const { return 0; }
   /** Cancels a call on another thread; all later calls fail. */
   virtual void cancel() = 0;
 };
--- a/libs/stores/include/stores/TableWatcher.h
+++ b/libs/stores/include/stores/TableWatcher.h
@@ -25,6 +25,9 @@
   virtual void onChanges(const std::vector<RowChange>& aRows, base::TimePoint aNow) = 0;
   /** Called after the first call and whenever the service becomes reachable or unreachable. */
   virtual void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) = 0;
+  /** The service came back from an older copy: its rows may be older than those delivered before,
+   * and rows that it had acknowledged may be gone. Called before the snapshot of its new state. */
+  virtual void onRestored(base::TimePoint /*aNow*/) {}
   /** Called before each call. */
   virtual void onCallStarted(base::TimePoint /*aNow*/) {}
   /** Clock of the service; called before the rows of the same answer are delivered. */
@@ -53,11 +56,13 @@
   base::Milliseconds backoffBase{ 50 };
   base::Milliseconds backoffCap{ 500 };
   uint64_t seed = 1;
+  /** Called on the watcher's thread with each new era of the service, see RowFeed::era(). */
+  std::function<void(uint64_t)> onEra;
 };
 
 /**
  * Follows one table on its own thread: reads the whole table, then its changes; reads the whole
- * table again when the service has discarded the history.
+ * table again when the service has discarded the history or came back from an older copy.
  */
 class TableWatcher
 {
@@ -79,6 +84,15 @@
   void run();
   base::Status step(RowFeed& aFeed);
   base::Status readSnapshot(RowFeed& aFeed);
+  /** What the era of an answer says about its rows. */
+  enum class AnswerAge
+  {
+    Current,
+    Restored, ///< The first answer after the service came back from a copy.
+    Former,   ///< Given before the service came back.
+  };
+  AnswerAge observeEra(uint64_t aEra);
+  base::Status formerAnswer() const;
   base::Milliseconds waitTime(base::TimePoint aNow) const;
   void waitToCoalesce(base::TimePoint aNow);
   std::shared_ptr<RowFeed> makeFeed();
@@ -99,6 +113,8 @@
   std::thread mThread;
   bool mHasPosition = false;
   uint64_t mPosition = 0;
+  uint64_t mEra = 0;         ///< Greatest era that was named; 0 before the first.
+  bool mWasRestored = false; ///< The listener has not been told of the latest era yet.
   bool mReachable = false;
   bool mReported = false;
 };
--- a/libs/stores/src/TableWatcher.cpp
+++ b/libs/stores/src/TableWatcher.cpp
@@ -1,6 +1,7 @@
 #include "stores/TableWatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace boragepitch::stores {
 
@@ -104,6 +105,27 @@
   }
 }
 
+TableWatcher::AnswerAge TableWatcher::observeEra(uint64_t aEra)
+{
+  if (aEra == mEra || aEra == 0) {
+    return AnswerAge::Current;
+  }
+  if (aEra < mEra) {
+    return AnswerAge::Former;
+  }
+  bool isFirst = std::exchange(mEra, aEra) == 0;
+  if (mOptions.onEra) {
+    mOptions.onEra(aEra);
+  }
+  if (isFirst) {
+    return AnswerAge::Current;
+  }
+  // Positions are given out again, so nothing says what was written before this answer.
+  mHasPosition = false;
+  mWasRestored = true;
+  return AnswerAge::Restored;
+}
+
 base::Status TableWatcher::step(RowFeed& aFeed)
 {
   if (!mHasPosition) {
@@ -111,9 +133,17 @@
   }
   auto wait = waitTime(std::chrono::steady_clock::now());
   auto page = aFeed.changes(mOptions.table, mPosition, wait);
+  auto age = observeEra(aFeed.era());
+  bool isAnswered = page || page.error().kind == base::ErrorKind::NotFound;
+  if (age == AnswerAge::Restored && isAnswered) {
+    return {}; // The whole table is read next; it includes the rows of this answer.
+  }
   if (!page) {
     return tl::make_unexpected(page.error());
   }
+  if (age == AnswerAge::Former) {
+    return formerAnswer();
+  }
   mPosition = std::max(mPosition, page->position);
   auto now = std::chrono::steady_clock::now();
   if (!mReachable) {
@@ -160,6 +190,14 @@
   return std::clamp(left, base::Milliseconds(1), mOptions.wait);
 }
 
+base::Status TableWatcher::formerAnswer() const
+{
+  return base::fail(base::ErrorKind::Unavailable,
+                    mOptions.table,
+                    "the answer is older than the service's restore",
+                    "retry on a new connection");
+}
+
 base::Status TableWatcher::readSnapshot(RowFeed& aFeed)
 {
   std::vector<RowChange> rows;
@@ -168,9 +206,16 @@
   base::Milliseconds serviceTime{ 0 };
   for (int number = 0; number < kMaxPages; ++number) {
     auto page = aFeed.read(mOptions.table, after);
+    auto age = observeEra(aFeed.era());
     if (!page) {
       return tl::make_unexpected(page.error());
     }
+    if (age == AnswerAge::Former) {
+      return formerAnswer();
+    }
+    if (age == AnswerAge::Restored && number > 0) {
+      return {}; // The pages before it show a former state: all are read again.
+    }
     // Later pages may hold newer rows; the changes after the first page's position include them
     // again.
     position = number == 0 ? page->position : position;
@@ -186,6 +231,9 @@
   report({});
   auto now = std::chrono::steady_clock::now();
   mListener.onServiceTime(serviceTime);
+  if (std::exchange(mWasRestored, false)) {
+    mListener.onRestored(now);
+  }
   mListener.onSnapshot(rows, now);
   mListener.onCallSucceeded(now);
   return {};
--- a/libs/stores/tests/TableWatcherTest.cpp
+++ b/libs/stores/tests/TableWatcherTest.cpp
@@ -21,6 +21,7 @@
   std::deque<base::Result<RowPage>> changes;
   std::vector<std::string> calls;
   std::vector<base::Milliseconds> waits;
+  std::deque<uint64_t> eras; ///< Of the answers in the order of the calls; the last one stays.
   int feeds = 0;
 };
 
@@ -52,6 +53,7 @@
   }
   base::Status put(std::string_view, std::string_view, std::string_view) override { return {}; }
   base::Status create(std::string_view, std::string_view, std::string_view) override { return {}; }
+  uint64_t era() const override { return mEra; }
   void cancel() override { mCancelled = true; }
 
 private:
@@ -63,6 +65,12 @@
         mScript.calls.push_back(std::move(aCall));
         auto answer = aAnswers.front();
         aAnswers.pop_front();
+        if (!mScript.eras.empty()) {
+          mEra = mScript.eras.front();
+        }
+        if (mScript.eras.size() > 1) {
+          mScript.eras.pop_front();
+        }
         return answer;
       }
     }
@@ -73,6 +81,7 @@
   }
 
   Script& mScript;
+  uint64_t mEra = 0;
   std::atomic<bool> mCancelled{ false };
 };
 
@@ -90,6 +99,7 @@
   {
     add(aReachable ? "regained" : "lost");
   }
+  void onRestored(base::TimePoint) override { add("restored"); }
   void onCallFailed(base::TimePoint aStartedAt) override
   {
     std::lock_guard lock(mutex);
@@ -299,3 +309,63 @@
   BOOST_TEST(script.feeds == 3);
   BOOST_TEST(recorder.failedCalls.size() == 2U);
 }
+
+// Guards against changes that are never read because a restored store has passed the old position
+// again: the routes and keys in them were not in force (CONFIG).
+BOOST_FIXTURE_TEST_CASE(readsTheWholeTableAfterARestore, Fixture)
+{
+  script.reads = { page({ "a" }, 10), page({ "a", "b" }, 12) };
+  script.changes = { page({ "x" }, 12), page({ "c" }, 13) };
+  script.eras = { 3, 4 };
+  run(5);
+  BOOST_TEST((events == Texts{ "regained", "snapshot 1", "restored", "snapshot 2", "change c" }));
+  BOOST_TEST((script.calls == Texts{ "read ", "changes 10", "read ", "changes 12" }));
+}
+
+// Guards against a restore that is only noticed as a discarded history.
+BOOST_FIXTURE_TEST_CASE(aRestoreMayDiscardTheHistoryToo, Fixture)
+{
+  script.reads = { page({ "a" }, 10), page({ "a", "b" }, 7) };
+  script.changes = { failure(base::ErrorKind::NotFound), page({ "c" }, 8) };
+  script.eras = { 3, 4 };
+  run(5);
+  BOOST_TEST((events == Texts{ "regained", "snapshot 1", "restored", "snapshot 2", "change c" }));
+}
+
+// Guards against a snapshot of two states: its first pages are from before a restore.
+BOOST_FIXTURE_TEST_CASE(aRestoreDuringTheReadStartsItAnew, Fixture)
+{
+  script.reads = {
+    page({ "a" }, 10), page({ "a", "b" }, 20, true), page({ "c" }, 9), page({ "a" }, 9)
+  };
+  script.changes = { failure(base::ErrorKind::NotFound), page({ "d" }, 10) };
+  script.eras = { 3, 3, 3, 4 };
+  run(5);
+  BOOST_TEST((events == Texts{ "regained", "snapshot 1", "restored", "snapshot 1", "change d" }));
+}
+
+// Guards against rows from before a restore that arrive after it, on a connection that was slow.
+BOOST_FIXTURE_TEST_CASE(answersFromBeforeARestoreAreDropped, Fixture)
+{
+  script.reads = { page({ "a" }, 10), page({ "a", "b" }, 7) };
+  script.changes = { page({}, 10), page({ "old" }, 30), page({ "c" }, 8) };
+  script.eras = { 3, 4, 4, 3, 4 };
+  run(7);
+  BOOST_TEST(
+    (events ==
+     Texts{ "regained", "snapshot 1", "restored", "snapshot 2", "lost", "regained", "change c" }));
+  BOOST_TEST(script.calls.back() == "changes 7");
+}
+
+// Guards against a second restore that is missed because the first one is still being read.
+BOOST_FIXTURE_TEST_CASE(restoresInSeriesAreAllNoticed, Fixture)
+{
+  script.reads = { page({ "a" }, 10), page({ "b", "c" }, 7), page({}, 5) };
+  script.changes = { page({}, 10), page({}, 7), page({ "d" }, 6) };
+  script.eras = { 3, 4, 4, 5 };
+  run(7);
+  BOOST_TEST(
+    (events ==
+     Texts{
+       "regained", "snapshot 1", "restored", "snapshot 2", "restored", "snapshot 0", "change d" }));
+}
--- a/tools/loader/LoaderFleet.cpp
+++ b/tools/loader/LoaderFleet.cpp
@@ -144,6 +144,11 @@
   rebuildTargets();
 }
 
+void LoaderFleet::onRestored(base::TimePoint aNow)
+{
+  mLog.write(telemetry::EventClass::Critical, "store_restored", { { "table", "nodes" } }, aNow);
+}
+
 void LoaderFleet::onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow)
 {
   mLog.write(telemetry::EventClass::Critical,
--- a/tools/loader/LoaderFleet.h
+++ b/tools/loader/LoaderFleet.h
@@ -46,6 +46,7 @@
   void onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
+  void onRestored(base::TimePoint aNow) override;
 
   /** Adds an entry that announced itself, until the table of nodes names it. */
   void addEntry(const std::string& aName, const EntryRow& aRow);
--- a/tools/loader/WeightTableListener.cpp
+++ b/tools/loader/WeightTableListener.cpp
@@ -156,6 +156,11 @@
       aNow);
 }
 
+void WeightTableListener::onRestored(base::TimePoint aNow)
+{
+  mLog.write(telemetry::EventClass::Critical, "store_restored", { { "table", "weights" } }, aNow);
+}
+
 void WeightTableListener::onReachable(bool aReachable,
                                       const std::string& aReason,
                                       base::TimePoint aNow)
--- a/tools/loader/WeightTableListener.h
+++ b/tools/loader/WeightTableListener.h
@@ -51,6 +51,7 @@
   void onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
+  void onRestored(base::TimePoint aNow) override;
   void onServiceTime(base::Milliseconds aServiceTime) override { mServiceTime = aServiceTime; }
   void onCallSucceeded(base::TimePoint aNow) override { mServiceClock.observe(mServiceTime, aNow); }
 
--- a/tools/router/EndpointListener.cpp
+++ b/tools/router/EndpointListener.cpp
@@ -94,6 +94,11 @@
   mRelay.confirmList(aNow);
 }
 
+void EndpointListener::onRestored(base::TimePoint aNow)
+{
+  mLog.write(telemetry::EventClass::Critical, "store_restored", { { "table", "endpoints" } }, aNow);
+}
+
 void EndpointListener::onReachable(bool aReachable,
                                    const std::string& aReason,
                                    base::TimePoint aNow)
--- a/tools/router/EntryListener.cpp
+++ b/tools/router/EntryListener.cpp
@@ -74,6 +74,11 @@
   mRelay.setPeers(std::move(peers));
 }
 
+void EntryListener::onRestored(base::TimePoint aNow)
+{
+  mLog.write(telemetry::EventClass::Critical, "store_restored", { { "table", "nodes" } }, aNow);
+}
+
 void EntryListener::onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow)
 {
   mLog.write(telemetry::EventClass::Critical,
--- a/tools/router/EntryListener.h
+++ b/tools/router/EntryListener.h
@@ -22,6 +22,7 @@
   void onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
+  void onRestored(base::TimePoint aNow) override;
 
 private:
   void applyRow(const stores::RowChange& aRow);
--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -234,6 +234,11 @@
   mModelsToRead.merge(mPublisher.writeQueued(aNow));
 }
 
+void OperatorListener::onRestored(base::TimePoint aNow)
+{
+  mLog.write(telemetry::EventClass::Critical, "store_restored", { { "table", "operators" } }, aNow);
+}
+
 void OperatorListener::onReachable(bool aReachable,
                                    const std::string& aReason,
                                    base::TimePoint aNow)
