Incident, a restored store: our own rows are written again

Cause: what a program wrote once was taken to be in the store for ever. Entries forget a record once it is written and skip a setup that equals the last one written, a loader publishes a manifest once, and a program registers once.

WeightPublisher writes setups and the records of all declarations that it knows again, also those of entries that have ended; a record that is there first stays.

--- a/tools/loader/main.cpp
+++ b/tools/loader/main.cpp
@@ -1,3 +1,5 @@
+#include <deque>
+
 #include <unistd.h>
 
 #include "Daemon.h"
@@ -23,6 +25,8 @@
 constexpr base::Milliseconds kWeightTableCoalesceTime = 100ms;
 constexpr base::Milliseconds kNodeTableCoalesceTime = 3000ms;
 constexpr base::Milliseconds kMaxNodeTableCoalesceTime = 24000ms;
+/** Manifests that are written again after a restore; the origin does not serve older versions. */
+constexpr size_t kMaxKeptManifests = 2;
 constexpr double kBitsPerByte = 8;
 constexpr double kMega = 1e6;
 
@@ -96,13 +100,13 @@
     mWeightTable.onChange([this] { mWeights.wake(); });
     mWeights.setAnnounceCallback([this] { mReporter.announce(); });
     mWeights.setPublishCallback([this](const std::string& aKey, const std::string& aText) {
-      if (auto written = mStoreConnections.openFeed()->put(tools::kWeightTable, aKey, aText);
-          !written) {
-        // The other loaders then read the manifest from the origin themselves, one after the other.
-        mLog.write(telemetry::EventClass::Critical,
-                   "manifest_not_published",
-                   { { "key", aKey }, { "error", written.error().describe() } },
-                   std::chrono::steady_clock::now());
+      // While it is not written, the other loaders read the manifest from the origin themselves,
+      // one after the other.
+      mStoreConnections.keep({ tools::kWeightTable, aKey, aText });
+      mPublishedManifests.push_back(aKey);
+      if (mPublishedManifests.size() > kMaxKeptManifests) {
+        mStoreConnections.forget(tools::kWeightTable, mPublishedManifests.front());
+        mPublishedManifests.pop_front();
       }
     });
     if (auto bound = mReporter.bind(mOptions.weights); !bound) {
@@ -114,8 +118,8 @@
                                               kWeightTableCoalesceTime);
     mStoreConnections.watch(
       tools::kNodeTable, mFleet, kNodeTableWait, kNodeTableCoalesceTime, kMaxNodeTableCoalesceTime);
-    mStoreConnections.registerNode(tools::kLoaderPrefix + mOptions.node,
-                                   tools::writeLoaderRow(mSelfRow));
+    mStoreConnections.keep(
+      { tools::kNodeTable, tools::kLoaderPrefix + mOptions.node, tools::writeLoaderRow(mSelfRow) });
     mWeights.start();
     mReporter.start();
     return {};
@@ -142,6 +146,7 @@
   tools::LoaderFleet mFleet;
   tools::WeightTableListener mWeightTable;
   tools::WeightLoader mWeights;
+  std::deque<std::string> mPublishedManifests; ///< Keys, oldest first; used by the loader's thread.
   stores::TableWatcher* mWeightWatcher = nullptr; ///< Set before the reporter starts.
   tools::EntryNotices mNotices;
   tools::LoadReporter mReporter;
--- a/tools/node/StoreConnections.cpp
+++ b/tools/node/StoreConnections.cpp
@@ -1,14 +1,11 @@
 #include "StoreConnections.h"
 
-#include "NodeRows.h"
 #include "base/Digest.h"
 #include "platform/MetadataStoreClient.h"
 
 namespace boragepitch::tools {
 
 namespace {
-/** Delay between two attempts to write the program's row. */
-constexpr base::Milliseconds kRegistrationRetryDelay{ 500 };
 /** Wait time of calls other than long polls for changes. */
 constexpr base::Milliseconds kNoWait{ 0 };
 } // namespace
@@ -19,6 +16,15 @@
   : mNode(std::move(aNode))
   , mStore(std::move(aStore))
   , mLog(aLog)
+  , mKeeper([this] { return openFeed(); },
+            [this](const stores::KeptRow& aRow, const base::Error& aError) {
+              mLog.write(
+                telemetry::EventClass::Critical,
+                "row_not_written",
+                { { "table", aRow.table }, { "key", aRow.key }, { "error", aError.describe() } },
+                std::chrono::steady_clock::now());
+            },
+            base::fastHash(base::asBytes(mNode)))
 {
 }
 
@@ -39,6 +45,7 @@
   options.coalesceTime = aCoalesceTime;
   options.maxCoalesceTime = aMaxCoalesceTime;
   options.seed = base::fastHash(base::asBytes(mNode + aTable));
+  options.onEra = [this](uint64_t aEra) { mKeeper.observeEra(aEra); };
   auto makeFeed = [this, aWait] {
     return std::make_unique<platform::MetadataStoreClient>(mStore, aWait);
   };
@@ -48,23 +55,6 @@
   return *mWatchers.back();
 }
 
-void StoreConnections::registerNode(std::string aKey, std::string aValue)
-{
-  mRegistration = std::thread([this, key = std::move(aKey), value = std::move(aValue)] {
-    while (!mStopping) {
-      auto written = openFeed()->put(kNodeTable, key, value);
-      if (written) {
-        return;
-      }
-      mLog.write(telemetry::EventClass::Critical,
-                 "registration_failed",
-                 { { "error", written.error().describe() } },
-                 std::chrono::steady_clock::now());
-      std::this_thread::sleep_for(kRegistrationRetryDelay);
-    }
-  });
-}
-
 std::unique_ptr<stores::RowFeed> StoreConnections::openFeed() const
 {
   return std::make_unique<platform::MetadataStoreClient>(mStore, kNoWait);
@@ -72,13 +62,10 @@
 
 void StoreConnections::stop()
 {
-  mStopping = true;
   for (auto& watcher : mWatchers) {
     watcher->stop();
   }
-  if (mRegistration.joinable()) {
-    mRegistration.join();
-  }
+  mKeeper.stop();
 }
 
 } // namespace boragepitch::tools
--- a/tools/node/StoreConnections.h
+++ b/tools/node/StoreConnections.h
@@ -1,12 +1,11 @@
 #pragma once
 
-#include <atomic>
 #include <memory>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include "net/Address.h"
+#include "stores/RowKeeper.h"
 #include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
 
@@ -31,9 +30,10 @@
                               base::Milliseconds aWait,
                               base::Milliseconds aCoalesceTime,
                               base::Milliseconds aMaxCoalesceTime = base::Milliseconds(0));
-  /** Writes the program's row to the table of nodes on a separate thread; retries until it
-   * succeeds. */
-  void registerNode(std::string aKey, std::string aValue);
+  /** Has the store hold the row: writes it on a separate thread, and again after the store came
+   * back from an older copy. */
+  void keep(stores::KeptRow aRow) { mKeeper.keep(std::move(aRow)); }
+  void forget(const std::string& aTable, const std::string& aKey) { mKeeper.forget(aTable, aKey); }
   /** A new connection for single calls. */
   std::unique_ptr<stores::RowFeed> openFeed() const;
   void stop();
@@ -43,8 +43,7 @@
   const net::Address mStore;
   telemetry::EventLog& mLog;
   std::vector<std::unique_ptr<stores::TableWatcher>> mWatchers;
-  std::atomic<bool> mStopping{ false };
-  std::thread mRegistration;
+  stores::RowKeeper mKeeper;
 };
 
 } // namespace boragepitch::tools
--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -237,6 +237,7 @@
 void OperatorListener::onRestored(base::TimePoint aNow)
 {
   mLog.write(telemetry::EventClass::Critical, "store_restored", { { "table", "operators" } }, aNow);
+  mPublisher.onRestored();
 }
 
 void OperatorListener::onReachable(bool aReachable,
--- a/tools/router/WeightPublisher.cpp
+++ b/tools/router/WeightPublisher.cpp
@@ -2,6 +2,12 @@
 
 namespace boragepitch::tools {
 
+namespace {
+/** Records of a model that are written again after a restore. Loaders load the two newest versions;
+ * older ones may still be about to be enforced. */
+constexpr size_t kKeptRecords = 8;
+} // namespace
+
 WeightPublisher::WeightPublisher(stores::TableWatcher::MakeFeed aMakeFeed,
                                  telemetry::EventLog& aLog)
   : mMakeFeed(std::move(aMakeFeed))
@@ -15,6 +21,28 @@
 {
   mPendingRecords.emplace(declaredKey(aModel, aVersion),
                           PendingRecord{ aModel, writeDeclaredTime(aAt) });
+  rememberRecord(aModel, aVersion, writeDeclaredTime(aAt));
+}
+
+void WeightPublisher::rememberRecord(const std::string& aModel,
+                                     uint64_t aVersion,
+                                     const std::string& aValue)
+{
+  auto& records = mRecords[aModel];
+  records.emplace(aVersion, aValue);
+  if (records.size() > kKeptRecords) {
+    records.erase(records.begin());
+  }
+}
+
+void WeightPublisher::onRestored()
+{
+  mWrittenSetups.clear();
+  for (const auto& [model, records] : mRecords) {
+    for (const auto& [version, value] : records) {
+      mPendingRecords.emplace(declaredKey(model, version), PendingRecord{ model, value });
+    }
+  }
 }
 
 void WeightPublisher::setDeployment(const serving::Deployment& aDeployment)
@@ -112,6 +140,8 @@
     auto declared = readDeclaredRow(row.key, row.value);
     if (declared) {
       ages[declared->version] = page->serviceTime - declared->declaredAt;
+      mRecords[aModel].erase(declared->version); // The store's record counts.
+      rememberRecord(aModel, declared->version, row.value);
     }
     mLog.write(telemetry::EventClass::Critical,
                "declaration_time",
--- a/tools/router/WeightPublisher.h
+++ b/tools/router/WeightPublisher.h
@@ -27,6 +27,9 @@
   void queueDeclaration(const std::string& aModel, uint64_t aVersion, base::Milliseconds aAt);
   /** Queues the setup of each service with engines; an unchanged setup is not written again. */
   void setDeployment(const serving::Deployment& aDeployment);
+  /** The store came back from an older copy: queues all that it may have lost, also the records
+   * that other processes wrote, which may be gone by now. */
+  void onRestored();
   /** Writes what is queued.
    * @return the models of declarations that another process has recorded before. */
   std::set<std::string> writeQueued(base::TimePoint aNow);
@@ -50,7 +53,12 @@
     std::string model;
     std::string value;
   };
+  /** Remembers a record that is in the store or shall be. */
+  void rememberRecord(const std::string& aModel, uint64_t aVersion, const std::string& aValue);
+
   std::map<std::string, PendingRecord> mPendingRecords; ///< Declarations to be written, by key.
+  /** Values of the newest records by model and version. */
+  std::map<std::string, std::map<uint64_t, std::string>> mRecords;
   std::map<std::string, std::string> mSetups;        ///< The latest setup of each service, by key.
   std::map<std::string, std::string> mWrittenSetups; ///< Setups already written, by key.
 };
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -102,9 +102,10 @@
                             kNodeTableWait,
                             kNodeTableCoalesceTime,
                             kMaxNodeTableCoalesceTime);
-    mStoreConnections.registerNode(
-      tools::kEntryPrefix + mNode,
-      tools::writeEntryRow({ mSettings.text("node.region"), mSettings.address("listen.peers") }));
+    mStoreConnections.keep({ tools::kNodeTable,
+                             tools::kEntryPrefix + mNode,
+                             tools::writeEntryRow({ mSettings.text("node.region"),
+                                                    mSettings.address("listen.peers") }) });
     mLoop = std::thread([this] { mRelay->run(); });
     return {};
   }
--- a/tools/router/tests/WeightPublisherTest.cpp
+++ b/tools/router/tests/WeightPublisherTest.cpp
@@ -100,6 +100,54 @@
   BOOST_TEST(table.rows.contains("setup/drafter"));
 }
 
+// Guards against endpoints that load a version which no request may use: after a restore the store
+// had lost the record of the newest one, and nobody wrote it again.
+BOOST_FIXTURE_TEST_CASE(writesAgainWhatARestoredStoreHasLost, Fixture)
+{
+  publisher.setDeployment(*deployment(true, "10.0.0.1:80"));
+  publisher.queueDeclaration("m", 2, 5000ms);
+  publisher.writeQueued(now);
+  auto copy = table.rows;
+  publisher.setDeployment(*deployment(true, "10.0.0.2:80"));
+  publisher.queueDeclaration("m", 3, 9000ms);
+  publisher.writeQueued(now);
+  auto whole = table.rows;
+  for (int i = 0; i < 3; ++i) {
+    table.rows = i == 0 ? copy : decltype(copy){};
+    publisher.onRestored();
+    table.isDown = i == 1;
+    publisher.writeQueued(now);
+    table.isDown = false;
+    publisher.writeQueued(now);
+    BOOST_TEST((table.rows == whole));
+  }
+  int writes = table.writes;
+  publisher.writeQueued(now);
+  BOOST_TEST(table.writes == writes);
+}
+
+// Guards against records that are lost because the entry that wrote them has ended, and against
+// times of declarations that differ from the first record's.
+BOOST_FIXTURE_TEST_CASE(writesTheRecordsOfOthersAgain, Fixture)
+{
+  {
+    WeightPublisher other{ [this] { return std::make_unique<FakeWeightTableFeed>(table); }, log };
+    other.queueDeclaration("m", 2, 4000ms);
+    other.writeQueued(now);
+  }
+  BOOST_TEST(publisher.declarationAges("m", now).has_value());
+  table.rows.clear();
+  publisher.onRestored();
+  publisher.writeQueued(now);
+  BOOST_TEST(table.rows.at(declaredKey("m", 2)) == writeDeclaredTime(4000ms));
+  // An entry that knows another time keeps the record that is there first.
+  WeightPublisher late{ [this] { return std::make_unique<FakeWeightTableFeed>(table); }, log };
+  late.queueDeclaration("m", 2, 4500ms);
+  late.onRestored();
+  BOOST_TEST(late.writeQueued(now).contains("m"));
+  BOOST_TEST(table.rows.at(declaredKey("m", 2)) == writeDeclaredTime(4000ms));
+}
+
 // Guards against accepting truncated or foreign rows.
 RC_BOOST_PROP(rejectsInvalidRows, (const std::string& aKey, const std::string& aValue))
 {
