Incident, a restored store: evacuations hold until the operator has written again

Callers could be sent to endpoints of a zone that is being taken out (EVAC): found by reading the code. The operator's rows come back older; between the return of the store and the operator's writing, an evacuation that was ordered since the copy is missing, and the first read after the restore ended it.

Change: serving::HeldEntries keeps what was known before a restore and is missing after it, until a change of the entry arrives, at most for 5 s. Evacuations that the copy has and that had been taken back bind until the operator deletes them again, as before. Reads of the whole table without a restore end evacuations at once, as before.

--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -30,10 +30,39 @@
 
 void OperatorListener::onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
-  mEvacuated.clear();
+  auto known = mHeldEvacuations.with(std::exchange(mEvacuated, {}));
+  for (const auto& row : aRows) {
+    applyEvacuation(row);
+  }
+  if (std::exchange(mWasRestored, false)) {
+    mHeldEvacuations.hold(known, mEvacuated, aNow + base::Duration(serving::kRewriteTime));
+  }
   applyRows(aRows, RowSource::Snapshot, aNow);
 }
 
+void OperatorListener::applyEvacuation(const stores::RowChange& aRow)
+{
+  auto key = platform::readOperatorKey(aRow.key);
+  if (key.kind != OperatorRowKind::Evacuation) {
+    return;
+  }
+  mHeldEvacuations.release(key.name);
+  if (aRow.isDeleted) {
+    mEvacuated.erase(key.name);
+  } else {
+    mEvacuated.emplace(key.name, std::monostate());
+  }
+}
+
+void OperatorListener::updateEvacuated()
+{
+  std::set<std::string> zones;
+  for (const auto& [zone, unused] : mHeldEvacuations.with(mEvacuated)) {
+    zones.insert(zone);
+  }
+  mRelay.setEvacuated(std::move(zones));
+}
+
 void OperatorListener::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
   applyRows(aRows, RowSource::Change, aNow);
@@ -52,11 +81,7 @@
         deployments.push_back(&row);
         break;
       case OperatorRowKind::Evacuation:
-        if (row.isDeleted) {
-          mEvacuated.erase(key.name);
-        } else {
-          mEvacuated.insert(key.name);
-        }
+        applyEvacuation(row);
         break;
       case OperatorRowKind::WeightVersion:
         versions.push_back(&row);
@@ -65,7 +90,7 @@
         break;
     }
   }
-  mRelay.setEvacuated(mEvacuated);
+  updateEvacuated();
   auto applyDeployments = [&] {
     for (const auto* row : deployments) {
       applyDeployment(*row, aNow);
@@ -220,6 +245,9 @@
   mLastCallAt = aNow;
   mLastAnswerGivenAt = mServiceClock.givenAt(mServiceTime, aNow);
   mFailedCallAt.reset();
+  if (mHeldEvacuations.expire(aNow)) {
+    updateEvacuated();
+  }
   for (const std::string& model : std::exchange(mModelsToRead, {})) {
     if (auto ages = mPublisher.declarationAges(model, aNow)) {
       enforceRecorded(model, *ages, RowSource::Snapshot, aNow);
@@ -238,6 +266,7 @@
 {
   mLog.write(telemetry::EventClass::Critical, "store_restored", { { "table", "operators" } }, aNow);
   mPublisher.onRestored();
+  mWasRestored = true;
 }
 
 void OperatorListener::onReachable(bool aReachable,
--- a/tools/router/OperatorListener.h
+++ b/tools/router/OperatorListener.h
@@ -4,11 +4,13 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <variant>
 
 #include "LoaderNotifier.h"
 #include "WeightPublisher.h"
 #include "platform/OperatorRows.h"
 #include "relay/Relay.h"
+#include "serving/HeldEntries.h"
 #include "serving/PendingVersions.h"
 #include "serving/ServiceClock.h"
 #include "serving/VersionTiming.h"
@@ -52,6 +54,9 @@
                  RowSource aSource,
                  base::TimePoint aNow);
   void applyDeployment(const stores::RowChange& aRow, base::TimePoint aNow);
+  void applyEvacuation(const stores::RowChange& aRow);
+  /** Passes the evacuated zones on to the relay. */
+  void updateEvacuated();
   void applyVersion(const stores::RowChange& aRow, RowSource aSource, base::TimePoint aNow);
   /** Whether a change that is read at aNow may have been there before the call that returned it. */
   bool mayPrecedeCall(base::TimePoint aNow) const;
@@ -78,7 +83,10 @@
   const serving::VersionTiming mTiming;
   WeightPublisher mPublisher;
   bool mHasDeployment = false;
-  std::set<std::string> mEvacuated;
+  using Zones = std::map<std::string, std::monostate>;
+  Zones mEvacuated; ///< According to the store.
+  serving::HeldEntries<std::monostate> mHeldEvacuations;
+  bool mWasRestored = false;            ///< The next snapshot is the first after a restore.
   base::Milliseconds mServiceTime{ 0 }; ///< Zero until the store named its clock.
   serving::ServiceClock mServiceClock;
   serving::PendingVersions mPending;
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -359,3 +359,66 @@
   BOOST_TEST(reads == 1);
   BOOST_TEST(process.relay.deployments == 1);
 }
+
+namespace {
+
+stores::RowChange deploymentOf(int aVersion)
+{
+  return { "config",
+           R"({"version":)" + std::to_string(aVersion) + R"(,"route_list":[],"backends":[]})" };
+}
+
+stores::RowChange evacuation(const std::string& aZone, bool aIsDeleted = false)
+{
+  return { "evacuate/" + aZone, "{}", aIsDeleted };
+}
+
+using Zones = std::set<std::string>;
+
+} // namespace
+
+// Guards against an evacuation that is forgotten because the store came back from a copy from
+// before it (EVAC), and against one that binds for ever because the store lost that it was taken
+// back.
+BOOST_AUTO_TEST_CASE(keepsAnEvacuationUntilTheOperatorHasWrittenAgain)
+{
+  FakeWeightTable table;
+  base::TimePoint now{ 1h };
+  Process process(table);
+  process.listener.onSnapshot({ deploymentOf(1) }, now);
+  process.listener.onChanges({ evacuation("a"), evacuation("b") }, now);
+  BOOST_TEST((process.relay.evacuated == Zones{ "a", "b" }));
+  // The copy has neither of them, and "c", which was taken back before.
+  process.listener.onRestored(now + 1s);
+  process.listener.onSnapshot({ deploymentOf(1), evacuation("c") }, now + 1s);
+  BOOST_TEST((process.relay.evacuated == Zones{ "a", "b", "c" }));
+  process.listener.onCallSucceeded(now + 2s);
+  BOOST_TEST((process.relay.evacuated == Zones{ "a", "b", "c" }));
+  process.listener.onChanges({ evacuation("a"), evacuation("c", true) }, now + 2s);
+  BOOST_TEST((process.relay.evacuated == Zones{ "a", "b" }));
+  // A second restore before the first is mended.
+  process.listener.onRestored(now + 3s);
+  process.listener.onSnapshot({ deploymentOf(1) }, now + 3s);
+  BOOST_TEST((process.relay.evacuated == Zones{ "a", "b" }));
+  process.listener.onChanges({ evacuation("a") }, now + 4s);
+  // Nobody wrote "b" again.
+  process.listener.onCallSucceeded(now + 7s);
+  BOOST_TEST((process.relay.evacuated == Zones{ "a", "b" }));
+  process.listener.onCallSucceeded(now + 9s);
+  BOOST_TEST((process.relay.evacuated == Zones{ "a" }));
+  process.listener.onChanges({ evacuation("a", true) }, now + 10s);
+  BOOST_TEST(process.relay.evacuated.empty());
+}
+
+// Guards against an evacuation that is kept although the operator took it back: a discarded history
+// is no restore.
+BOOST_AUTO_TEST_CASE(anEvacuationEndsWithItsRow)
+{
+  FakeWeightTable table;
+  base::TimePoint now{ 1h };
+  Process process(table);
+  process.listener.onSnapshot({ deploymentOf(1), evacuation("a") }, now);
+  BOOST_TEST((process.relay.evacuated == Zones{ "a" }));
+  process.listener.onSnapshot({ deploymentOf(1) }, now + 1s);
+  BOOST_TEST(process.relay.evacuated.empty());
+}
