Incident, a restored store: an older configuration is not taken

Callers' routes stayed right, as the relay ignores older configurations; loaders were told the setup of an older one, found by reading the code: OperatorListener handed each configuration that can be read to the WeightPublisher, also an older version than the one in force, which a restored store holds until the operator writes again.

Change: a configuration older than the one in force is logged (deployment_outdated) and dropped before anybody uses it.

router.OperatorListenerTest/keepsTheConfigurationInForceAfterARestore failed before with 2 checks.

--- a/tools/router/OperatorListener.cpp
+++ b/tools/router/OperatorListener.cpp
@@ -124,7 +124,17 @@
                aNow);
     return;
   }
+  if ((*deployment)->version() < mDeploymentVersion) {
+    // The operator writes the present one again, if the store has lost it.
+    mLog.write(telemetry::EventClass::Critical,
+               "deployment_outdated",
+               { { "version", std::to_string((*deployment)->version()) },
+                 { "in_force", std::to_string(mDeploymentVersion) } },
+               aNow);
+    return;
+  }
   mHasDeployment = true;
+  mDeploymentVersion = (*deployment)->version();
   mPublisher.setDeployment(**deployment);
   mRelay.setDeployment(std::move(*deployment));
 }
--- a/tools/router/OperatorListener.h
+++ b/tools/router/OperatorListener.h
@@ -83,6 +83,7 @@
   const serving::VersionTiming mTiming;
   WeightPublisher mPublisher;
   bool mHasDeployment = false;
+  uint64_t mDeploymentVersion = 0; ///< Of the configuration in force.
   using Zones = std::map<std::string, std::monostate>;
   Zones mEvacuated; ///< According to the store.
   serving::HeldEntries<std::monostate> mHeldEvacuations;
--- a/tools/router/tests/OperatorListenerTest.cpp
+++ b/tools/router/tests/OperatorListenerTest.cpp
@@ -377,6 +377,24 @@
 
 } // namespace
 
+// Guards against a confirmed configuration that comes back older (CONFIG), here and in what loaders
+// are told, because the store came back from an older copy.
+BOOST_AUTO_TEST_CASE(keepsTheConfigurationInForceAfterARestore)
+{
+  FakeWeightTable table;
+  Process process(table);
+  base::TimePoint now{ 1h };
+  process.listener.onSnapshot({ deploymentOf(9) }, now);
+  BOOST_TEST(process.relay.deployments == 1);
+  process.listener.onRestored(now + 1s);
+  process.listener.onSnapshot({ deploymentOf(5) }, now + 1s);
+  process.listener.onChanges({ deploymentOf(7) }, now + 1s);
+  BOOST_TEST(process.relay.deployments == 1);
+  process.listener.onChanges({ deploymentOf(9) }, now + 2s);
+  process.listener.onChanges({ deploymentOf(12) }, now + 2s);
+  BOOST_TEST(process.relay.deployments == 3);
+}
+
 // Guards against an evacuation that is forgotten because the store came back from a copy from
 // before it (EVAC), and against one that binds for ever because the store lost that it was taken
 // back.
