Incident, a restored store: endpoints' rows of the copy are compared with what is known

Callers could be sent to endpoints that have left (DRAIN), and lose capacity for a moment: found by reading the code. A copy from before lists endpoints as ready that have announced their leave or were removed since, and lacks those that joined; the former were listed again, the latter counted as gone at once unless over half were missing.

After a restore an endpoint of the same start time that drained keeps draining until its row changes, and one that was removed is listed again when its row is written, or after 10 s, when rows of endpoints that are gone have lapsed. LapseGuard delays the removal of all endpoints that a restored list lacks, as after an outage in which the whole list lapsed; what is removed by a change counts at once.

--- a/libs/serving/src/LapseGuard.cpp
+++ b/libs/serving/src/LapseGuard.cpp
@@ -22,6 +22,11 @@
   mMissing.clear();
 }
 
+void LapseGuard::listRestored(base::TimePoint aNow)
+{
+  mRestoredAt = aNow;
+}
+
 void LapseGuard::markListed(const std::string& aId)
 {
   mPendingRemovals.erase(aId);
@@ -29,11 +34,19 @@
 }
 
 std::set<std::string> LapseGuard::delayRemovals(const std::set<std::string>& aMissing,
+                                                Source aSource,
                                                 base::TimePoint aNow)
 {
   for (const std::string& id : aMissing) {
     mPendingRemovals.erase(id);
   }
+  // What is removed from a restored list was written again, or lapsed, since.
+  if (aSource == Source::WholeList && mRestoredAt && aNow - *mRestoredAt < mGrace) {
+    for (const std::string& id : aMissing) {
+      mPendingRemovals.emplace(id, *mRestoredAt + mGrace);
+    }
+    return aMissing;
+  }
   if (!mRegainedAt || aNow - *mRegainedAt >= mGrace) {
     return {};
   }
--- a/libs/serving/tests/BudgetsTest.cpp
+++ b/libs/serving/tests/BudgetsTest.cpp
@@ -146,17 +146,17 @@
 {
   LapseGuard guard(2200ms);
   base::TimePoint now{ 1h };
-  BOOST_TEST(guard.delayRemovals({ "before" }, now).empty());
+  BOOST_TEST(guard.delayRemovals({ "before" }, LapseGuard::Source::Change, now).empty());
   guard.listRegained(3, now);
   std::set<std::string> lapsed{ "back", "dead" };
-  BOOST_TEST(guard.delayRemovals(lapsed, now + 100ms) == lapsed);
+  BOOST_TEST(guard.delayRemovals(lapsed, LapseGuard::Source::Change, now + 100ms) == lapsed);
   guard.markListed("back");
   BOOST_TEST(guard.takeDueRemovals(now + 2s).empty());
   // Without a due time the removal was delayed until the next change of the list.
   BOOST_TEST((guard.nextDueTime() == now + 2200ms));
   BOOST_TEST((guard.takeDueRemovals(now + 2200ms) == std::vector<std::string>{ "dead" }));
   BOOST_TEST(!guard.nextDueTime().has_value());
-  BOOST_TEST(guard.delayRemovals({ "later" }, now + 3s).empty());
+  BOOST_TEST(guard.delayRemovals({ "later" }, LapseGuard::Source::Change, now + 3s).empty());
 }
 
 // When only this process lost its connection to the list, few entries are missing afterwards: they
@@ -166,13 +166,15 @@
   LapseGuard guard(2200ms);
   base::TimePoint now{ 1h };
   guard.listRegained(10, now);
-  BOOST_TEST(guard.delayRemovals({ "a", "b" }, now).empty());
-  BOOST_TEST(guard.delayRemovals({ "c", "d", "e" }, now + 100ms).empty());
+  BOOST_TEST(guard.delayRemovals({ "a", "b" }, LapseGuard::Source::Change, now).empty());
+  BOOST_TEST(
+    guard.delayRemovals({ "c", "d", "e" }, LapseGuard::Source::Change, now + 100ms).empty());
   BOOST_TEST(!guard.nextDueTime().has_value());
-  BOOST_TEST(guard.delayRemovals({ "f" }, now + 200ms) == std::set<std::string>{ "f" });
+  BOOST_TEST(guard.delayRemovals({ "f" }, LapseGuard::Source::Change, now + 200ms) ==
+             std::set<std::string>{ "f" });
   // Entries missing after an earlier outage do not count.
   guard.listRegained(4, now + 1s);
-  BOOST_TEST(guard.delayRemovals({ "g" }, now + 1s).empty());
+  BOOST_TEST(guard.delayRemovals({ "g" }, LapseGuard::Source::Change, now + 1s).empty());
 }
 
 // Guards against an entry that restarts during a rollout and enforces a version earlier than the
--- a/tools/router/EndpointListener.cpp
+++ b/tools/router/EndpointListener.cpp
@@ -1,5 +1,9 @@
 #include "EndpointListener.h"
 
+#include <algorithm>
+#include <set>
+#include <utility>
+
 namespace boragepitch::tools {
 
 EndpointListener::EndpointListener(relay::Relay& aRelay,
@@ -15,20 +19,56 @@
 
 void EndpointListener::onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
-  Changes changes = parseRows(aRows, aNow);
-  std::set<std::string> missing = mKnownIds;
+  Changes changes = judgeSnapshot(parseRows(aRows, aNow), aNow);
+  auto missing = mKnown;
   for (const auto& row : aRows) {
     missing.erase(row.key);
   }
-  for (const std::string& id : missing) {
+  for (const auto& [id, startTimeMs] : missing) {
     changes.emplace_back(serving::EndpointGone{ id });
   }
-  apply(std::move(changes), aNow);
+  apply(std::move(changes), serving::LapseGuard::Source::WholeList, aNow);
+}
+
+EndpointListener::Changes EndpointListener::judgeSnapshot(Changes aChanges, base::TimePoint aNow)
+{
+  using Verdict = serving::LeaveMemory::Verdict;
+  mUnconfirmed.clear();
+  Changes judged;
+  for (auto& change : aChanges) {
+    auto* record = std::get_if<serving::EndpointRecord>(&change);
+    auto verdict = record != nullptr ? mLeaves.judge(*record, aNow) : Verdict::Valid;
+    if (verdict == Verdict::Unconfirmed) {
+      mLog.write(telemetry::EventClass::Critical,
+                 "endpoint_unconfirmed",
+                 { { "id", record->id }, { "born", std::to_string(record->startTimeMs) } },
+                 aNow);
+      mUnconfirmed.emplace(record->id, std::move(*record));
+      continue;
+    }
+    if (verdict == Verdict::Draining) {
+      record->isDraining = true;
+    }
+    judged.push_back(std::move(change));
+  }
+  return judged;
 }
 
 void EndpointListener::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
-  apply(parseRows(aRows, aNow), aNow);
+  for (const auto& row : aRows) {
+    mUnconfirmed.erase(row.key);
+  }
+  apply(parseRows(aRows, aNow), serving::LapseGuard::Source::Change, aNow);
+}
+
+std::optional<base::TimePoint> EndpointListener::wakeAt() const
+{
+  auto next = mGuard.nextDueTime();
+  if (mUnconfirmed.empty()) {
+    return next;
+  }
+  return next ? std::min(*next, mLeaves.confirmedBy()) : mLeaves.confirmedBy();
 }
 
 EndpointListener::Changes EndpointListener::parseRows(const std::vector<stores::RowChange>& aRows,
@@ -54,28 +94,48 @@
   return changes;
 }
 
-void EndpointListener::apply(Changes aChanges, base::TimePoint aNow)
+void EndpointListener::recordLeaves(const Changes& aChanges, base::TimePoint aNow)
+{
+  for (const auto& change : aChanges) {
+    if (const auto* record = std::get_if<serving::EndpointRecord>(&change)) {
+      if (record->isDraining) {
+        mLeaves.recordDraining(record->id, record->startTimeMs, aNow);
+      } else {
+        mLeaves.forget(record->id);
+      }
+    } else if (const auto& gone = std::get<serving::EndpointGone>(change); !gone.hasLapsed) {
+      auto known = mKnown.find(gone.id);
+      if (known != mKnown.end()) {
+        mLeaves.recordRemoval(gone.id, known->second, aNow);
+      }
+    }
+  }
+}
+
+void EndpointListener::apply(Changes aChanges,
+                             serving::LapseGuard::Source aSource,
+                             base::TimePoint aNow)
 {
   std::set<std::string> missing; // Endpoints that are gone after the last change.
   for (const auto& change : aChanges) {
     if (const auto* record = std::get_if<serving::EndpointRecord>(&change)) {
-      mKnownIds.insert(record->id);
+      mKnown[record->id] = record->startTimeMs;
       mGuard.markListed(record->id);
       missing.erase(record->id);
-    } else if (const auto& id = std::get<serving::EndpointGone>(change).id;
-               mKnownIds.contains(id)) {
+    } else if (const auto& id = std::get<serving::EndpointGone>(change).id; mKnown.contains(id)) {
       missing.insert(id);
     }
   }
-  std::set<std::string> delayed = mGuard.delayRemovals(missing, aNow);
+  std::set<std::string> delayed = mGuard.delayRemovals(missing, aSource, aNow);
   for (auto& change : aChanges) {
     if (auto* gone = std::get_if<serving::EndpointGone>(&change)) {
       gone->hasLapsed = delayed.contains(gone->id);
     }
   }
+  recordLeaves(aChanges, aNow);
   for (const std::string& id : missing) {
     if (!delayed.contains(id)) {
-      mKnownIds.erase(id);
+      mKnown.erase(id);
     }
   }
   mRelay.changeEndpoints(std::move(aChanges));
@@ -85,9 +145,19 @@
 {
   Changes changes;
   for (const std::string& id : mGuard.takeDueRemovals(aNow)) {
-    mKnownIds.erase(id);
     changes.emplace_back(serving::EndpointGone{ id });
   }
+  recordLeaves(changes, aNow);
+  for (const auto& change : changes) {
+    mKnown.erase(std::get<serving::EndpointGone>(change).id);
+  }
+  if (!mUnconfirmed.empty() && aNow >= mLeaves.confirmedBy()) {
+    for (auto& [id, record] : std::exchange(mUnconfirmed, {})) {
+      mKnown[id] = record.startTimeMs;
+      mLeaves.forget(id);
+      changes.emplace_back(std::move(record));
+    }
+  }
   if (!changes.empty()) {
     mRelay.changeEndpoints(std::move(changes));
   }
@@ -97,14 +167,16 @@
 void EndpointListener::onRestored(base::TimePoint aNow)
 {
   mLog.write(telemetry::EventClass::Critical, "store_restored", { { "table", "endpoints" } }, aNow);
+  mGuard.listRestored(aNow);
+  mLeaves.listRestored(aNow);
 }
 
 void EndpointListener::onReachable(bool aReachable,
                                    const std::string& aReason,
                                    base::TimePoint aNow)
 {
-  if (aReachable && !mKnownIds.empty()) {
-    mGuard.listRegained(mKnownIds.size(), aNow);
+  if (aReachable && !mKnown.empty()) {
+    mGuard.listRegained(mKnown.size(), aNow);
   }
   mLog.write(telemetry::EventClass::Critical,
              aReachable ? "store_regained" : "store_lost",
--- a/tools/router/EndpointListener.h
+++ b/tools/router/EndpointListener.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include <set>
+#include <map>
 #include <string>
 
 #include "platform/EndpointRows.h"
 #include "relay/Relay.h"
 #include "serving/LapseGuard.h"
+#include "serving/LeaveMemory.h"
 #include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
 
@@ -25,7 +26,7 @@
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
   void onRestored(base::TimePoint aNow) override;
   void onCallSucceeded(base::TimePoint aNow) override;
-  std::optional<base::TimePoint> wakeAt() const override { return mGuard.nextDueTime(); }
+  std::optional<base::TimePoint> wakeAt() const override;
 
 private:
   using Changes = std::vector<serving::EndpointChange>;
@@ -33,13 +34,19 @@
   /** Converts rows to endpoint changes, in order; an endpoint whose row cannot be parsed is gone.
    */
   Changes parseRows(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) const;
-  void apply(Changes aChanges, base::TimePoint aNow);
+  /** Corrects the rows of a whole list that do not know of a leave. */
+  Changes judgeSnapshot(Changes aChanges, base::TimePoint aNow);
+  void apply(Changes aChanges, serving::LapseGuard::Source aSource, base::TimePoint aNow);
+  void recordLeaves(const Changes& aChanges, base::TimePoint aNow);
 
   relay::Relay& mRelay;
   telemetry::EventLog& mLog;
   const platform::ZoneRegions mZones;
   serving::LapseGuard mGuard;
-  std::set<std::string> mKnownIds;
+  serving::LeaveMemory mLeaves;
+  std::map<std::string, uint64_t> mKnown; ///< Start times of the endpoints passed on, by id.
+  /** Endpoints that have left and are listed again by a restored list, by id. */
+  std::map<std::string, serving::EndpointRecord> mUnconfirmed;
 };
 
 } // namespace boragepitch::tools
--- a/tools/router/tests/EndpointListenerTest.cpp
+++ b/tools/router/tests/EndpointListenerTest.cpp
@@ -163,3 +163,101 @@
     }
   }
 }
+
+namespace {
+
+stores::RowChange rowOf(int aNumber, const char* aState, int aBorn = 1)
+{
+  return { Fixture::name(aNumber),
+           R"({"backend":"s","address":"10.0.0.9:)" + std::to_string(8000 + aNumber) +
+             R"(","zone":"north-a","slots":6,"state":")" + aState +
+             R"(","warmup_left_ms":0,"born":)" + std::to_string(aBorn) + "}",
+           false };
+}
+
+} // namespace
+
+// Guards against endpoints that count as gone for a moment because the store came back from a copy
+// from before they joined: callers were refused meanwhile.
+BOOST_FIXTURE_TEST_CASE(keepsEndpointsThatARestoredListLacks, Fixture)
+{
+  loseStore(2000ms);
+  listener.onRestored(now);
+  all.erase(all.begin(), all.begin() + 3);
+  listener.onSnapshot(all, now);
+  listener.onCallSucceeded(now);
+  BOOST_TEST(relay.listed.size() == static_cast<size_t>(kEndpoints));
+  BOOST_TEST(relay.lapsed == (std::set<std::string>{ name(0), name(1), name(2) }));
+  listener.onChanges({ row(0), row(1) }, now + 1s);
+  // A failed call after the restore must not end the wait for the others.
+  listener.onReachable(false, "refused", now + 1s);
+  listener.onReachable(true, "", now + 1s);
+  all.push_back(row(0));
+  all.push_back(row(1));
+  listener.onSnapshot(all, now + 1s);
+  BOOST_TEST(relay.lapsed == std::set<std::string>{ name(2) });
+  listener.onCallSucceeded(now + kGrace);
+  BOOST_TEST(!relay.listed.contains(name(2)));
+  BOOST_TEST(relay.listed.size() == static_cast<size_t>(kEndpoints - 1));
+}
+
+// Guards against requests to an endpoint that has left and is listed again by a store that came
+// back from a copy from before (DRAIN).
+BOOST_FIXTURE_TEST_CASE(doesNotListEndpointsAgainThatHaveLeft, Fixture)
+{
+  listener.onChanges({ removal(0), removal(1), removal(2) }, now);
+  BOOST_TEST(relay.listed.size() == static_cast<size_t>(kEndpoints - 3));
+  loseStore(2000ms);
+  listener.onRestored(now);
+  listener.onSnapshot(all, now);
+  listener.onSnapshot(all, now + 500ms); // The history was discarded as well.
+  BOOST_TEST(relay.listed.size() == static_cast<size_t>(kEndpoints - 3));
+  // One of them lives and writes its row, one has started again, the third one's row lapses.
+  listener.onChanges({ row(0), rowOf(1, "healthy", 2), removal(2) }, now + 1s);
+  BOOST_TEST(relay.listed.contains(name(0)));
+  BOOST_TEST(relay.listed.contains(name(1)));
+  BOOST_TEST(!relay.listed.contains(name(2)));
+}
+
+// Guards against an endpoint that is left out for ever because it was missing before a restore.
+BOOST_FIXTURE_TEST_CASE(listsARestoredRowThatStays, Fixture)
+{
+  listener.onChanges({ removal(0) }, now);
+  listener.onRestored(now);
+  listener.onSnapshot(all, now);
+  BOOST_TEST(!relay.listed.contains(name(0)));
+  listener.onCallSucceeded(now + 9s);
+  BOOST_TEST(!relay.listed.contains(name(0)));
+  listener.onCallSucceeded(now + 11s);
+  BOOST_TEST(relay.listed.contains(name(0)));
+}
+
+// Guards against requests to an endpoint that announced its leave and is ready again according to a
+// store that came back from a copy from before (DRAIN).
+BOOST_FIXTURE_TEST_CASE(aDrainingEndpointStaysDrainingAfterARestore, Fixture)
+{
+  listener.onChanges({ rowOf(0, "draining"), rowOf(1, "draining") }, now);
+  BOOST_TEST((relay.draining == std::set<std::string>{ name(0), name(1) }));
+  loseStore(2000ms);
+  listener.onRestored(now);
+  listener.onSnapshot(all, now);
+  BOOST_TEST((relay.draining == std::set<std::string>{ name(0), name(1) }));
+  listener.onCallSucceeded(now + 60s);
+  BOOST_TEST((relay.draining == std::set<std::string>{ name(0), name(1) }));
+  listener.onChanges({ rowOf(0, "draining"), rowOf(1, "healthy", 7) }, now + 1s);
+  BOOST_TEST((relay.draining == std::set<std::string>{ name(0) }));
+  listener.onChanges({ removal(0) }, now + 2s);
+  BOOST_TEST(!relay.listed.contains(name(0)));
+}
+
+// Guards against leaves that are remembered for ever.
+BOOST_FIXTURE_TEST_CASE(aRestartUnderTheSameIdIsListedAtOnce, Fixture)
+{
+  listener.onChanges({ removal(0), rowOf(1, "draining") }, now);
+  listener.onRestored(now);
+  all[0] = rowOf(0, "healthy", 9);
+  all[1] = rowOf(1, "healthy", 9);
+  listener.onSnapshot(all, now);
+  BOOST_TEST(relay.listed.size() == static_cast<size_t>(kEndpoints));
+  BOOST_TEST(relay.draining.empty());
+}
--- a/tools/router/tests/RecordingRelay.h
+++ b/tools/router/tests/RecordingRelay.h
@@ -24,11 +24,17 @@
       if (const auto* record = std::get_if<serving::EndpointRecord>(&change)) {
         listed.insert(record->id);
         lapsed.erase(record->id);
+        if (record->isDraining) {
+          draining.insert(record->id);
+        } else {
+          draining.erase(record->id);
+        }
       } else if (const auto& gone = std::get<serving::EndpointGone>(change); gone.hasLapsed) {
         lapsed.insert(gone.id);
       } else {
         listed.erase(gone.id);
         lapsed.erase(gone.id);
+        draining.erase(gone.id);
       }
     }
   }
@@ -43,6 +49,7 @@
 
   std::set<std::string> listed; ///< Includes lapsed endpoints.
   std::set<std::string> lapsed;
+  std::set<std::string> draining;
   std::set<std::string> evacuated; ///< Availability zones.
   std::map<uint64_t, base::TimePoint> declared;
   int deployments = 0; ///< Configurations that were set.
