Incident, a restored store: programs that the copy lacks are kept until they have registered again

Common limits (retries, requests of limited endpoints) are shared by the number of entries, and engines report to the entries they know: after a restore both followed the older list for up to a second or two, until the programs wrote their rows again.

Change: EntryListener and LoaderFleet hold the programs known before a restore and missing after it until their rows change, at most for 5 s (serving::HeldEntries).

--- a/libs/serving/include/serving/HeldEntries.h
+++ b/libs/serving/include/serving/HeldEntries.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -44,13 +46,28 @@
     }
     return aListed;
   }
-  bool isEmpty() const { return mEntries.empty(); }
+  /** Time at which expire() next drops an entry; empty if none is held. */
+  std::optional<base::TimePoint> nextExpiry() const
+  {
+    std::optional<base::TimePoint> next;
+    for (const auto& [key, held] : mEntries) {
+      next = next ? std::min(*next, held.second) : held.second;
+    }
+    return next;
+  }
 
 private:
   std::map<std::string, std::pair<Value, base::TimePoint>>
     mEntries; ///< With the end of their time.
 };
 
+/** The earlier of two times that may be missing. */
+inline std::optional<base::TimePoint> earlier(std::optional<base::TimePoint> aFirst,
+                                              std::optional<base::TimePoint> aSecond)
+{
+  return aFirst && aSecond ? std::min(aFirst, aSecond) : std::max(aFirst, aSecond);
+}
+
 /** Time after the return of a restored store in which its writers write again what it has lost. */
 inline constexpr base::Milliseconds kRewriteTime{ 5000 };
 
--- a/tools/loader/LoaderFleet.cpp
+++ b/tools/loader/LoaderFleet.cpp
@@ -1,6 +1,7 @@
 #include "LoaderFleet.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/Digest.h"
 
@@ -62,7 +63,7 @@
 {
   mLoaders[mSelf] = mSelfRow;
   auto nodes = std::make_shared<control::NodeTable>();
-  for (const auto& [id, row] : mLoaders) {
+  for (const auto& [id, row] : mHeldLoaders.with(mLoaders)) {
     (*nodes)[id].state = stateOf(id, row);
   }
   mNodes = std::move(nodes);
@@ -78,6 +79,7 @@
     return;
   }
   std::string id = aRow.key.substr(std::string_view(kLoaderPrefix).size());
+  mHeldLoaders.release(id);
   auto row = readLoaderRow(aRow.value);
   if (aRow.isDeleted || !row) {
     mLoaders.erase(id);
@@ -89,6 +91,7 @@
 void LoaderFleet::applyEntryRow(const stores::RowChange& aRow)
 {
   std::string name = aRow.key.substr(std::string_view(kEntryPrefix).size());
+  mHeldEntries.release(name);
   auto row = readEntryRow(aRow.value);
   if (aRow.isDeleted || !row) {
     mEntries.erase(name);
@@ -110,30 +113,53 @@
 
 void LoaderFleet::rebuildTargets()
 {
+  auto entries = mHeldEntries.with(mEntries);
   std::vector<serving::EntryIdentity> identities;
-  for (const auto& [name, row] : mEntries) {
+  for (const auto& [name, row] : entries) {
     identities.push_back({ name, row.region });
   }
   mSubset.setEntries(identities);
   auto users = mSubset.entriesUsing(mEngine, mSelfRow.region);
   mTargets.clear();
-  for (const auto& [name, row] : mEntries) {
+  for (const auto& [name, row] : entries) {
     mTargets.push_back({ row.peers, users.contains(name) });
   }
 }
 
-void LoaderFleet::onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint /*aNow*/)
+void LoaderFleet::onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
   std::lock_guard lock(mMutex);
-  mLoaders.clear();
-  mEntries.clear();
+  auto loaders = mHeldLoaders.with(std::exchange(mLoaders, {}));
+  auto entries = mHeldEntries.with(std::exchange(mEntries, {}));
   for (const auto& row : aRows) {
     applyRow(row);
   }
+  if (std::exchange(mWasRestored, false)) {
+    auto until = aNow + base::Duration(serving::kRewriteTime);
+    mHeldLoaders.hold(loaders, mLoaders, until);
+    mHeldEntries.hold(entries, mEntries, until);
+  }
   rebuildNodes();
   rebuildTargets();
 }
 
+void LoaderFleet::onCallSucceeded(base::TimePoint aNow)
+{
+  std::lock_guard lock(mMutex);
+  bool hasExpired = mHeldLoaders.expire(aNow);
+  hasExpired = mHeldEntries.expire(aNow) || hasExpired;
+  if (hasExpired) {
+    rebuildNodes();
+    rebuildTargets();
+  }
+}
+
+std::optional<base::TimePoint> LoaderFleet::wakeAt() const
+{
+  std::lock_guard lock(mMutex);
+  return serving::earlier(mHeldLoaders.nextExpiry(), mHeldEntries.nextExpiry());
+}
+
 void LoaderFleet::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint /*aNow*/)
 {
   std::lock_guard lock(mMutex);
@@ -147,6 +173,8 @@
 void LoaderFleet::onRestored(base::TimePoint aNow)
 {
   mLog.write(telemetry::EventClass::Critical, "store_restored", { { "table", "nodes" } }, aNow);
+  std::lock_guard lock(mMutex);
+  mWasRestored = true;
 }
 
 void LoaderFleet::onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow)
@@ -170,7 +198,7 @@
   uint64_t own = hashOf(mSelf);
   size_t rank = 0;
   size_t count = 0;
-  for (const auto& [id, row] : mLoaders) {
+  for (const auto& [id, row] : mHeldLoaders.with(mLoaders)) {
     if (row.service == mSelfRow.service) {
       ++count;
       rank += hashOf(id) < own ? 1 : 0;
--- a/tools/loader/LoaderFleet.h
+++ b/tools/loader/LoaderFleet.h
@@ -9,6 +9,7 @@
 #include "NodeRows.h"
 #include "control/FleetView.h"
 #include "serving/EntrySubset.h"
+#include "serving/HeldEntries.h"
 #include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
 
@@ -47,6 +48,8 @@
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
   void onRestored(base::TimePoint aNow) override;
+  void onCallSucceeded(base::TimePoint aNow) override;
+  std::optional<base::TimePoint> wakeAt() const override;
 
   /** Adds an entry that announced itself, until the table of nodes names it. */
   void addEntry(const std::string& aName, const EntryRow& aRow);
@@ -71,6 +74,9 @@
   mutable std::mutex mMutex;
   std::map<std::string, LoaderRow> mLoaders;
   std::map<std::string, EntryRow> mEntries; ///< By name.
+  serving::HeldEntries<LoaderRow> mHeldLoaders;
+  serving::HeldEntries<EntryRow> mHeldEntries;
+  bool mWasRestored = false; ///< The next snapshot is the first after a restore.
   std::vector<ReportTarget> mTargets;
   std::shared_ptr<const control::NodeTable> mNodes;
   std::shared_ptr<const resources::Snapshot> mConfig;
--- a/tools/router/EndpointListener.cpp
+++ b/tools/router/EndpointListener.cpp
@@ -1,9 +1,10 @@
 #include "EndpointListener.h"
 
-#include <algorithm>
 #include <set>
 #include <utility>
 
+#include "serving/HeldEntries.h"
+
 namespace boragepitch::tools {
 
 EndpointListener::EndpointListener(relay::Relay& aRelay,
@@ -64,11 +65,11 @@
 
 std::optional<base::TimePoint> EndpointListener::wakeAt() const
 {
-  auto next = mGuard.nextDueTime();
-  if (mUnconfirmed.empty()) {
-    return next;
+  std::optional<base::TimePoint> confirmedBy;
+  if (!mUnconfirmed.empty()) {
+    confirmedBy = mLeaves.confirmedBy();
   }
-  return next ? std::min(*next, mLeaves.confirmedBy()) : mLeaves.confirmedBy();
+  return serving::earlier(mGuard.nextDueTime(), confirmedBy);
 }
 
 EndpointListener::Changes EndpointListener::parseRows(const std::vector<stores::RowChange>& aRows,
--- a/tools/router/EntryListener.cpp
+++ b/tools/router/EntryListener.cpp
@@ -1,5 +1,7 @@
 #include "EntryListener.h"
 
+#include <utility>
+
 namespace boragepitch::tools {
 
 EntryListener::EntryListener(relay::Relay& aRelay,
@@ -13,14 +15,18 @@
 {
 }
 
-void EntryListener::onSnapshot(const std::vector<stores::RowChange>& aRows,
-                               base::TimePoint /*aNow*/)
+void EntryListener::onSnapshot(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
-  mEntries.clear();
-  mLoaders.clear();
+  auto entries = mHeldEntries.with(std::exchange(mEntries, {}));
+  auto loaders = mHeldLoaders.with(std::exchange(mLoaders, {}));
   for (const auto& row : aRows) {
     applyRow(row);
   }
+  if (std::exchange(mWasRestored, false)) {
+    auto until = aNow + base::Duration(serving::kRewriteTime);
+    mHeldEntries.hold(entries, mEntries, until);
+    mHeldLoaders.hold(loaders, mLoaders, until);
+  }
   updateNodes();
 }
 
@@ -32,6 +38,20 @@
   updateNodes();
 }
 
+void EntryListener::onCallSucceeded(base::TimePoint aNow)
+{
+  bool hasExpired = mHeldEntries.expire(aNow);
+  hasExpired = mHeldLoaders.expire(aNow) || hasExpired;
+  if (hasExpired) {
+    updateNodes();
+  }
+}
+
+std::optional<base::TimePoint> EntryListener::wakeAt() const
+{
+  return serving::earlier(mHeldEntries.nextExpiry(), mHeldLoaders.nextExpiry());
+}
+
 void EntryListener::applyRow(const stores::RowChange& aRow)
 {
   std::string_view key = aRow.key;
@@ -44,6 +64,7 @@
 
 void EntryListener::applyEntryRow(const stores::RowChange& aRow, std::string aName)
 {
+  mHeldEntries.release(aName);
   auto row = readEntryRow(aRow.value);
   if (aRow.isDeleted || !row || aName == mSelf) {
     mEntries.erase(aName);
@@ -54,6 +75,7 @@
 
 void EntryListener::applyLoaderRow(const stores::RowChange& aRow, std::string aName)
 {
+  mHeldLoaders.release(aName);
   auto row = readLoaderRow(aRow.value);
   if (aRow.isDeleted || !row) {
     mLoaders.erase(aName);
@@ -66,17 +88,18 @@
 {
   std::vector<relay::Peer> peers;
   std::vector<serving::EntryIdentity> identities;
-  for (const auto& [name, row] : mEntries) {
+  for (const auto& [name, row] : mHeldEntries.with(mEntries)) {
     identities.push_back({ name, row.region });
     peers.push_back({ identities.back(), row.peers });
   }
-  mNotifier.setNodes(identities, mLoaders);
+  mNotifier.setNodes(identities, mHeldLoaders.with(mLoaders));
   mRelay.setPeers(std::move(peers));
 }
 
 void EntryListener::onRestored(base::TimePoint aNow)
 {
   mLog.write(telemetry::EventClass::Critical, "store_restored", { { "table", "nodes" } }, aNow);
+  mWasRestored = true;
 }
 
 void EntryListener::onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow)
--- a/tools/router/EntryListener.h
+++ b/tools/router/EntryListener.h
@@ -5,6 +5,7 @@
 
 #include "LoaderNotifier.h"
 #include "relay/Relay.h"
+#include "serving/HeldEntries.h"
 #include "stores/TableWatcher.h"
 #include "telemetry/EventLog.h"
 
@@ -23,6 +24,8 @@
   void onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) override;
   void onReachable(bool aReachable, const std::string& aReason, base::TimePoint aNow) override;
   void onRestored(base::TimePoint aNow) override;
+  void onCallSucceeded(base::TimePoint aNow) override;
+  std::optional<base::TimePoint> wakeAt() const override;
 
 private:
   void applyRow(const stores::RowChange& aRow);
@@ -36,6 +39,9 @@
   const std::string mSelf;
   std::map<std::string, EntryRow> mEntries;  ///< Other entries by name.
   std::map<std::string, LoaderRow> mLoaders; ///< By name.
+  serving::HeldEntries<EntryRow> mHeldEntries;
+  serving::HeldEntries<LoaderRow> mHeldLoaders;
+  bool mWasRestored = false; ///< The next snapshot is the first after a restore.
 };
 
 } // namespace boragepitch::tools
--- a/tools/router/tests/RecordingRelay.h
+++ b/tools/router/tests/RecordingRelay.h
@@ -44,12 +44,19 @@
     auto entry = declared.emplace(aVersion, aEnforceFrom).first;
     entry->second = std::min(entry->second, aEnforceFrom);
   }
-  void setPeers(std::vector<relay::Peer>) override {}
+  void setPeers(std::vector<relay::Peer> aPeers) override
+  {
+    peers.clear();
+    for (const relay::Peer& peer : aPeers) {
+      peers.insert(peer.identity.name);
+    }
+  }
   void confirmList(base::TimePoint aAt) override { confirmedAt = aAt; }
 
   std::set<std::string> listed; ///< Includes lapsed endpoints.
   std::set<std::string> lapsed;
   std::set<std::string> draining;
+  std::set<std::string> peers;     ///< Names of the other entries.
   std::set<std::string> evacuated; ///< Availability zones.
   std::map<uint64_t, base::TimePoint> declared;
   int deployments = 0; ///< Configurations that were set.
