--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -49,8 +49,8 @@
   , refusedByStop(
       aRegistry.counter("bp_relay_refused_by_stop_total",
                         "Requests refused because the process may end before their answer"))
-  , cutByStop(aRegistry.counter("bp_relay_cut_by_stop_total",
-                                "Requests given up because the process ends"))
+  , cutByStop(
+      aRegistry.counter("bp_relay_cut_by_stop_total", "Requests given up because the process ends"))
   , repeats(aRegistry.counter("bp_relay_repeats_total", "Sends to a further endpoint"))
   , resumes(aRegistry.counter("bp_relay_resumes_total", "Streams continued on another endpoint"))
   , connects(aRegistry.counter("bp_relay_connects_total", "New connections to endpoints"))
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -18,8 +18,8 @@
 #include "serving/PartQuarantine.h"
 #include "serving/PeerMessage.h"
 #include "serving/RecentMaximum.h"
-#include "serving/RequestDurations.h"
 #include "serving/ReportedCrashes.h"
+#include "serving/RequestDurations.h"
 #include "serving/VersionSchedule.h"
 
 namespace boragepitch::relay {
