Incident, a restored store: a row of a former start does not replace the present one

Endpoints that had started again under the same id shortly before the store came back from an older copy counted as their former start until they wrote their rows again, and then as started anew: found by reading the code. Twice the relay dropped what it knew of them: requests in flight, pauses and limits that they had named, sends of their cold start, reports. Meanwhile their weights were those of the former start, so callers' requests were turned away (421).

Cause: LeaveMemory remembers leaves, and the new start had ended that memory; the copy's row was taken like any other, and EndpointSet takes any other start time for a restart.

Change: in a restored list, a row with an earlier start time than the known one is not confirmed, like the row of an endpoint that was removed. The endpoint counts as missing from the list: it lapses, and is listed when it writes its row, or removed after the grace. The row itself counts if it is still there after 10 s. Without a restore the list counts as before.

A new case of router.EndpointListenerTest; it failed before, with 3 checks.

--- a/tools/router/EndpointListener.cpp
+++ b/tools/router/EndpointListener.cpp
@@ -22,8 +22,11 @@
 {
   Changes changes = judgeSnapshot(parseRows(aRows, aNow), aNow);
   auto missing = mKnown;
+  // An endpoint whose row is of a former start is not listed yet: it writes its row again.
   for (const auto& row : aRows) {
-    missing.erase(row.key);
+    if (!mUnconfirmed.contains(row.key)) {
+      missing.erase(row.key);
+    }
   }
   for (const auto& [id, startTimeMs] : missing) {
     changes.emplace_back(serving::EndpointGone{ id });
@@ -39,7 +42,8 @@
   for (auto& change : aChanges) {
     auto* record = std::get_if<serving::EndpointRecord>(&change);
     auto verdict = record != nullptr ? mLeaves.judge(*record, aNow) : Verdict::Valid;
-    if (verdict == Verdict::Unconfirmed) {
+    if (verdict == Verdict::Unconfirmed ||
+        (record != nullptr && isOfFormerStart(*record) && aNow < mLeaves.confirmedBy())) {
       mLog.write(telemetry::EventClass::Critical,
                  "endpoint_unconfirmed",
                  { { "id", record->id }, { "born", std::to_string(record->startTimeMs) } },
@@ -55,6 +59,12 @@
   return judged;
 }
 
+bool EndpointListener::isOfFormerStart(const serving::EndpointRecord& aRecord) const
+{
+  auto known = mKnown.find(aRecord.id);
+  return known != mKnown.end() && aRecord.startTimeMs < known->second;
+}
+
 void EndpointListener::onChanges(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow)
 {
   for (const auto& row : aRows) {
--- a/tools/router/EndpointListener.h
+++ b/tools/router/EndpointListener.h
@@ -34,8 +34,10 @@
   /** Converts rows to endpoint changes, in order; an endpoint whose row cannot be parsed is gone.
    */
   Changes parseRows(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) const;
-  /** Corrects the rows of a whole list that do not know of a leave. */
+  /** Corrects the rows of a whole list that do not know of a leave or a restart. */
   Changes judgeSnapshot(Changes aChanges, base::TimePoint aNow);
+  /** Whether the endpoint is known to have started again since the row was written. */
+  bool isOfFormerStart(const serving::EndpointRecord& aRecord) const;
   void apply(Changes aChanges, serving::LapseGuard::Source aSource, base::TimePoint aNow);
   void recordLeaves(const Changes& aChanges, base::TimePoint aNow);
 
@@ -45,7 +47,7 @@
   serving::LapseGuard mGuard;
   serving::LeaveMemory mLeaves;
   std::map<std::string, uint64_t> mKnown; ///< Start times of the endpoints passed on, by id.
-  /** Endpoints that have left and are listed again by a restored list, by id. */
+  /** Rows of a restored list that name endpoints which have left, or former starts, by id. */
   std::map<std::string, serving::EndpointRecord> mUnconfirmed;
 };
 
--- a/tools/router/tests/EndpointListenerTest.cpp
+++ b/tools/router/tests/EndpointListenerTest.cpp
@@ -250,6 +250,32 @@
   BOOST_TEST(!relay.listed.contains(name(0)));
 }
 
+// Guards against treating an endpoint that has started again as its former start, with that one's
+// weights, because a store came back from a copy from before: twice a restart for the relay.
+BOOST_FIXTURE_TEST_CASE(aRestoredRowOfAFormerStartDoesNotReplaceTheNewOne, Fixture)
+{
+  listener.onChanges({ rowOf(0, "healthy", 5), rowOf(1, "healthy", 5) }, now);
+  loseStore(2000ms);
+  listener.onRestored(now);
+  listener.onSnapshot(all, now);
+  BOOST_TEST(relay.startTimes.at(name(0)) == 5U);
+  BOOST_TEST(relay.listed.contains(name(0)));
+  BOOST_TEST((relay.lapsed == std::set<std::string>{ name(0), name(1) }));
+  // One of them writes its row again, the other one is gone.
+  listener.onChanges({ rowOf(0, "healthy", 5) }, now + 1s);
+  listener.onCallSucceeded(now + kGrace);
+  BOOST_TEST(relay.lapsed.empty());
+  BOOST_TEST(relay.listed.contains(name(0)));
+  BOOST_TEST(!relay.listed.contains(name(1)));
+  BOOST_TEST(relay.startTimes.at(name(0)) == 5U);
+  // A row that stays is not left out for ever.
+  listener.onCallSucceeded(now + 11s);
+  BOOST_TEST(relay.listed.contains(name(1)));
+  // Without a restore the list counts.
+  listener.onSnapshot(all, now + 30s);
+  BOOST_TEST(relay.startTimes.at(name(0)) == 1U);
+}
+
 // Guards against leaves that are remembered for ever.
 BOOST_FIXTURE_TEST_CASE(aRestartUnderTheSameIdIsListedAtOnce, Fixture)
 {
--- a/tools/router/tests/RecordingRelay.h
+++ b/tools/router/tests/RecordingRelay.h
@@ -23,6 +23,7 @@
     for (const auto& change : aChanges) {
       if (const auto* record = std::get_if<serving::EndpointRecord>(&change)) {
         listed.insert(record->id);
+        startTimes[record->id] = record->startTimeMs;
         lapsed.erase(record->id);
         if (record->isDraining) {
           draining.insert(record->id);
@@ -55,6 +56,7 @@
 
   std::set<std::string> listed; ///< Includes lapsed endpoints.
   std::set<std::string> lapsed;
+  std::map<std::string, uint64_t> startTimes; ///< By id, as last listed.
   std::set<std::string> draining;
   std::set<std::string> peers;     ///< Names of the other entries.
   std::set<std::string> evacuated; ///< Availability zones.
