Incident, a restored store: endpoints that left before the process started are not listed

Callers could be sent to endpoints that had left (DRAIN) by a process that started between the leave and the restore: found by reading the code, shown by a test. The process had read a list without them, so LeaveMemory knew of no leave, and the copy's rows were taken like those of endpoints that join.

Cause: only leaves that the process saw were remembered. That its own list lacked an endpoint says the same.

Change: after a restore, a row that the list lacked before and that is no newer start than those listed is not confirmed, like the row of an endpoint that was removed: it counts when it is written, or after 10 s. If there are more than half as many as endpoints were listed, the list was incomplete before (its rows had lapsed), and all count.

--- a/libs/serving/include/serving/LeaveMemory.h
+++ b/libs/serving/include/serving/LeaveMemory.h
@@ -30,6 +30,8 @@
   void recordRemoval(const std::string& aId, uint64_t aStartTimeMs, base::TimePoint aNow);
   /** The endpoint's row was written, as far as known by the endpoint itself. */
   void forget(const std::string& aId) { mLeaves.erase(aId); }
+  /** Whether a leave of the endpoint is remembered. */
+  bool remembers(const std::string& aId) const { return mLeaves.contains(aId); }
   /** The list came back from an older copy. */
   void listRestored(base::TimePoint aNow) { mRestoredAt = aNow; }
   /** Judges a row that was read with the whole list. */
--- a/tools/router/EndpointListener.cpp
+++ b/tools/router/EndpointListener.cpp
@@ -1,5 +1,6 @@
 #include "EndpointListener.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -38,12 +39,15 @@
 {
   using Verdict = serving::LeaveMemory::Verdict;
   mUnconfirmed.clear();
+  bool isConfirmed = aNow >= mLeaves.confirmedBy();
+  auto earlierLeaves = isConfirmed ? std::set<std::string>() : findEarlierLeaves(aChanges);
   Changes judged;
   for (auto& change : aChanges) {
     auto* record = std::get_if<serving::EndpointRecord>(&change);
     auto verdict = record != nullptr ? mLeaves.judge(*record, aNow) : Verdict::Valid;
-    if (verdict == Verdict::Unconfirmed ||
-        (record != nullptr && isOfFormerStart(*record) && aNow < mLeaves.confirmedBy())) {
+    bool isOutdated = record != nullptr && !isConfirmed &&
+                      (isOfFormerStart(*record) || earlierLeaves.contains(record->id));
+    if (verdict == Verdict::Unconfirmed || isOutdated) {
       mLog.write(telemetry::EventClass::Critical,
                  "endpoint_unconfirmed",
                  { { "id", record->id }, { "born", std::to_string(record->startTimeMs) } },
@@ -59,6 +63,26 @@
   return judged;
 }
 
+std::set<std::string> EndpointListener::findEarlierLeaves(const Changes& aChanges) const
+{
+  uint64_t newestStart = 0;
+  for (const auto& [id, startTimeMs] : mKnown) {
+    newestStart = std::max(newestStart, startTimeMs);
+  }
+  std::set<std::string> left;
+  for (const auto& change : aChanges) {
+    const auto* record = std::get_if<serving::EndpointRecord>(&change);
+    if (record != nullptr && !mKnown.contains(record->id) && !mLeaves.remembers(record->id) &&
+        record->startTimeMs <= newestStart) {
+      left.insert(record->id);
+    }
+  }
+  if (left.size() > mKnown.size() / 2) {
+    left.clear();
+  }
+  return left;
+}
+
 bool EndpointListener::isOfFormerStart(const serving::EndpointRecord& aRecord) const
 {
   auto known = mKnown.find(aRecord.id);
--- a/tools/router/EndpointListener.h
+++ b/tools/router/EndpointListener.h
@@ -36,6 +36,9 @@
   Changes parseRows(const std::vector<stores::RowChange>& aRows, base::TimePoint aNow) const;
   /** Corrects the rows of a whole list that do not know of a leave or a restart. */
   Changes judgeSnapshot(Changes aChanges, base::TimePoint aNow);
+  /** Ids of restored rows whose endpoints left before this process started: the list lacked them,
+   * and they are no new starts. Empty for many: then the list was incomplete before. */
+  std::set<std::string> findEarlierLeaves(const Changes& aChanges) const;
   /** Whether the endpoint is known to have started again since the row was written. */
   bool isOfFormerStart(const serving::EndpointRecord& aRecord) const;
   void apply(Changes aChanges, serving::LapseGuard::Source aSource, base::TimePoint aNow);
--- a/tools/router/tests/EndpointListenerTest.cpp
+++ b/tools/router/tests/EndpointListenerTest.cpp
@@ -276,6 +276,42 @@
   BOOST_TEST(relay.startTimes.at(name(0)) == 1U);
 }
 
+// Guards against requests to an endpoint that had left before this process started and that is
+// listed by a store that came back from a copy from before (DRAIN).
+BOOST_FIXTURE_TEST_CASE(doesNotListEndpointsThatLeftBeforeTheProcessStarted, Fixture)
+{
+  RecordingRelay other;
+  tools::EndpointListener started(other, log, { { "north-a", "north" } }, kGrace);
+  started.onReachable(true, "", now);
+  started.onSnapshot({ all.begin() + 2, all.end() }, now);
+  started.onRestored(now + 2s);
+  all.push_back(rowOf(kEndpoints, "healthy", 9)); // Joined meanwhile.
+  started.onSnapshot(all, now + 2s);
+  BOOST_TEST(!other.listed.contains(name(0)));
+  BOOST_TEST(other.listed.contains(name(kEndpoints)));
+  BOOST_TEST(other.listed.size() == static_cast<size_t>(kEndpoints - 1));
+  started.onChanges({ row(0) }, now + 3s);
+  BOOST_TEST(other.listed.contains(name(0)));
+  BOOST_REQUIRE(started.wakeAt().has_value());
+  started.onCallSucceeded(*started.wakeAt());
+  BOOST_TEST(other.listed.contains(name(1)));
+}
+
+// Guards against a process that uses few endpoints for ten seconds because it had read a list in
+// which the rows had lapsed before the store came back from a copy.
+BOOST_FIXTURE_TEST_CASE(listsAllEndpointsIfTheListWasIncompleteBefore, Fixture)
+{
+  for (int known : { 0, 1, kEndpoints / 2 }) {
+    RecordingRelay other;
+    tools::EndpointListener started(other, log, { { "north-a", "north" } }, kGrace);
+    started.onReachable(true, "", now);
+    started.onSnapshot({ all.begin(), all.begin() + known }, now);
+    started.onRestored(now + 2s);
+    started.onSnapshot(all, now + 2s);
+    BOOST_TEST(other.listed.size() == static_cast<size_t>(kEndpoints));
+  }
+}
+
 // Guards against leaves that are remembered for ever.
 BOOST_FIXTURE_TEST_CASE(aRestartUnderTheSameIdIsListedAtOnce, Fixture)
 {
