Incident, a restored store: the first restore of a store that counts its eras from 0 is noticed

The users' page says that Store-Era rises by one with each restore, not where it starts. TableWatcher took the first era above 0 for the first one that was named at all. With a store that starts at 0 the new case of integration.restored_store failed: all three entries answered 404 on a route 2 s after its acknowledgement.

Change: an era that rises after rows were read is a restore, whether or not one was named before. A store that begins to name its era while it runs is taken for restored once: its tables are read again.

Open: an answer of the era 0 that arrives after the first restore cannot be told from one without an era, and counts.

stores.TableWatcherTest/noticesTheFirstRestoreOfAServiceThatCountsFromZero failed before.

--- a/libs/stores/include/stores/TableWatcher.h
+++ b/libs/stores/include/stores/TableWatcher.h
@@ -113,7 +113,7 @@
   std::thread mThread;
   bool mHasPosition = false;
   uint64_t mPosition = 0;
-  uint64_t mEra = 0;         ///< Greatest era that was named; 0 before the first.
+  uint64_t mEra = 0;         ///< Greatest era that was named; 0 if none was.
   bool mWasRestored = false; ///< The listener has not been told of the latest era yet.
   bool mReachable = false;
   bool mReported = false;
--- a/libs/stores/src/TableWatcher.cpp
+++ b/libs/stores/src/TableWatcher.cpp
@@ -113,7 +113,8 @@
   if (aEra < mEra) {
     return AnswerAge::Former;
   }
-  bool isFirst = std::exchange(mEra, aEra) == 0;
+  // The service may count from 0, so an era that rises after rows were read is not the first one.
+  bool isFirst = std::exchange(mEra, aEra) == 0 && !mHasPosition;
   if (mOptions.onEra) {
     mOptions.onEra(aEra);
   }
--- a/libs/stores/tests/TableWatcherTest.cpp
+++ b/libs/stores/tests/TableWatcherTest.cpp
@@ -322,6 +322,17 @@
   BOOST_TEST((script.calls == Texts{ "read ", "changes 10", "read ", "changes 12" }));
 }
 
+// Guards against a restore that is missed because the service counts its eras from 0: routes that
+// were written after it were not served (CONFIG).
+BOOST_FIXTURE_TEST_CASE(noticesTheFirstRestoreOfAServiceThatCountsFromZero, Fixture)
+{
+  script.reads = { page({ "a" }, 10), page({ "a", "b" }, 12) };
+  script.changes = { page({ "x" }, 12), page({ "c" }, 13) };
+  script.eras = { 0, 1 };
+  run(5);
+  BOOST_TEST((events == Texts{ "regained", "snapshot 1", "restored", "snapshot 2", "change c" }));
+}
+
 // Guards against a restore that is only noticed as a discarded history.
 BOOST_FIXTURE_TEST_CASE(aRestoreMayDiscardTheHistoryToo, Fixture)
 {
--- a/tests/integration/restored_store.py
+++ b/tests/integration/restored_store.py
@@ -183,6 +183,11 @@
         """Guards against entries that never read what was written below the version that they know (no answer 410)."""
         self.check_routes(is_passed=True)
 
+    def test_first_restore_of_a_store_that_counts_from_zero(self):
+        """Guards against entries that take the era 0 for an answer without an era, and miss the first restore."""
+        self.store.era = 0
+        self.check_routes(is_passed=True)
+
     def start_loader(self, node):
         self.start("bp-loader", f"""
 [node]
