Incident, a restored store: an answer without an era and one of the era 0 are told apart

RowFeed::era() is optional now, in the watcher and in RowKeeper too.

stores.TableWatcherTest/answersFromBeforeARestoreAreDropped and the cases of stores.RowKeeperTest start at the era 0.

--- a/libs/stores/include/stores/RowFeed.h
+++ b/libs/stores/include/stores/RowFeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,8 +60,9 @@
                               std::string_view aValue) = 0;
   /** Number of the service's history according to its latest answer to this object, also to a call
    * that failed. A service that came back from an older copy of its rows names a greater one: rows
-   * that it acknowledged before may be gone, and positions are given out again. 0 if unknown. */
-  virtual uint64_t era() const { return 0; }
+   * that it acknowledged before may be gone, and positions are given out again. Empty if the
+   * service named none. */
+  virtual std::optional<uint64_t> era() const { return std::nullopt; }
   /** Cancels a call on another thread; all later calls fail. */
   virtual void cancel() = 0;
 };
--- a/libs/stores/include/stores/RowKeeper.h
+++ b/libs/stores/include/stores/RowKeeper.h
@@ -41,28 +41,28 @@
   void keep(KeptRow aRow, base::TimePoint aNow);
   void forget(const std::string& aTable, const std::string& aKey);
   /** The service named its era, see RowFeed::era(). */
-  void observeEra(uint64_t aEra, base::TimePoint aNow);
+  void observeEra(std::optional<uint64_t> aEra, base::TimePoint aNow);
   /** A row whose time has come; empty if there is none. */
   std::optional<KeptRow> due(base::TimePoint aNow) const;
   /** Time at which a row is due next; empty if all are written. */
   std::optional<base::TimePoint> nextDueTime() const;
   /** The service acknowledged the row.
    * @param aEra era that the acknowledgement named. */
-  void written(const KeptRow& aRow, uint64_t aEra, base::TimePoint aNow);
+  void written(const KeptRow& aRow, std::optional<uint64_t> aEra, base::TimePoint aNow);
   void failed(const KeptRow& aRow, base::TimePoint aNow);
 
 private:
   struct State
   {
     std::string value;
-    uint64_t writtenEra = 0;
+    std::optional<uint64_t> writtenEra;
     std::optional<base::TimePoint> dueAt;
   };
   using Key = std::pair<std::string, std::string>;
 
   base::Rng mRng;
-  std::map<Key, State> mRows; ///< By table and key.
-  uint64_t mEra = 0;          ///< Greatest era that was named; 0 before the first.
+  std::map<Key, State> mRows;   ///< By table and key.
+  std::optional<uint64_t> mEra; ///< Greatest era that was named.
 };
 
 /** Keeps rows in a service on a thread of its own. Thread-safe. */
--- a/libs/stores/include/stores/TableWatcher.h
+++ b/libs/stores/include/stores/TableWatcher.h
@@ -91,7 +91,7 @@
     Restored, ///< The first answer after the service came back from a copy.
     Former,   ///< Given before the service came back.
   };
-  AnswerAge observeEra(uint64_t aEra);
+  AnswerAge observeEra(std::optional<uint64_t> aEra);
   base::Status formerAnswer() const;
   base::Milliseconds waitTime(base::TimePoint aNow) const;
   void waitToCoalesce(base::TimePoint aNow);
@@ -113,8 +113,8 @@
   std::thread mThread;
   bool mHasPosition = false;
   uint64_t mPosition = 0;
-  uint64_t mEra = 0;         ///< Greatest era that was named; 0 if none was.
-  bool mWasRestored = false; ///< The listener has not been told of the latest era yet.
+  std::optional<uint64_t> mEra; ///< Greatest era that was named.
+  bool mWasRestored = false;    ///< The listener has not been told of the latest era yet.
   bool mReachable = false;
   bool mReported = false;
 };
--- a/libs/stores/src/RowKeeper.cpp
+++ b/libs/stores/src/RowKeeper.cpp
@@ -30,14 +30,14 @@
   mRows.erase({ aTable, aKey });
 }
 
-void KeptRows::observeEra(uint64_t aEra, base::TimePoint aNow)
+void KeptRows::observeEra(std::optional<uint64_t> aEra, base::TimePoint aNow)
 {
-  if (aEra <= mEra) {
+  if (!aEra || (mEra && *aEra <= *mEra)) {
     return;
   }
   mEra = aEra;
   for (auto& [key, state] : mRows) {
-    if (!state.dueAt && state.writtenEra < aEra) {
+    if (!state.dueAt && state.writtenEra != aEra) {
       state.dueAt = aNow + randomPart(kRewriteSpread, mRng);
     }
   }
@@ -64,7 +64,7 @@
   return next;
 }
 
-void KeptRows::written(const KeptRow& aRow, uint64_t aEra, base::TimePoint aNow)
+void KeptRows::written(const KeptRow& aRow, std::optional<uint64_t> aEra, base::TimePoint aNow)
 {
   observeEra(aEra, aNow);
   auto found = mRows.find({ aRow.table, aRow.key });
@@ -73,7 +73,7 @@
   }
   found->second.writtenEra = aEra;
   found->second.dueAt.reset();
-  if (aEra != 0 && aEra < mEra) {
+  if (aEra && aEra != mEra) {
     failed(aRow, aNow); // The row was written before the restore.
   }
 }
--- a/libs/stores/src/TableWatcher.cpp
+++ b/libs/stores/src/TableWatcher.cpp
@@ -105,18 +105,17 @@
   }
 }
 
-TableWatcher::AnswerAge TableWatcher::observeEra(uint64_t aEra)
+TableWatcher::AnswerAge TableWatcher::observeEra(std::optional<uint64_t> aEra)
 {
-  if (aEra == mEra || aEra == 0) {
+  if (!aEra || aEra == mEra) {
     return AnswerAge::Current;
   }
-  if (aEra < mEra) {
+  if (mEra && *aEra < *mEra) {
     return AnswerAge::Former;
   }
-  // The service may count from 0, so an era that rises after rows were read is not the first one.
-  bool isFirst = std::exchange(mEra, aEra) == 0 && !mHasPosition;
+  bool isFirst = !std::exchange(mEra, aEra);
   if (mOptions.onEra) {
-    mOptions.onEra(aEra);
+    mOptions.onEra(*aEra);
   }
   if (isFirst) {
     return AnswerAge::Current;
--- a/libs/stores/tests/RowKeeperTest.cpp
+++ b/libs/stores/tests/RowKeeperTest.cpp
@@ -17,7 +17,7 @@
 struct FakeService
 {
   std::map<std::string, std::string> rows;
-  uint64_t era = 1;
+  uint64_t era = 0;
   bool isDown = false;
 
   void restore(std::map<std::string, std::string> aCopy)
@@ -83,14 +83,14 @@
   rows.keep({ "t", "a", "1" }, kStart);
   auto row = rows.due(kStart);
   BOOST_REQUIRE(row.has_value());
-  rows.observeEra(5, kStart);
-  rows.written(*row, 4, kStart);
+  rows.observeEra(1, kStart);
+  rows.written(*row, 0, kStart);
   BOOST_TEST(rows.due(kStart + 1s).has_value());
-  rows.written(*row, 5, kStart);
+  rows.written(*row, 1, kStart);
   BOOST_TEST(!rows.nextDueTime().has_value());
   // An acknowledgement may be the first news of a restore.
   rows.keep({ "t", "b", "1" }, kStart);
-  rows.written(*rows.due(kStart), 6, kStart);
+  rows.written(*rows.due(kStart), 2, kStart);
   BOOST_TEST(rows.nextDueTime().has_value());
 }
 
@@ -153,7 +153,7 @@
     {
       return {};
     }
-    uint64_t era() const override { return 2; }
+    std::optional<uint64_t> era() const override { return 2; }
     void cancel() override {}
     std::atomic<int>& calls;
   };
--- a/libs/stores/tests/TableWatcherTest.cpp
+++ b/libs/stores/tests/TableWatcherTest.cpp
@@ -53,7 +53,7 @@
   }
   base::Status put(std::string_view, std::string_view, std::string_view) override { return {}; }
   base::Status create(std::string_view, std::string_view, std::string_view) override { return {}; }
-  uint64_t era() const override { return mEra; }
+  std::optional<uint64_t> era() const override { return mEra; }
   void cancel() override { mCancelled = true; }
 
 private:
@@ -81,7 +81,7 @@
   }
 
   Script& mScript;
-  uint64_t mEra = 0;
+  std::optional<uint64_t> mEra;
   std::atomic<bool> mCancelled{ false };
 };
 
@@ -360,7 +360,7 @@
 {
   script.reads = { page({ "a" }, 10), page({ "a", "b" }, 7) };
   script.changes = { page({}, 10), page({ "old" }, 30), page({ "c" }, 8) };
-  script.eras = { 3, 4, 4, 3, 4 };
+  script.eras = { 0, 1, 1, 0, 1 };
   run(7);
   BOOST_TEST(
     (events ==
