--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -750,7 +750,7 @@
   }
   if (mCore.stop.hasStarted()) {
     // Requests that arrive now may take as long as those in progress.
-    mCore.durations.record(mRoute->name, aNow - mRequest.received, aNow);
+    mCore.durations.recordUnanswered(mRoute->name, aNow - mRequest.received, aNow);
   }
   limitByStop();
   if (aNow >= mDeadline) {
@@ -914,8 +914,10 @@
                     { "limit", mIsLimitedByStop ? "stop" : "caller" },
                     { "stop_ms", milliseconds(mCore.stop.elapsed(aNow)) } },
                   aNow);
-  if (mSendCount > 0) {
+  if (aStatus / 100 == 2) {
     mCore.durations.record(mRoute->name, aNow - mRequest.received, aNow);
+  } else if (mSendCount > 0) {
+    mCore.durations.recordUnanswered(mRoute->name, aNow - mRequest.received, aNow);
   }
 }
 
--- a/libs/relay/tests/LateRequestTest.cpp
+++ b/libs/relay/tests/LateRequestTest.cpp
@@ -37,6 +37,29 @@
     requestsBefore = endpoint->requests().size();
   }
 
+  /** Lists an endpoint without a request to it. */
+  void listUnmeasured(FakeEndpoint::Script aScript)
+  {
+    endpoint = std::make_unique<FakeEndpoint>(std::move(aScript));
+    list("e", endpoint->address());
+    std::this_thread::sleep_for(50ms);
+  }
+
+  /** The answer to a request that is read after the first ticks of the stop, while connections are
+   * still accepted. */
+  std::string callAfterTicksOfTheStop()
+  {
+    int socket = connectTo(callers);
+    std::string text = get("late");
+    sendAll(socket, text.substr(0, text.size() - 2));
+    std::this_thread::sleep_for(30ms);
+    stop(70ms);
+    sendAll(socket, text.substr(text.size() - 2));
+    std::string reply = readMessage(socket);
+    ::close(socket);
+    return reply;
+  }
+
   size_t newRequests() { return endpoint->requests().size() - requestsBefore; }
 
   std::unique_ptr<FakeEndpoint> endpoint;
@@ -129,3 +152,38 @@
   BOOST_TEST(reply.starts_with("HTTP/1.1 504"));
   BOOST_TEST((std::chrono::steady_clock::now() - start < 700ms));
 }
+
+// Guards against a request in progress that passes for the measured duration of an answer: longer
+// requests are admitted and cut at the end (LOST).
+BOOST_FIXTURE_TEST_CASE(anUnfinishedRequestDoesNotMeasureADuration, StopFixture)
+{
+  declare(serving::CallKind::Idempotent, 2, 2000ms);
+  listUnmeasured([](const std::string& aRequest) {
+    std::this_thread::sleep_for(1500ms);
+    return answer(idOf(aRequest), "body");
+  });
+  std::string reply;
+  std::thread early([&] { reply = call(get("early")); });
+  while (newRequests() == 0) {
+    std::this_thread::sleep_for(5ms);
+  }
+  BOOST_TEST(callAfterTicksOfTheStop().starts_with("HTTP/1.1 503"));
+  early.join();
+  BOOST_TEST(newRequests() == 1U);
+}
+
+// Guards against an endpoint's quick error that passes for the measured duration of an answer.
+BOOST_FIXTURE_TEST_CASE(anErrorDoesNotMeasureADuration, StopFixture)
+{
+  declare(serving::CallKind::Idempotent, 2, 2000ms);
+  listUnmeasured([](const std::string& aRequest) {
+    if (idOf(aRequest) == "early") {
+      return answer("early", "", 404);
+    }
+    std::this_thread::sleep_for(1500ms);
+    return answer(idOf(aRequest), "body");
+  });
+  BOOST_TEST(call(get("early")).starts_with("HTTP/1.1 404"));
+  BOOST_TEST(callAfterTicksOfTheStop().starts_with("HTTP/1.1 503"));
+  BOOST_TEST(newRequests() == 1U);
+}
--- a/libs/serving/src/RequestDurations.cpp
+++ b/libs/serving/src/RequestDurations.cpp
@@ -1,5 +1,7 @@
 #include "serving/RequestDurations.h"
 
+#include <algorithm>
+
 namespace boragepitch::serving {
 
 namespace {
@@ -14,18 +16,30 @@
 
 bool RequestDurations::isRecent(const Recorded& aRecorded, base::TimePoint aNow)
 {
-  return aNow - aRecorded.lastAt <= 2 * base::Duration(kInterval);
+  return aNow - aRecorded.answeredAt <= 2 * base::Duration(kInterval);
 }
 
 void RequestDurations::record(std::string_view aRoute, base::Duration aTime, base::TimePoint aNow)
 {
   auto found = mRoutes.find(aRoute);
   if (found == mRoutes.end()) {
-    Recorded recorded{ RecentMaximum(base::Duration(kInterval)), aNow };
+    RecentMaximum nothing{ base::Duration(kInterval) };
+    Recorded recorded{ nothing, nothing, aNow };
     found = mRoutes.emplace(std::string(aRoute), recorded).first;
   }
+  found->second.answered.observe(aTime, aNow);
   found->second.longest.observe(aTime, aNow);
-  found->second.lastAt = aNow;
+  found->second.answeredAt = aNow;
+}
+
+void RequestDurations::recordUnanswered(std::string_view aRoute,
+                                        base::Duration aTime,
+                                        base::TimePoint aNow)
+{
+  auto found = mRoutes.find(aRoute);
+  if (found != mRoutes.end()) {
+    found->second.longest.observe(aTime, aNow);
+  }
 }
 
 std::optional<base::Duration> RequestDurations::expected(std::string_view aRoute,
@@ -35,7 +49,8 @@
   if (found == mRoutes.end() || !isRecent(found->second, aNow)) {
     return std::nullopt;
   }
-  return std::chrono::duration_cast<base::Duration>(kMargin * *found->second.longest.value());
+  auto longest = std::max(*found->second.answered.value(), *found->second.longest.value());
+  return std::chrono::duration_cast<base::Duration>(kMargin * longest);
 }
 
 void RequestDurations::prune(base::TimePoint aNow)
--- a/libs/serving/tests/RequestDurationsTest.cpp
+++ b/libs/serving/tests/RequestDurationsTest.cpp
@@ -63,6 +63,26 @@
   BOOST_TEST(!durations.expected("r", kStart + 2min).has_value());
 }
 
+// Guards against a duration that is taken from requests that were rejected at once, broken off or
+// are still in progress: answers take longer (LOST).
+BOOST_AUTO_TEST_CASE(unansweredRequestsOnlyRaiseWhatIsExpected)
+{
+  RequestDurations durations;
+  durations.recordUnanswered("r", 10ms, kStart);
+  BOOST_TEST(!durations.expected("r", kStart).has_value());
+  durations.record("r", 400ms, kStart);
+  durations.recordUnanswered("r", 900ms, kStart);
+  BOOST_TEST((*durations.expected("r", kStart) >= 900ms));
+  // A later answer counts for a minute, whatever happens to other requests meanwhile.
+  durations.record("r", 400ms, kStart + 80s);
+  for (auto at = 81s; at < 135s; at += 1s) {
+    durations.recordUnanswered("r", 10ms, kStart + at);
+    BOOST_TEST((*durations.expected("r", kStart + at) >= 400ms));
+  }
+  durations.recordUnanswered("r", 10ms, kStart + 150s);
+  BOOST_TEST(!durations.expected("r", kStart + 150s).has_value());
+}
+
 // Guards against memory that grows with the routes of all configurations there have been.
 BOOST_AUTO_TEST_CASE(routesWithoutRequestsAreForgotten)
 {
