--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <utility>
 
 #include <boost/algorithm/string/predicate.hpp>
 
@@ -753,6 +754,11 @@
     mCore.durations.recordUnanswered(mRoute->name, aNow - mRequest.received, aNow);
   }
   limitByStop();
+  // After a stall of the event loop the rest of the answer may have arrived: it is read first,
+  // once.
+  if (aNow >= mDeadline && !std::exchange(mHasReadLast, true) && mExchange->hasUnreadBytes()) {
+    return;
+  }
   if (aNow >= mDeadline) {
     bool sent = !mExchange->isConnecting();
     auto exchange = mExchange;
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -119,6 +119,7 @@
   base::TimePoint mDeadline = mCallerDeadline; ///< When the request is given up; not after that.
   bool mIsLimitedByStop = false; ///< The end of the process precedes the end of the caller's time.
   bool mDone = false;
+  bool mHasReadLast = false; ///< What had arrived at the deadline was given time to be read.
 
   std::shared_ptr<Exchange> mExchange;
   serving::EndpointPtr mEndpoint;
--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -449,6 +449,12 @@
   }
 }
 
+bool Exchange::hasUnreadBytes() const
+{
+  ErrorCode ignored; // A broken connection has none.
+  return mState == State::Exchanging && mConnection->socket.available(ignored) > 0;
+}
+
 void Exchange::setPaused(bool aPaused)
 {
   mPaused = aPaused;
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -164,6 +164,8 @@
   void abort();
   /** Stops reading while paused: backpressure from a slow caller to the endpoint. */
   void setPaused(bool aPaused);
+  /** Whether bytes of the answer have arrived that were not read yet. */
+  bool hasUnreadBytes() const;
   bool isPaused() const { return mPaused; }
   bool isConnecting() const { return mState == State::Connecting; }
   bool isNewConnection() const { return mIsNew; }
--- a/libs/relay/tests/LateRequestTest.cpp
+++ b/libs/relay/tests/LateRequestTest.cpp
@@ -187,3 +187,25 @@
   BOOST_TEST(callAfterTicksOfTheStop().starts_with("HTTP/1.1 503"));
   BOOST_TEST(newRequests() == 1U);
 }
+
+// Guards against an answer that has arrived while the event loop was stalled, and is given up
+// before all of it is read because the deadline passed meanwhile.
+BOOST_FIXTURE_TEST_CASE(anAnswerThatArrivedBeforeTheDeadlineIsDelivered, StopFixture)
+{
+  declare(serving::CallKind::Mutating, 2, 1000ms);
+  const std::string body(200'000, 'b'); // Takes the relay several reads.
+  listUnmeasured([&](const std::string& aRequest) {
+    std::this_thread::sleep_for(idOf(aRequest) == "early" ? 600ms : 0ms);
+    return answer(idOf(aRequest), body);
+  });
+  std::string reply;
+  std::thread early([&] { reply = call(get("early")); });
+  while (newRequests() == 0) {
+    std::this_thread::sleep_for(5ms);
+  }
+  std::this_thread::sleep_for(300ms);
+  call(get("stall", "Stall-Ms: 900\r\n"));
+  early.join();
+  BOOST_TEST(reply.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(reply.ends_with(body));
+}
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -28,6 +28,11 @@
     RequestFacts facts;
     facts.attemptId = headerValue(aHeaders, "Id");
     facts.key = headerValue(aHeaders, "Key");
+    // Stalls the event loop.
+    auto stall = headerValue(aHeaders, "Stall-Ms");
+    if (!stall.empty()) {
+      std::this_thread::sleep_for(base::Milliseconds(std::stoll(std::string(stall))));
+    }
     // Parts of the prompt as single digits.
     for (char part : headerValue(aHeaders, "Parts")) {
       facts.sharedParts.push_back(static_cast<uint64_t>(part));
