--- a/libs/serving/src/GracefulStop.cpp
+++ b/libs/serving/src/GracefulStop.cpp
@@ -52,7 +52,7 @@
   if (!mStartedAt || aDeadline <= answerBy()) {
     return true;
   }
-  // Later requests come on connections whose callers were told to close them.
+  // Callers that come later know of the stop, or hear of it from this answer.
   bool mayBeCut = aMayRepeat && acceptsConnections(aNow);
   return mayBeCut && aExpected && aNow + *aExpected <= answerBy();
 }
