--- a/tools/common/RunDaemon.cpp
+++ b/tools/common/RunDaemon.cpp
@@ -2,9 +2,12 @@
 
 #include <iostream>
 
+#include <unistd.h>
+
 #include "Daemon.h"
 #include "SharedSettings.h"
 #include "base/Json.h"
+#include "telemetry/FatalSignals.h"
 #include "telemetry/Log.h"
 
 namespace boragepitch::tools {
@@ -17,6 +20,8 @@
 {
   SignalLoop signals;
   startLogging(aSettings, aProgram);
+  telemetry::logFatalSignals(STDERR_FILENO,
+                             "program=" + aProgram + " node=" + aSettings.text("node.id"));
   auto authenticator = makeAuthenticator(aSettings);
   if (!authenticator) {
     std::cerr << authenticator.error().describe() << "\n";
--- a/tools/node/RunNode.cpp
+++ b/tools/node/RunNode.cpp
@@ -2,8 +2,11 @@
 
 #include <iostream>
 
+#include <unistd.h>
+
 #include "Daemon.h"
 #include "platform/PlatformHeaderCodec.h"
+#include "telemetry/FatalSignals.h"
 
 namespace boragepitch::tools {
 
@@ -25,6 +28,7 @@
   if (!settings) {
     return exitCode;
   }
+  telemetry::logFatalSignals(STDOUT_FILENO, "node=" + settings->text("node.id"));
   SignalLoop signals;
   auto process = aMake(*settings);
   if (auto started = process->start(); !started) {
