--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -115,7 +115,7 @@
   mCarriedIds[mCarriedCount++ % mCarriedIds.size()] = std::move(aAttemptId);
 }
 
-std::unique_ptr<Connection> ConnectionPool::take(const std::string& aEndpoint,
+std::shared_ptr<Connection> ConnectionPool::take(const std::string& aEndpoint,
                                                  std::string_view aAttemptId,
                                                  base::Duration aMaxIdle,
                                                  base::TimePoint aNow)
@@ -137,7 +137,7 @@
 }
 
 void ConnectionPool::put(const std::string& aEndpoint,
-                         std::unique_ptr<Connection> aConnection,
+                         std::shared_ptr<Connection> aConnection,
                          std::optional<base::Milliseconds> aKeepAlive,
                          base::TimePoint aNow)
 {
@@ -208,7 +208,7 @@
 {
   mState = State::Connecting;
   mIsNew = true;
-  mConnection = std::make_unique<Connection>(mIo);
+  mConnection = std::make_shared<Connection>(mIo);
   ErrorCode error;
   auto host = asio::ip::make_address_v4(mRequest.address.host, error);
   if (error) {
@@ -216,43 +216,45 @@
     return;
   }
   Tcp::endpoint target(host, static_cast<uint16_t>(mRequest.address.port));
-  mConnection->socket.async_connect(target, [self = shared_from_this()](ErrorCode aError) {
-    if (self->mState != State::Connecting) {
-      return;
-    }
-    if (aError) {
-      self->finish(ExchangeEnd::ConnectFailed);
-      return;
-    }
-    self->mConnection->openedAt = std::chrono::steady_clock::now();
-    ErrorCode ignored; // Without these options small writes are only delayed.
-    self->mConnection->socket.set_option(Tcp::no_delay(true), ignored);
-    self->mConnection->socket.non_blocking(true, ignored);
-    self->mState = State::Exchanging;
-    self->send();
-  });
+  mConnection->socket.async_connect(
+    target, [self = shared_from_this(), connection = mConnection](ErrorCode aError) {
+      if (self->mState != State::Connecting) {
+        return;
+      }
+      if (aError) {
+        self->finish(ExchangeEnd::ConnectFailed);
+        return;
+      }
+      connection->openedAt = std::chrono::steady_clock::now();
+      ErrorCode ignored; // Without these options small writes are only delayed.
+      connection->socket.set_option(Tcp::no_delay(true), ignored);
+      connection->socket.non_blocking(true, ignored);
+      self->mState = State::Exchanging;
+      self->send();
+    });
 }
 
 void Exchange::send()
 {
   startParser();
-  asio::async_write(mConnection->socket,
-                    std::array<asio::const_buffer, 2>{ asio::buffer(mHead), asio::buffer(*mBody) },
-                    [self = shared_from_this()](ErrorCode aError, size_t) {
-                      self->mBody.reset();
-                      if (self->mState != State::Exchanging) {
-                        return;
-                      }
-                      if (aError) {
-                        // An answer may have arrived before the write failed: the outstanding read
-                        // determines the result.
-                        return;
-                      }
-                      self->mSent = true;
-                      if (auto handler = self->mHandler.lock()) {
-                        handler->onSent();
-                      }
-                    });
+  asio::async_write(
+    mConnection->socket,
+    std::array<asio::const_buffer, 2>{ asio::buffer(mHead), asio::buffer(*mBody) },
+    [self = shared_from_this(), connection = mConnection](ErrorCode aError, size_t) {
+      self->mBody.reset();
+      if (self->mState != State::Exchanging) {
+        return;
+      }
+      if (aError) {
+        // An answer may have arrived before the write failed: the outstanding read
+        // determines the result.
+        return;
+      }
+      self->mSent = true;
+      if (auto handler = self->mHandler.lock()) {
+        handler->onSent();
+      }
+    });
   read();
 }
 
@@ -279,7 +281,9 @@
   mReading = true;
   mConnection->socket.async_read_some(
     mConnection->buffer.prepare(kReadBytes),
-    [self = shared_from_this()](ErrorCode aError, size_t aBytes) { self->onRead(aError, aBytes); });
+    [self = shared_from_this(), connection = mConnection](ErrorCode aError, size_t aBytes) {
+      self->onRead(aError, aBytes);
+    });
 }
 
 void Exchange::onRead(ErrorCode aError, size_t aBytes)
@@ -421,20 +425,26 @@
     return;
   }
   mState = State::Ended;
-  if (aEnd == ExchangeEnd::Complete && mKeepOpen) {
-    mConnection->recordCarried(mRequest.attemptId);
-    returnConnection();
-  }
-  mConnection.reset();
+  releaseConnection(aEnd == ExchangeEnd::Complete && mKeepOpen);
   if (auto handler = mHandler.lock()) {
     handler->onEnd(aEnd);
   }
 }
 
-void Exchange::returnConnection()
+void Exchange::releaseConnection(bool aKeepOpen)
 {
-  mPool.put(
-    mRequest.endpoint, std::move(mConnection), mKeepAlive, std::chrono::steady_clock::now());
+  auto connection = std::move(mConnection);
+  if (!connection) {
+    return;
+  }
+  if (aKeepOpen) {
+    connection->recordCarried(mRequest.attemptId);
+    mPool.put(
+      mRequest.endpoint, std::move(connection), mKeepAlive, std::chrono::steady_clock::now());
+    return;
+  }
+  ErrorCode ignored; // The connection is discarded in any case.
+  connection->socket.close(ignored);
 }
 
 void Exchange::abort()
@@ -443,10 +453,7 @@
     return;
   }
   mState = State::Ended;
-  ErrorCode ignored; // The connection is discarded in any case.
-  if (mConnection) {
-    mConnection->socket.close(ignored);
-  }
+  releaseConnection(false);
 }
 
 bool Exchange::hasUnreadBytes() const
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -16,7 +16,9 @@
 
 namespace boragepitch::relay {
 
-/** A connection to an endpoint that carries one request at a time. */
+/** A connection to an endpoint that carries one request at a time. The handler of each operation on
+ * it shares its ownership: closing the socket does not cancel an operation whose completion is
+ * queued already, and one that consists of several steps goes on with the socket and the buffer. */
 struct Connection
 {
   explicit Connection(asio::io_context& aIo)
@@ -46,14 +48,14 @@
   /** Takes an idle connection that is still open; null when there is none.
    * @param aAttemptId connections that recently carried this attempt id are not used.
    * @param aMaxIdle connections that were idle for longer are not used. */
-  std::unique_ptr<Connection> take(const std::string& aEndpoint,
+  std::shared_ptr<Connection> take(const std::string& aEndpoint,
                                    std::string_view aAttemptId,
                                    base::Duration aMaxIdle,
                                    base::TimePoint aNow);
-  /** Returns a connection to the pool.
+  /** Returns a connection without operations in progress to the pool.
    * @param aKeepAlive the endpoint's idle timeout, if it named one. */
   void put(const std::string& aEndpoint,
-           std::unique_ptr<Connection> aConnection,
+           std::shared_ptr<Connection> aConnection,
            std::optional<base::Milliseconds> aKeepAlive,
            base::TimePoint aNow);
   void dropEndpoint(const std::string& aEndpoint) { mIdle.erase(aEndpoint); }
@@ -62,7 +64,7 @@
   size_t size() const;
 
 private:
-  std::map<std::string, std::vector<std::unique_ptr<Connection>>> mIdle;
+  std::map<std::string, std::vector<std::shared_ptr<Connection>>> mIdle;
 };
 
 /** Status line and headers of an endpoint's answer. */
@@ -191,14 +193,15 @@
   bool handleHead();
   void startParser();
   void finish(ExchangeEnd aEnd);
-  void returnConnection();
+  /** Ends the use of the connection. */
+  void releaseConnection(bool aKeepOpen);
 
   asio::io_context& mIo;
   ConnectionPool& mPool;
   const HeaderCodec& mHeaderCodec;
   const ExchangeRequest mRequest;
   const std::weak_ptr<ExchangeHandler> mHandler;
-  std::unique_ptr<Connection> mConnection;
+  std::shared_ptr<Connection> mConnection; ///< Null before the start and after the end.
   std::string mHead;
   std::shared_ptr<const std::string> mBody; ///< Until it has been written.
   std::optional<Parser> mParser;
--- a/libs/relay/tests/RelayFixture.h
+++ b/libs/relay/tests/RelayFixture.h
@@ -356,7 +356,7 @@
     route.services = { { "s", 1 } };
     serving::Deployment::Builder builder;
     builder.version(1).addRoute(route).addService({ .name = "s" });
-    builder.limits({ .headerBytes = 2048, .bodyBytes = 4096 });
+    builder.limits({ .headerBytes = 2048, .bodyBytes = maxBodyBytes });
     if (keys) {
       builder.requireKeys().addWorkspace({ .name = "w" }, { "good" });
     }
@@ -410,6 +410,7 @@
   net::Address readiness;
   net::Address peers;
   bool keys = false;
+  size_t maxBodyBytes = 4096;
   std::unique_ptr<Relay> relay;
   std::thread thread;
 };
