--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -480,7 +480,7 @@
     mSendBegunAt = aNow;
   }
   if (mSendEvents == kEventsPastBeginning) {
-    mCore.quarantine.recordProof(mFacts.sharedParts, mSendBegunAt);
+    mCore.recordProof(mFacts.sharedParts, mSendBegunAt, aNow);
   }
   if (aEvent.id && mLastEvent) {
     if (*aEvent.id <= *mLastEvent) {
@@ -595,7 +595,7 @@
   endSend(Outcome::Success, aNow);
   mCore.recordCompletion(mFingerprint, aNow);
   if (!mIsStream || mSendEvents > 0) {
-    mCore.quarantine.recordProof(mFacts.sharedParts, mIsStream ? mSendBegunAt : mSentAt);
+    mCore.recordProof(mFacts.sharedParts, mIsStream ? mSendBegunAt : mSentAt, aNow);
   }
   if (!mIsStream) {
     mCore.metrics.firstByte.record(aNow - mRequest.received);
--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -187,6 +187,23 @@
   }
 }
 
+void Core::recordProof(std::span<const serving::PromptPart> aParts,
+                       base::TimePoint aBegunAt,
+                       base::TimePoint aNow)
+{
+  auto released = quarantine.recordProof(aParts, aBegunAt);
+  if (!released.empty()) {
+    tellProof(std::move(released), aNow);
+  }
+}
+
+void Core::tellProof(std::vector<serving::PromptPart> aParts, base::TimePoint aNow)
+{
+  log.write(
+    telemetry::EventClass::Critical, "quarantine_disproved", { { "parts", listOf(aParts) } }, aNow);
+  broadcast(serving::PartNotice{ {}, std::move(aParts) });
+}
+
 void Core::relieveMemory(base::TimePoint aNow)
 {
   while (memory.isExceeded()) {
@@ -309,11 +326,11 @@
     return;
   }
   quarantine.recordProof(aNotice.proved, aNow);
-  serving::PartNotice answer;
+  std::vector<serving::PromptPart> disproved;
   for (const serving::QuarantinedParts& told : aNotice.quarantined) {
     bool wasQuarantined = quarantine.isQuarantined(told.parts, aNow);
     auto contradicted = quarantine.adopt(told, aNow);
-    answer.proved.insert(answer.proved.end(), contradicted.begin(), contradicted.end());
+    disproved.insert(disproved.end(), contradicted.begin(), contradicted.end());
     if (!wasQuarantined && quarantine.isQuarantined(told.parts, aNow)) {
       log.write(telemetry::EventClass::Critical,
                 "parts_quarantined",
@@ -324,12 +341,8 @@
                 aNow);
     }
   }
-  if (!answer.proved.empty()) {
-    log.write(telemetry::EventClass::Critical,
-              "quarantine_disproved",
-              { { "parts", listOf(answer.proved) } },
-              aNow);
-    broadcast(answer);
+  if (!disproved.empty()) {
+    tellProof(std::move(disproved), aNow);
   }
 }
 
--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -96,6 +96,14 @@
                     base::TimePoint aNow);
   /** Records that a request completed; the other entries are told if it was under suspicion. */
   void recordCompletion(uint64_t aFingerprint, base::TimePoint aNow);
+  /** Records that a request with these parts got past its beginning; the other entries are told of
+   * parts that this takes out of quarantine. Parameters as of PartQuarantine::recordProof(). */
+  void recordProof(std::span<const serving::PromptPart> aParts,
+                   base::TimePoint aBegunAt,
+                   base::TimePoint aNow);
+  /** Tells the other entries of parts that are harmless though one of them may hold them in
+   * quarantine. */
+  void tellProof(std::vector<serving::PromptPart> aParts, base::TimePoint aNow);
   /** Lets entries try parts whose quarantine has ended one after another. */
   void setTrialDelay(std::span<const serving::EntryIdentity> aOthers);
   /** Tells a few other entries which requests and parts of prompts are in quarantine. */
--- a/libs/serving/include/serving/PartQuarantine.h
+++ b/libs/serving/include/serving/PartQuarantine.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <span>
 #include <string>
 #include <vector>
@@ -28,6 +29,9 @@
   /** Different requests with the part that these crashes must have hit: a single one may just have
    * been resent to endpoints that crashed by chance. */
   size_t requests = 2;
+  /** Crashes after which a part is quarantined whatever it stands beside, if its first ones left
+   * open which part caused them. */
+  size_t crashesIfUnclear = 5;
   /** Crashes that lie further back do not count. */
   base::Milliseconds memory{ 60000 };
   /** Duration of the first quarantine of a part; doubles with each further one. Sound requests that
@@ -62,7 +66,10 @@
  * Parts that sound requests share are proved harmless all the time, so they do not come under
  * suspicion. Parts that the same crashes convict cannot be told apart: only requests that contain
  * all of them are stopped, until one of them is proved harmless or crashes endpoints without the
- * others. Records are bounded by count and age. Not thread-safe.
+ * others. If two other parts explain all crashes of a convicted one, too, doubt is left: only
+ * requests that also contain a part which stood beside it are stopped, and the others are let
+ * through one at a time until one gets past its beginning or further crashes remove the doubt.
+ * Records are bounded by count and age. Not thread-safe.
  */
 class PartQuarantine
 {
@@ -71,8 +78,9 @@
 
   /** The parts that no request proved harmless shortly before; only these are worth reporting. */
   std::vector<PromptPart> unproved(std::span<const PromptPart> aParts, base::TimePoint aNow) const;
-  /** Records that a request with these parts began at aBegunAt and got past its beginning. */
-  void recordProof(std::span<const PromptPart> aParts, base::TimePoint aBegunAt);
+  /** Records that a request with these parts began at aBegunAt and got past its beginning. Returns
+   * those of them that this takes out of a quarantine which was in force then. */
+  std::vector<PromptPart> recordProof(std::span<const PromptPart> aParts, base::TimePoint aBegunAt);
   /** Records a crash. Returns the parts that it puts into quarantine together. */
   std::vector<PromptPart> recordCrash(const CrashEvidence& aEvidence, base::TimePoint aNow);
   /** Withdraws evidence of an endpoint that did not crash. Ends the quarantines that do not hold
@@ -102,6 +110,8 @@
     uint64_t fingerprint = 0;
     base::TimePoint at;
     bool isExplained = false; ///< Led to a quarantine of the part, maybe with others.
+    /** All parts that the crash may be due to; shared by their records. */
+    std::shared_ptr<const std::vector<PromptPart>> suspects;
   };
   struct Record
   {
@@ -117,6 +127,13 @@
     uint32_t count = 1;           ///< Number of quarantines of these parts so far.
     base::TimePoint trialUntil{}; ///< One request was let through after the end.
     std::string renewedBy;        ///< Endpoint whose single crash renewed it.
+    /** Sorted. If not empty, the crashes may be due to these in place of `parts`. */
+    std::vector<PromptPart> alternatives;
+    size_t crashes = 0;          ///< Crashes so far while there were alternatives.
+    base::TimePoint lastCrashAt; ///< The last of them.
+
+    /** Whether a request with these parts, sorted, is to be stopped while this is in force. */
+    bool stops(std::span<const PromptPart> aRequest) const;
   };
   /** A quarantine that ended because its evidence was wrong; others may still tell of it. */
   struct Retracted
@@ -133,8 +150,19 @@
   std::vector<PromptPart> convict(const CrashEvidence& aEvidence, base::TimePoint aNow);
   void quarantineTogether(std::span<const PromptPart> aParts, base::TimePoint aNow);
   void renew(Quarantine& aQuarantine, base::TimePoint aNow) const;
-  /** Takes a part that is proved harmless out of the quarantines that rest on earlier crashes. */
-  void exculpate(PromptPart aPart, base::TimePoint aBegunAt);
+  /** The parts that may have caused the crashes in place of those that are about to be convicted;
+   * empty if the crashes leave no doubt. */
+  std::vector<PromptPart> alternativesTo(std::span<const PromptPart> aConvicted,
+                                         base::TimePoint aNow) const;
+  /** Records one more crash of a quarantine that has alternatives, in a request with these sorted
+   * parts. Returns the parts that are quarantined by it. */
+  std::vector<PromptPart> recordFurtherCrash(Quarantine& aQuarantine,
+                                             const CrashEvidence& aEvidence,
+                                             std::span<const PromptPart> aSuspects,
+                                             base::TimePoint aNow);
+  /** Takes a part that is proved harmless out of the quarantines that rest on earlier crashes.
+   * Returns true if one of them was in force. */
+  bool exculpate(PromptPart aPart, base::TimePoint aBegunAt);
   /** Whether the crashes of one of the parts suffice for the quarantine. */
   bool holds(const Quarantine& aQuarantine) const;
   void add(Quarantine aQuarantine);
--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -1,6 +1,8 @@
 #include "serving/PartQuarantine.h"
 
 #include <algorithm>
+#include <iterator>
+#include <optional>
 #include <set>
 
 namespace boragepitch::serving {
@@ -10,6 +12,9 @@
 constexpr base::Milliseconds kPruneInterval{ 1000 };
 /** Retracted quarantines that are remembered. */
 constexpr size_t kMaxRetracted = 64;
+/** Parts of a crash that are tried as the cause in place of a convicted one: prompts with many
+ * parts must not take long. */
+constexpr size_t kMaxCandidates = 64;
 
 std::vector<PromptPart> sorted(std::span<const PromptPart> aParts)
 {
@@ -25,8 +30,65 @@
   return std::includes(aParts.begin(), aParts.end(), aContained.begin(), aContained.end());
 }
 
+/** All sorted. */
+std::vector<PromptPart> without(std::span<const PromptPart> aParts,
+                                std::span<const PromptPart> aRemoved)
+{
+  std::vector<PromptPart> rest;
+  std::set_difference(
+    aParts.begin(), aParts.end(), aRemoved.begin(), aRemoved.end(), std::back_inserter(rest));
+  return rest;
+}
+
+/** All sorted. */
+std::vector<PromptPart> joined(std::span<const PromptPart> aLeft,
+                               std::span<const PromptPart> aRight)
+{
+  std::vector<PromptPart> parts;
+  std::set_union(
+    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), std::back_inserter(parts));
+  return parts;
+}
+
+/** All sorted. */
+std::vector<PromptPart> common(std::span<const PromptPart> aLeft,
+                               std::span<const PromptPart> aRight)
+{
+  std::vector<PromptPart> parts;
+  std::set_intersection(
+    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), std::back_inserter(parts));
+  return parts;
+}
+
+/** Whether each crash had one of two parts, whichever they are. All sorted. */
+bool isExplainedByTwo(std::span<const std::vector<PromptPart>> aPartsByCrash)
+{
+  const auto& candidates = aPartsByCrash.front();
+  return std::any_of(candidates.begin(),
+                     candidates.begin() +
+                       static_cast<ptrdiff_t>(std::min(candidates.size(), kMaxCandidates)),
+                     [&](PromptPart aFirst) {
+                       std::optional<std::vector<PromptPart>> second;
+                       for (const auto& parts : aPartsByCrash) {
+                         if (!std::binary_search(parts.begin(), parts.end(), aFirst)) {
+                           second = second ? common(*second, parts) : parts;
+                         }
+                       }
+                       return !second || !second->empty();
+                     });
+}
+
 } // namespace
 
+bool PartQuarantine::Quarantine::stops(std::span<const PromptPart> aRequest) const
+{
+  return containsAll(aRequest, parts) &&
+         (alternatives.empty() ||
+          std::any_of(alternatives.begin(), alternatives.end(), [&](PromptPart aPart) {
+            return std::binary_search(aRequest.begin(), aRequest.end(), aPart);
+          }));
+}
+
 PartQuarantine::PartQuarantine(PartQuarantineOptions aOptions)
   : mOptions(aOptions)
 {
@@ -46,27 +108,38 @@
   return parts;
 }
 
-void PartQuarantine::recordProof(std::span<const PromptPart> aParts, base::TimePoint aBegunAt)
+std::vector<PromptPart> PartQuarantine::recordProof(std::span<const PromptPart> aParts,
+                                                    base::TimePoint aBegunAt)
 {
+  std::vector<PromptPart> released;
   for (PromptPart part : aParts) {
     Record& record = recordOf(part, aBegunAt);
     record.provedAt = std::max(record.provedAt, aBegunAt);
     record.updatedAt = std::max(record.updatedAt, aBegunAt);
     std::erase_if(record.crashes, [&](const Crash& aCrash) { return aCrash.at <= aBegunAt; });
-    exculpate(part, aBegunAt);
+    if (exculpate(part, aBegunAt)) {
+      released.push_back(part);
+    }
   }
+  return released;
 }
 
-void PartQuarantine::exculpate(PromptPart aPart, base::TimePoint aBegunAt)
+bool PartQuarantine::exculpate(PromptPart aPart, base::TimePoint aBegunAt)
 {
   bool isChanged = false;
+  bool wasInForce = false;
   for (Quarantine& quarantine : mQuarantines) {
-    if (aBegunAt >= quarantine.since) {
-      isChanged = std::erase(quarantine.parts, aPart) > 0 || isChanged;
+    if (aBegunAt < quarantine.since) {
+      continue;
+    }
+    std::erase(quarantine.alternatives, aPart);
+    if (std::erase(quarantine.parts, aPart) > 0) {
+      isChanged = true;
+      wasInForce = wasInForce || aBegunAt < quarantine.until;
     }
   }
   if (!isChanged) {
-    return;
+    return false;
   }
   std::vector<Quarantine> quarantines;
   std::swap(quarantines, mQuarantines);
@@ -76,6 +149,7 @@
       add(std::move(quarantine));
     }
   }
+  return wasInForce;
 }
 
 std::vector<PromptPart> PartQuarantine::recordCrash(const CrashEvidence& aEvidence,
@@ -87,12 +161,16 @@
     return {}; // The request was underway; its other parts are no more suspect than before.
   }
   for (Quarantine& quarantine : mQuarantines) {
-    // Parts that were quarantined before and crash an endpoint again are suspected at once.
-    if (containsAll(suspects, quarantine.parts)) {
-      renew(quarantine, aNow);
-      quarantine.renewedBy = aEvidence.endpoint;
-      return quarantine.parts;
+    if (!containsAll(suspects, quarantine.parts)) {
+      continue;
+    }
+    if (!quarantine.alternatives.empty()) {
+      return recordFurtherCrash(quarantine, aEvidence, suspects, aNow);
     }
+    // Parts that were quarantined before and crash an endpoint again are suspected at once.
+    renew(quarantine, aNow);
+    quarantine.renewedBy = aEvidence.endpoint;
+    return quarantine.parts;
   }
   auto convicted = convict(aEvidence, aNow);
   if (!convicted.empty()) {
@@ -101,6 +179,55 @@
   return convicted;
 }
 
+std::vector<PromptPart> PartQuarantine::recordFurtherCrash(Quarantine& aQuarantine,
+                                                           const CrashEvidence& aEvidence,
+                                                           std::span<const PromptPart> aSuspects,
+                                                           base::TimePoint aNow)
+{
+  auto others = without(aSuspects, aQuarantine.parts);
+  if (aNow >= aQuarantine.until) {
+    renew(aQuarantine, aNow);
+    aQuarantine.renewedBy = aEvidence.endpoint;
+  }
+  aQuarantine.lastCrashAt = aNow;
+  if (++aQuarantine.crashes >= mOptions.crashesIfUnclear || others.empty()) {
+    aQuarantine.alternatives.clear();
+  } else {
+    aQuarantine.alternatives = joined(aQuarantine.alternatives, others);
+  }
+  auto quarantined = aQuarantine.parts;
+  // If the others are the cause, their crashes count for them.
+  auto convicted = convict({ aEvidence.fingerprint, aEvidence.endpoint, others }, aNow);
+  if (!convicted.empty()) {
+    quarantineTogether(convicted, aNow);
+    quarantined = joined(quarantined, sorted(convicted));
+  }
+  return quarantined;
+}
+
+std::vector<PromptPart> PartQuarantine::alternativesTo(std::span<const PromptPart> aConvicted,
+                                                       base::TimePoint aNow) const
+{
+  auto convicted = sorted(aConvicted);
+  std::vector<std::vector<PromptPart>> byCrash;
+  std::vector<PromptPart> all;
+  for (PromptPart part : convicted) {
+    for (const Crash& crash : mRecords.at(part).crashes) {
+      auto others = without(sorted(*crash.suspects), convicted);
+      std::erase_if(others, [&](PromptPart aPart) {
+        return aNow - provedAt(aPart) <= base::Duration(mOptions.proofMemory);
+      });
+      // A part that was convicted before, with others, is under suspicion for longer.
+      if (others.empty() || crash.isExplained) {
+        return {};
+      }
+      all = joined(all, others);
+      byCrash.push_back(std::move(others));
+    }
+  }
+  return isExplainedByTwo(byCrash) ? all : std::vector<PromptPart>();
+}
+
 std::vector<PromptPart> PartQuarantine::retract(const CrashEvidence& aEvidence,
                                                 base::TimePoint aNow)
 {
@@ -167,13 +294,14 @@
   std::vector<PromptPart> convicted;
   std::vector<PromptPart> certain;
   bool isUnclear = false;
-  for (PromptPart part : unproved(aEvidence.parts, aNow)) {
+  auto suspects = std::make_shared<const std::vector<PromptPart>>(unproved(aEvidence.parts, aNow));
+  for (PromptPart part : *suspects) {
     Record& record = recordOf(part, aNow);
     record.updatedAt = aNow;
     std::erase_if(record.crashes, [&](const Crash& aCrash) {
       return aNow - aCrash.at > base::Duration(mOptions.memory);
     });
-    addCrash(record, { aEvidence.endpoint, aEvidence.fingerprint, aNow });
+    addCrash(record, { aEvidence.endpoint, aEvidence.fingerprint, aNow, false, suspects });
     // Requests with a crashing part prove neither it nor what it stands beside; sound ones prove
     // the latter only.
     bool isLessSuspect = record.provedAt > earliestProof &&
@@ -233,16 +361,23 @@
 void PartQuarantine::quarantineTogether(std::span<const PromptPart> aParts, base::TimePoint aNow)
 {
   base::TimePoint since = aNow;
+  auto alternatives = alternativesTo(aParts, aNow);
+  size_t count = 0;
   for (PromptPart part : aParts) {
     auto& crashes = recordOf(part, aNow).crashes;
     if (!crashes.empty()) {
       since = std::min(since, crashes.front().at);
+      count = std::max(count, crashes.size());
       for (Crash& crash : crashes) {
         crash.isExplained = true;
       }
     }
   }
-  add({ sorted(aParts), since, aNow + base::Duration(mOptions.duration) });
+  Quarantine quarantine{ sorted(aParts), since, aNow + base::Duration(mOptions.duration) };
+  quarantine.alternatives = std::move(alternatives);
+  quarantine.crashes = count;
+  quarantine.lastCrashAt = aNow;
+  add(std::move(quarantine));
 }
 
 void PartQuarantine::renew(Quarantine& aQuarantine, base::TimePoint aNow) const
@@ -265,6 +400,9 @@
     same->since = std::min(same->since, aQuarantine.since);
     same->until = std::max(same->until, aQuarantine.until);
     same->count = std::max(same->count, aQuarantine.count);
+    bool isUnclear = !same->alternatives.empty() && !aQuarantine.alternatives.empty();
+    same->alternatives =
+      isUnclear ? joined(same->alternatives, aQuarantine.alternatives) : std::vector<PromptPart>();
     return;
   }
   if (mQuarantines.size() >= mOptions.maxQuarantines) {
@@ -323,8 +461,11 @@
   }
   auto request = sorted(aParts);
   for (const Quarantine& quarantine : mQuarantines) {
-    if (containsAll(request, quarantine.parts) &&
-        (aNow < quarantine.until + mTrialDelay || aNow < quarantine.trialUntil)) {
+    if (!containsAll(request, quarantine.parts)) {
+      continue;
+    }
+    auto trialsFrom = quarantine.stops(request) ? quarantine.until : quarantine.lastCrashAt;
+    if (aNow < trialsFrom + mTrialDelay || aNow < quarantine.trialUntil) {
       return false;
     }
   }
@@ -343,7 +484,7 @@
   }
   auto request = sorted(aParts);
   return std::any_of(mQuarantines.begin(), mQuarantines.end(), [&](const auto& aQuarantine) {
-    return aNow < aQuarantine.until && containsAll(request, aQuarantine.parts);
+    return aNow < aQuarantine.until && aQuarantine.stops(request);
   });
 }
 
@@ -354,7 +495,8 @@
   for (size_t i = 0; i < mQuarantines.size(); ++i, ++mNextTold) {
     mNextTold = mNextTold < mQuarantines.size() ? mNextTold : 0;
     const Quarantine& quarantine = mQuarantines[mNextTold];
-    if (aNow >= quarantine.until) {
+    // Other processes draw their own conclusions from crashes that leave doubt.
+    if (aNow >= quarantine.until || !quarantine.alternatives.empty()) {
       continue;
     }
     if (!list.empty() && parts + quarantine.parts.size() > aMaxParts) {
--- a/libs/serving/tests/PartQuarantineFleetTest.cpp
+++ b/libs/serving/tests/PartQuarantineFleetTest.cpp
@@ -34,9 +34,10 @@
   uint64_t crashingPerSecond = 4; ///< For each crashing part.
   uint64_t rareParts = 100;       ///< Each sound request holds one of them.
   std::array<base::Duration, 2> crashingFrom{ 10s, 30s };
-  bool hasKills = false;    ///< Kills 60 of 100 endpoints at a time.
-  bool hasResets = false;   ///< 15 of 100 endpoints reset one request in three.
-  bool hasRestarts = false; ///< Entries start again, knowing nothing.
+  bool hasKills = false;     ///< Kills 60 of 100 endpoints at a time.
+  bool hasResets = false;    ///< 15 of 100 endpoints reset one request in three.
+  bool hasRestarts = false;  ///< Entries start again, knowing nothing.
+  bool isRareBeside = false; ///< Crashing requests hold a rare part, too, in place of the first.
   base::Duration duration = 60s;
 };
 
@@ -144,8 +145,12 @@
            at += 2 * 1ms * below(1000 / aPerSecond + 1)) {
         at += 100us;
         Request request{ ++mRequests, below(mPlan.entries), { kFirst }, aCrashing };
-        request.parts.push_back(aCrashing < 2 ? kCrashing[aCrashing]
-                                              : kRare + below(mPlan.rareParts));
+        if (aCrashing < 2 && mPlan.isRareBeside) {
+          request.parts = { kCrashing[aCrashing], kRare + below(mPlan.rareParts) };
+        } else {
+          request.parts.push_back(aCrashing < 2 ? kCrashing[aCrashing]
+                                                : kRare + below(mPlan.rareParts));
+        }
         mResult.sound += aCrashing < 2 ? 0 : 1;
         schedule(kStart + at, [this, request] { arrive(request); });
       }
@@ -233,7 +238,7 @@
         return;
       }
       Entry& entry = mEntries[aRequest.entry];
-      entry.quarantine.recordProof(aRequest.parts, begun);
+      tellProof(aRequest.entry, entry.quarantine.recordProof(aRequest.parts, begun));
       entry.suspects.recordCompletion(aRequest.id, mNow);
     });
   }
@@ -321,9 +326,15 @@
       auto contradicted = mEntries[aEntry].quarantine.adopt(told, mNow);
       proved.insert(proved.end(), contradicted.begin(), contradicted.end());
     }
-    if (!proved.empty()) {
-      broadcast(aEntry,
-                [this, proved](size_t aTo) { mEntries[aTo].quarantine.recordProof(proved, mNow); });
+    tellProof(aEntry, proved);
+  }
+
+  void tellProof(size_t aFrom, const std::vector<PromptPart>& aProved)
+  {
+    if (!aProved.empty()) {
+      broadcast(aFrom, [this, aProved](size_t aTo) {
+        mEntries[aTo].quarantine.recordProof(aProved, mNow);
+      });
     }
   }
 
@@ -442,6 +453,41 @@
   check(plan);
 }
 
+// Guards against a quarantine of the part that all requests share because two others crash
+// endpoints in turn after a pause, before a sound request comes (LOST).
+BOOST_AUTO_TEST_CASE(twoPartsInTurnBeforeSoundRequests)
+{
+  for (auto [entries, sound] :
+       { std::pair<size_t, uint64_t>{ 2, 6 }, { 2, 60 }, { 6, 6 }, { 6, 60 }, { 60, 60 } }) {
+    for (auto second : { 10100ms, 11500ms, 12000ms }) {
+      Plan plan;
+      plan.entries = entries;
+      plan.soundPerSecond = sound;
+      plan.soundFrom = 13s;
+      plan.crashingPerSecond = 1;
+      plan.crashingFrom = { 10s, second };
+      check(plan);
+    }
+  }
+}
+
+// Guards against trials of a part that does crash endpoints, beside another part each time
+// (BUDGET).
+BOOST_AUTO_TEST_CASE(aPartThatCrashesBesideRareOnesWithoutSoundRequests)
+{
+  for (size_t entries : { 2, 6, 60 }) {
+    for (uint64_t perSecond : { 1, 4, 40 }) {
+      Plan plan;
+      plan.entries = entries;
+      plan.soundFrom = 40s;
+      plan.isRareBeside = true;
+      plan.crashingPerSecond = perSecond;
+      plan.crashingFrom = { 5s, 20s };
+      check(plan);
+    }
+  }
+}
+
 // Guards against crashing parts that reach endpoints again after each quarantine (BUDGET).
 BOOST_AUTO_TEST_CASE(requestsThatComeLongerThanTheQuarantine)
 {
