--- a/libs/relay/src/Core.h
+++ b/libs/relay/src/Core.h
@@ -137,10 +137,7 @@
   const HeaderCodec& headerCodec;
   telemetry::EventLog& log;
   RelayMetrics metrics;
-  /** Outlives the sessions, which may live as long as io. */
   serving::MemoryBudget memory{ options.maxHeldBytes };
-  asio::io_context io{ 1 };
-  ConnectionPool pool;
   base::Rng rng;
   std::shared_ptr<const serving::Deployment> deployment;
   serving::EndpointSet endpoints;
@@ -154,6 +151,10 @@
   serving::RecentMaximum loopDelay{ std::chrono::milliseconds(2500) };
   serving::GracefulStop stop;
   serving::RequestDurations durations;
+  /** Handlers of operations keep sessions and calls alive until it is destroyed; what these use at
+   * their end stands before it, and sockets after it. */
+  asio::io_context io{ 1 };
+  ConnectionPool pool;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions; ///< All open sessions.
   asio::ip::udp::socket peerSocket{ io };
   std::vector<asio::ip::udp::endpoint> peers;
