--- /dev/null
+++ b/tests/soak/routers.py
@@ -0,0 +1,336 @@
+"""Runs several bp-router as real processes under planned work in series, beside endpoints that answer before they have
+read long bodies, reject, and close, and checks that no accepted request is lost.
+
+Usage: routers.py [--seeds 1-3] [--seconds 10] [--routers 4] [--callers 6] [--bin DIR]
+
+Planned work are restarts, reloads, configurations, and endpoints that leave and join; it overlaps. Callers keep their
+connections until the router closes them. Prints what was broken of each seed, and exits with 1 if anything was.
+"""
+
+import argparse
+import collections
+import http.client
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "tests/integration"))
+os.environ.setdefault("BP_BIN", str(ROOT / "build/bin"))
+
+from platform_support import Handler, RestorableStore, Server, free_port  # noqa: E402
+
+KINDS = {"idempotent": "/x/", "mutating": "/y/", "streaming": "/z/"}
+BODY_BYTES = [10, 600, 600, 600, 60_000, 150_000, 400_000, 2_000_000]
+# Endpoints read longer bodies only after they have answered.
+EARLY_BYTES = 100_000
+MAX_ATTEMPTS = 2
+TIMEOUT_S = 6
+GRACE_S = 4
+# Between two steps of planned work; several may be under way.
+STEP_S = 0.4
+
+
+def configuration(version):
+    routes = [{"name": kind, "host": "a.example", "path_prefix": prefix, "route_type": kind,
+               "timeout_ms": TIMEOUT_S * 1000, "target_latency_ms": 1000, "target_gap_ms": 300,
+               "max_attempts": MAX_ATTEMPTS, "backend": "s", "stream_resume": kind == "streaming"}
+              for kind, prefix in KINDS.items()]
+    routes.append({**routes[0], "name": f"v{version}", "path_prefix": f"/v{version}/"})
+    return {"version": version, "route_list": routes, "backends": [{"name": "s"}],
+            "limits": {"max_body_bytes": 4 << 20}}
+
+
+class Ledger:
+    """What endpoints did with each attempt."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.runs = collections.Counter()
+        self.whole = set()  # Attempts that an endpoint answered with success, whole.
+
+    def begin(self, attempt):
+        with self.lock:
+            self.runs[attempt] += 1
+
+    def answered(self, attempt):
+        with self.lock:
+            self.whole.add(attempt)
+
+
+class Endpoint:
+    def __init__(self, ledger, seed):
+        rng = random.Random(seed)
+        endpoint = self
+        self.leaving = False
+
+        class EndpointHandler(Handler):
+            def do_POST(self):
+                attempt, length = self.headers["X-Attempt-Id"], self.body_length()
+                early = length >= EARLY_BYTES
+                if not early:
+                    self.rfile.read(length)
+                try:
+                    self.end_exchange(attempt, "early" if early else rng.choice(["whole"] * 17 + ["reject", "close", "cut"]))
+                    if early:
+                        time.sleep(rng.choice([0, 0.001, 0.03]))
+                        self.rfile.read(length)
+                except OSError:
+                    self.close_connection = True
+
+            def body_length(self):
+                return int(self.headers["Content-Length"])
+
+            def end_exchange(self, attempt, way):
+                headers = [("X-Attempt-Id", attempt)]
+                if endpoint.leaving:
+                    headers += [("Server-Leaving", "1"), ("Connection", "close")]
+                if way == "early":
+                    way = rng.choice(["whole", "whole", "reject", "close", "cut"])
+                if way == "reject":
+                    self.answer(b"full", [*headers, ("X-Not-Executed", "1")], 503)
+                    return
+                ledger.begin(attempt)
+                if way == "close":
+                    self.close_connection = True
+                elif way == "cut":
+                    self.wfile.write(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 9\r\n\r\nearly"
+                                     % attempt.encode())
+                    self.close_connection = True
+                elif self.path.startswith(KINDS["streaming"]):
+                    self.stream([*headers, ("X-Upstream-Signature", "s")], int(self.headers["Last-Event-Id"] or 0) + 1)
+                    ledger.answered(attempt)
+                else:
+                    time.sleep(rng.uniform(0, 0.05))
+                    self.answer(b"done", [*headers, ("X-Upstream-Signature", "s")])
+                    ledger.answered(attempt)
+
+            def stream(self, headers, first):
+                self.send_response(200)
+                for name, value in [*headers, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
+                    self.send_header(name, value)
+                self.end_headers()
+                for number in range(first, 9):
+                    time.sleep(rng.uniform(0, 0.1))
+                    event = b"id: %d\ndata: token\n\n" % number
+                    self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                self.wfile.write(b"0\r\n\r\n")
+
+        self.server = Server(("127.0.0.1", 0), EndpointHandler)
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.address = "127.0.0.1:%d" % self.server.server_address[1]
+
+
+class Router:
+    def __init__(self, folder, store, name):
+        self.name = name
+        self.ports = {key: free_port() for key in ("callers", "readiness", "peers", "metrics")}
+        self.path = pathlib.Path(folder) / f"{name}.ini"
+        self.log = pathlib.Path(folder) / f"{name}.log"
+        listen = "\n".join(f"{key} = 127.0.0.1:{port}" for key, port in self.ports.items())
+        self.path.write_text(f"[node]\nid = {name}\nzone = z\nregion = r\n[listen]\n{listen}\n[store]\n"
+                             f"address = {store.address}\n[leave]\ngrace_period = {GRACE_S}\n[zones]\nz = r\n")
+        self.ended_badly = []
+        self.lock = threading.Lock()
+        self.start()
+
+    def start(self):
+        self.log_start = self.log.stat().st_size if self.log.exists() else 0
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen([pathlib.Path(os.environ["BP_BIN"]) / "bp-router"], stdout=log,
+                                            env={**os.environ, "BORAGEPITCH_BOOT": str(self.path)})
+
+    def note_end(self, code, wanted):
+        lines = self.log.read_bytes()[self.log_start:].decode(errors="replace").splitlines()
+        has_started = any("event=started" in line for line in lines)
+        # A signal may come before the program handles it; it holds no requests yet.
+        if wanted and code == -signal.SIGTERM and not has_started:
+            return
+        if code != 0 or not wanted:
+            crashes = [line for line in lines if "event=crashed" in line]
+            self.ended_badly.append(f"{self.name} ended with {code}; " + " ".join(crashes[-1:]))
+
+    def restart(self):
+        with self.lock:
+            if self.process.poll() is not None:
+                self.note_end(self.process.returncode, wanted=False)
+            else:
+                self.process.send_signal(signal.SIGTERM)
+                self.note_end(self.process.wait(timeout=GRACE_S + 10), wanted=True)
+            self.start()
+
+    def reload(self):
+        self.process.send_signal(signal.SIGHUP)
+
+    def stop(self):
+        with self.lock:
+            if self.process.poll() is not None:
+                self.note_end(self.process.returncode, wanted=False)
+            self.process.kill()
+            self.process.wait()
+
+
+class Caller(threading.Thread):
+    """Sends one request after another to one router."""
+
+    def __init__(self, router, ledger, seed):
+        super().__init__(daemon=True)
+        self.router, self.ledger, self.rng, self.name_ = router, ledger, random.Random(seed), f"{seed:x}"
+        self.outcomes = collections.Counter()
+        self.broken = []
+        self.ending = False
+
+    def run(self):
+        connection = None
+        count = 0
+        while not self.ending:
+            count += 1
+            connection = connection or http.client.HTTPConnection("127.0.0.1", self.router.ports["callers"],
+                                                                  timeout=TIMEOUT_S + 10)
+            attempt = f"{self.name_}-{count}"
+            kind, size = self.rng.choice(list(KINDS)), self.rng.choice(BODY_BYTES)
+            if not self.ask(connection, attempt, kind, size):
+                connection.close()
+                connection = None
+                time.sleep(0.05)
+
+    def ask(self, connection, attempt, kind, size):
+        """Returns whether the connection may be used again."""
+        body, chunked = b"b" * size, self.rng.random() < 0.3
+        headers = {"Host": "a.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": str(TIMEOUT_S * 1000)}
+        if chunked:
+            body, headers["Transfer-Encoding"] = iter([body[:size // 2], body[size // 2:]]), "chunked"
+        try:
+            connection.request("POST", KINDS[kind] + "a", body, headers, encode_chunked=chunked)
+            response = connection.getresponse()
+            received = response.read()
+        except ConnectionRefusedError:
+            self.outcomes["refused"] += 1
+            return False
+        except (http.client.HTTPException, OSError) as error:
+            self.outcomes["closed"] += 1
+            with self.ledger.lock:
+                if attempt in self.ledger.whole:
+                    self.broken.append(f"lost: {attempt}, {kind}, {size} bytes, {self.router.name}: {error!r}")
+                elif attempt in self.ledger.runs and kind != "streaming":
+                    self.broken.append(f"no answer: {attempt}, {kind}, {size} bytes, {self.router.name}: {error!r}")
+            return False
+        self.outcomes[response.status] += 1
+        self.check(attempt, kind, response.status, received)
+        return response.getheader("Connection", "").lower() != "close"
+
+    def check(self, attempt, kind, status, received):
+        with self.ledger.lock:
+            runs = self.ledger.runs[attempt]
+        if status not in (200, 500, 502, 503, 504):
+            self.broken.append(f"unexpected: {attempt} of {kind} was answered {status}")
+        if status == 200 and kind != "streaming" and received != b"done":
+            self.broken.append(f"mixed: {attempt}: {received[:40]!r}")
+        if status == 200 and kind == "streaming" and received.count(b"data: ") != 8:
+            self.broken.append(f"order: {attempt}: {received.count(b'data: ')} events")
+        if status in (408, 421, 429, 503) and runs > 0:
+            self.broken.append(f"refused: {attempt} of {kind} was answered {status} and ran")
+        if runs > (1 if kind == "mutating" else MAX_ATTEMPTS):
+            self.broken.append(f"twice: {attempt} of {kind} ran {runs} times")
+
+
+class Soak:
+    def __init__(self, seed, options, folder):
+        self.rng = random.Random(seed)
+        self.store, self.ledger, self.version, self.endpoint_count = RestorableStore(), Ledger(), 1, 0
+        self.store.set("op", "config", configuration(1))
+        self.endpoints = {}
+        for _ in range(5):
+            self.join_endpoint()
+        self.routers = [Router(folder, self.store, f"e{number}") for number in range(options.routers)]
+        self.callers = [Caller(router, self.ledger, 1000 * seed + 100 * number + caller)
+                        for number, router in enumerate(self.routers) for caller in range(options.callers)]
+
+    def row(self, name, state):
+        self.store.set("servers", name, {
+            "backend": "s", "address": self.endpoints[name].address, "zone": "z", "slots": 40, "state": state,
+            "warmup_left_ms": 0, "born": 5 + int(name[2:])})
+
+    def join_endpoint(self):
+        self.endpoint_count += 1
+        name = f"i-{self.endpoint_count}"
+        self.endpoints[name] = Endpoint(self.ledger, self.rng.random())
+        self.row(name, "healthy")
+
+    def replace_endpoint(self):
+        self.join_endpoint()
+        name = self.rng.choice([name for name, endpoint in self.endpoints.items() if not endpoint.leaving])
+        self.endpoints[name].leaving = True
+        self.row(name, "draining")
+        time.sleep(2)
+        self.store.set("servers", name, None)
+
+    def configure(self):
+        self.version += self.rng.randint(1, 3)
+        self.store.set("op", "config", configuration(self.version))
+
+    def run(self, seconds):
+        time.sleep(1)
+        for caller in self.callers:
+            caller.start()
+        steps = []
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            step = self.rng.choice([self.rng.choice(self.routers).restart, self.rng.choice(self.routers).reload,
+                                    self.configure, self.replace_endpoint])
+            steps.append(threading.Thread(target=step))
+            steps[-1].start()
+            time.sleep(self.rng.uniform(0, 2 * STEP_S))
+        for step in steps:
+            step.join()
+        for caller in self.callers:
+            caller.ending = True
+        for caller in self.callers:
+            caller.join()
+        for router in self.routers:
+            router.stop()
+        broken = [line for caller in self.callers for line in caller.broken]
+        broken += [line for router in self.routers for line in router.ended_badly]
+        return sum((caller.outcomes for caller in self.callers), collections.Counter()), broken
+
+
+def seeds_of(text):
+    seeds = []
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
+    return seeds
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
+    parser.add_argument("--seeds", type=seeds_of, default=[1])
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--routers", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=6, help="for each router")
+    parser.add_argument("--bin")
+    options = parser.parse_args()
+    if options.bin:
+        os.environ["BP_BIN"] = options.bin
+    failed = 0
+    for seed in options.seeds:
+        with tempfile.TemporaryDirectory() as folder:
+            outcomes, broken = Soak(seed, options, folder).run(options.seconds)
+            # A run without service proves nothing.
+            if outcomes[200] < options.seconds * options.routers:
+                broken.append(f"only {outcomes[200]} requests served")
+            print(f"seed {seed}: {dict(outcomes)}, {len(broken)} broken", flush=True)
+            for line in broken[:20]:
+                print(f"  {line}", flush=True)
+            failed += bool(broken)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
