--- a/libs/relay/src/Core.cpp
+++ b/libs/relay/src/Core.cpp
@@ -142,8 +142,11 @@
             { { "endpoint", aEvidence.endpoint }, { "parts", listOf(aEvidence.parts) } },
             aNow);
   if (!parts.empty()) {
-    log.write(
-      telemetry::EventClass::Critical, "parts_quarantined", { { "parts", listOf(parts) } }, aNow);
+    bool isCertain = quarantine.isQuarantined(parts, aNow);
+    log.write(telemetry::EventClass::Critical,
+              "parts_quarantined",
+              { { "parts", listOf(parts) }, { "doubt", isCertain ? "no" : "yes" } },
+              aNow);
     spreadQuarantine(aNow);
   }
   return true;
