--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -24,10 +24,11 @@
 sys.path.insert(0, str(ROOT / "tests/integration"))
 os.environ.setdefault("BP_BIN", str(ROOT / "build/bin"))
 
-from platform_support import Handler, RestorableStore, Server, free_port  # noqa: E402
+from platform_support import Handler, RestorableStore, Server  # noqa: E402
 
 KINDS = {"idempotent": "/x/", "mutating": "/y/", "streaming": "/z/"}
 BODY_BYTES = [10, 600, 600, 600, 60_000, 150_000, 400_000, 2_000_000]
+PORTS = {"callers": 7001, "readiness": 7002, "peers": 7003, "metrics": 7004}
 # Endpoints read longer bodies only after they have answered.
 EARLY_BYTES = 100_000
 MAX_ATTEMPTS = 2
@@ -128,13 +129,15 @@
 
 
 class Router:
-    def __init__(self, folder, store, name):
-        self.name = name
-        self.ports = {key: free_port() for key in ("callers", "readiness", "peers", "metrics")}
-        self.path = pathlib.Path(folder) / f"{name}.ini"
-        self.log = pathlib.Path(folder) / f"{name}.log"
-        listen = "\n".join(f"{key} = 127.0.0.1:{port}" for key, port in self.ports.items())
-        self.path.write_text(f"[node]\nid = {name}\nzone = z\nregion = r\n[listen]\n{listen}\n[store]\n"
+    def __init__(self, folder, store, number):
+        self.name = f"e{number}"
+        # An address of its own: while it is down, no connection of others may take its ports.
+        pid = os.getpid()
+        self.host = f"127.{64 + pid // 256 % 128}.{pid % 256}.{number + 1}"
+        self.path = pathlib.Path(folder) / f"{self.name}.ini"
+        self.log = pathlib.Path(folder) / f"{self.name}.log"
+        listen = "\n".join(f"{key} = {self.host}:{port}" for key, port in PORTS.items())
+        self.path.write_text(f"[node]\nid = {self.name}\nzone = z\nregion = r\n[listen]\n{listen}\n[store]\n"
                              f"address = {store.address}\n[leave]\ngrace_period = {GRACE_S}\n[zones]\nz = r\n")
         self.ended_badly = []
         self.lock = threading.Lock()
@@ -191,7 +194,7 @@
         count = 0
         while not self.ending:
             count += 1
-            connection = connection or http.client.HTTPConnection("127.0.0.1", self.router.ports["callers"],
+            connection = connection or http.client.HTTPConnection(self.router.host, PORTS["callers"],
                                                                   timeout=TIMEOUT_S + 10)
             attempt = f"{self.name_}-{count}"
             kind, size = self.rng.choice(list(KINDS)), self.rng.choice(BODY_BYTES)
@@ -248,7 +251,7 @@
         self.endpoints = {}
         for _ in range(5):
             self.join_endpoint()
-        self.routers = [Router(folder, self.store, f"e{number}") for number in range(options.routers)]
+        self.routers = [Router(folder, self.store, number) for number in range(options.routers)]
         self.callers = [Caller(router, self.ledger, 1000 * seed + 100 * number + caller)
                         for number, router in enumerate(self.routers) for caller in range(options.callers)]
 
