--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -212,7 +212,11 @@
   std::vector<std::vector<PromptPart>> byCrash;
   std::vector<PromptPart> all;
   for (PromptPart part : convicted) {
-    for (const Crash& crash : mRecords.at(part).crashes) {
+    auto found = mRecords.find(part);
+    if (found == mRecords.end()) {
+      continue; // Displaced by the other parts of a long prompt.
+    }
+    for (const Crash& crash : found->second.crashes) {
       auto others = without(sorted(*crash.suspects), convicted);
       std::erase_if(others, [&](PromptPart aPart) {
         return aNow - provedAt(aPart) <= base::Duration(mOptions.proofMemory);
@@ -225,7 +229,7 @@
       byCrash.push_back(std::move(others));
     }
   }
-  return isExplainedByTwo(byCrash) ? all : std::vector<PromptPart>();
+  return !byCrash.empty() && isExplainedByTwo(byCrash) ? all : std::vector<PromptPart>();
 }
 
 std::vector<PromptPart> PartQuarantine::retract(const CrashEvidence& aEvidence,
--- a/libs/serving/tests/PartQuarantineTest.cpp
+++ b/libs/serving/tests/PartQuarantineTest.cpp
@@ -336,6 +336,27 @@
   BOOST_TEST(quarantine.holds(kCrashing, kStart + 11s));
 }
 
+// Guards against an exception, which ends the process, for a prompt whose parts displace each
+// other.
+BOOST_AUTO_TEST_CASE(aPromptWithMorePartsThanAreRemembered)
+{
+  for (size_t maxParts : { 2, 10, 99, 100 }) {
+    PartQuarantineOptions options;
+    options.maxParts = maxParts;
+    Quarantine quarantine(options);
+    std::vector<PromptPart> parts;
+    for (PromptPart part = 0; part < 100; ++part) {
+      parts.push_back(1000 + part);
+    }
+    for (uint64_t i = 0; i < 12; ++i) {
+      parts.push_back(2000 + i % 2);
+      BOOST_CHECK_NO_THROW(quarantine.crash(i, "e" + std::to_string(i), parts, kStart + i * 2s));
+      parts.pop_back();
+    }
+    BOOST_TEST(quarantine.size() <= options.maxParts + 1);
+  }
+}
+
 // Guards against crashes that are forgotten because requests with many other parts are sound.
 BOOST_AUTO_TEST_CASE(proofsOfManyPartsDisplaceNoCrashes)
 {
