--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -34,6 +34,9 @@
 MAX_ATTEMPTS = 2
 TIMEOUT_S = 6
 GRACE_S = 4
+# What was sent by then after a signal to stop may be cut if its endpoint is still at work near the end of the grace.
+SENT_AFTER_SIGNAL_S = 3
+AT_WORK_AFTER_SIGNAL_S = GRACE_S * 5 / 6
 # Between two steps of planned work; several may be under way.
 STEP_S = 0.4
 
@@ -55,11 +58,16 @@
         self.lock = threading.Lock()
         self.runs = collections.Counter()
         self.whole = set()  # Attempts that an endpoint answered with success, whole.
+        self.at_work = {}  # By attempt, until when an endpoint worked on it.
 
     def begin(self, attempt):
         with self.lock:
             self.runs[attempt] += 1
 
+    def work(self, attempt):
+        with self.lock:
+            self.at_work[attempt] = time.monotonic()
+
     def answered(self, attempt):
         with self.lock:
             self.whole.add(attempt)
@@ -105,20 +113,23 @@
                                      % attempt.encode())
                     self.close_connection = True
                 elif self.path.startswith(KINDS["streaming"]):
-                    self.stream([*headers, ("X-Upstream-Signature", "s")], int(self.headers["Last-Event-Id"] or 0) + 1)
+                    self.stream(attempt, [*headers, ("X-Upstream-Signature", "s")])
                     ledger.answered(attempt)
                 else:
                     time.sleep(rng.uniform(0, 0.05))
+                    ledger.work(attempt)
                     self.answer(b"done", [*headers, ("X-Upstream-Signature", "s")])
                     ledger.answered(attempt)
 
-            def stream(self, headers, first):
+            def stream(self, attempt, headers):
+                first = int(self.headers["Last-Event-Id"] or 0) + 1
                 self.send_response(200)
                 for name, value in [*headers, ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]:
                     self.send_header(name, value)
                 self.end_headers()
                 for number in range(first, 9):
                     time.sleep(rng.uniform(0, 0.1))
+                    ledger.work(attempt)
                     event = b"id: %d\ndata: token\n\n" % number
                     self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
                 self.wfile.write(b"0\r\n\r\n")
@@ -140,6 +151,7 @@
         self.path.write_text(f"[node]\nid = {self.name}\nzone = z\nregion = r\n[listen]\n{listen}\n[store]\n"
                              f"address = {store.address}\n[leave]\ngrace_period = {GRACE_S}\n[zones]\nz = r\n")
         self.ended_badly = []
+        self.signalled_at = []
         self.lock = threading.Lock()
         self.start()
 
@@ -164,10 +176,17 @@
             if self.process.poll() is not None:
                 self.note_end(self.process.returncode, wanted=False)
             else:
+                self.signalled_at.append(time.monotonic())
                 self.process.send_signal(signal.SIGTERM)
                 self.note_end(self.process.wait(timeout=GRACE_S + 10), wanted=True)
             self.start()
 
+    def may_have_cut(self, sent_at, at_work):
+        """Whether a stop excuses the cut of a request that an endpoint worked on until a time."""
+        return any(sent_at <= signalled + SENT_AFTER_SIGNAL_S and
+                   signalled + AT_WORK_AFTER_SIGNAL_S <= at_work <= signalled + GRACE_S + 1
+                   for signalled in self.signalled_at)
+
     def reload(self):
         self.process.send_signal(signal.SIGHUP)
 
@@ -187,6 +206,7 @@
         self.router, self.ledger, self.rng, self.name_ = router, ledger, random.Random(seed), f"{seed:x}"
         self.outcomes = collections.Counter()
         self.broken = []
+        self.cut = []  # (attempt, when it was sent, text)
         self.ending = False
 
     def run(self):
@@ -207,6 +227,7 @@
         """Returns whether the connection may be used again."""
         body, chunked = b"b" * size, self.rng.random() < 0.3
         headers = {"Host": "a.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": str(TIMEOUT_S * 1000)}
+        sent_at = time.monotonic()
         if chunked:
             body, headers["Transfer-Encoding"] = iter([body[:size // 2], body[size // 2:]]), "chunked"
         try:
@@ -219,10 +240,11 @@
         except (http.client.HTTPException, OSError) as error:
             self.outcomes["closed"] += 1
             with self.ledger.lock:
+                text = f"{attempt}, {kind}, {size} bytes, {self.router.name}: {error!r}"
                 if attempt in self.ledger.whole:
-                    self.broken.append(f"lost: {attempt}, {kind}, {size} bytes, {self.router.name}: {error!r}")
-                elif attempt in self.ledger.runs and kind != "streaming":
-                    self.broken.append(f"no answer: {attempt}, {kind}, {size} bytes, {self.router.name}: {error!r}")
+                    self.broken.append(f"lost: {text}")
+                elif attempt in self.ledger.runs:
+                    self.cut.append((attempt, sent_at, f"cut: {text}"))
             return False
         self.outcomes[response.status] += 1
         self.check(attempt, kind, response.status, received)
@@ -298,11 +320,21 @@
             caller.join()
         for router in self.routers:
             router.stop()
-        broken = [line for caller in self.callers for line in caller.broken]
+        for caller in self.callers:
+            caller.broken += [text for attempt, sent_at, text in caller.cut
+                              if not caller.router.may_have_cut(sent_at, self.ledger.at_work.get(attempt, 0))]
+        broken = [line + self.log_of(line.split()[1].rstrip(",:")) for caller in self.callers for line in caller.broken]
         broken += [line for router in self.routers for line in router.ended_badly]
         return sum((caller.outcomes for caller in self.callers), collections.Counter()), broken
 
 
+    def log_of(self, attempt):
+        """What the routers logged of a request."""
+        lines = [line for router in self.routers for line in router.log.read_text(errors="replace").splitlines()
+                 if f"id={attempt} " in line]
+        return "".join("\n    " + line for line in lines)
+
+
 def seeds_of(text):
     seeds = []
     for part in text.split(","):
