--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -246,8 +246,8 @@
         return;
       }
       if (aError) {
-        // An answer may have arrived before the write failed: the outstanding read
-        // determines the result.
+        // An answer may have arrived before the write failed: the outstanding read determines the
+        // result.
         return;
       }
       self->mSent = true;
--- a/libs/relay/tests/EarlyAnswerTest.cpp
+++ b/libs/relay/tests/EarlyAnswerTest.cpp
@@ -40,7 +40,7 @@
 
   ~EarlyEndpoint()
   {
-    mMayEnd.set_value();
+    mStop.set_value();
     ::shutdown(mListener, SHUT_RDWR);
     mThread.join();
     ::close(mListener);
@@ -92,7 +92,7 @@
     if (!mEnd(aSocket, head)) {
       ::shutdown(aSocket, SHUT_RDWR);
     } else {
-      mEnded.wait();
+      mStopped.wait();
     }
   }
 
@@ -101,8 +101,8 @@
   int mListener = -1;
   std::atomic<int> mHeads = 0;
   std::promise<void> mHasHead;
-  std::promise<void> mMayEnd;
-  std::shared_future<void> mEnded = mMayEnd.get_future().share();
+  std::promise<void> mStop;
+  std::shared_future<void> mStopped = mStop.get_future().share();
   std::vector<std::pair<int, std::thread>> mServing;
   std::thread mThread;
 };
--- a/libs/serving/include/serving/PartQuarantine.h
+++ b/libs/serving/include/serving/PartQuarantine.h
@@ -125,7 +125,7 @@
     base::TimePoint since;         ///< First crash that counted.
     base::TimePoint until;
     uint32_t count = 1;           ///< Number of quarantines of these parts so far.
-    base::TimePoint trialUntil{}; ///< One request was let through after the end.
+    base::TimePoint trialUntil{}; ///< One request was let through as a trial.
     std::string renewedBy;        ///< Endpoint whose single crash renewed it.
     /** Sorted. If not empty, the crashes may be due to these in place of `parts`. */
     std::vector<PromptPart> alternatives;
