--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -1,14 +1,16 @@
 """Runs several bp-router as real processes under planned work in series, beside endpoints that answer before they have
 read long bodies, reject, and close, and checks that no accepted request is lost.
 
-Usage: routers.py [--seeds 1-3] [--seconds 10] [--routers 4] [--callers 6] [--bin DIR]
+Usage: routers.py [--seeds 1-3] [--seconds 10] [--routers 4] [--callers 6] [--pauses S] [--bin DIR]
 
-Planned work are restarts, reloads, configurations, and endpoints that leave and join; it overlaps. Callers keep their
-connections until the router closes them. Prints what was broken of each seed, and exits with 1 if anything was.
+Planned work are restarts, reloads, configurations, and endpoints that leave and join; it overlaps. With --pauses the routers
+also get no processor time now and then, for up to S seconds, as on a busy machine. Callers keep their connections until the
+router closes them. Prints what was broken of each seed, and exits with 1 if anything was.
 """
 
 import argparse
 import collections
+import functools
 import http.client
 import os
 import pathlib
@@ -37,8 +39,12 @@
 # What was sent by then after a signal to stop may be cut if its endpoint is still at work near the end of the grace.
 SENT_AFTER_SIGNAL_S = 3
 AT_WORK_AFTER_SIGNAL_S = GRACE_S * 5 / 6
+# A connection that closes so late after the last byte of a request does not cross it.
+CROSSING_S = 0.2
 # Between two steps of planned work; several may be under way.
 STEP_S = 0.4
+# Some callers wait before their next request, up to so long; their connections are idle meanwhile.
+IDLE_S = 0.6
 
 
 def configuration(version):
@@ -190,6 +196,13 @@
     def reload(self):
         self.process.send_signal(signal.SIGHUP)
 
+    def pause(self, seconds):
+        """Withholds processor time from the process."""
+        process = self.process
+        process.send_signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        process.send_signal(signal.SIGCONT)
+
     def stop(self):
         with self.lock:
             if self.process.poll() is not None:
@@ -222,16 +235,19 @@
                 connection.close()
                 connection = None
                 time.sleep(0.05)
+            elif self.rng.random() < 0.3:
+                time.sleep(self.rng.uniform(0, IDLE_S))
 
     def ask(self, connection, attempt, kind, size):
         """Returns whether the connection may be used again."""
         body, chunked = b"b" * size, self.rng.random() < 0.3
         headers = {"Host": "a.example", "X-Attempt-Id": attempt, "X-Deadline-Ms": str(TIMEOUT_S * 1000)}
-        sent_at = time.monotonic()
+        sent_at, whole_at = time.monotonic(), None
         if chunked:
             body, headers["Transfer-Encoding"] = iter([body[:size // 2], body[size // 2:]]), "chunked"
         try:
             connection.request("POST", KINDS[kind] + "a", body, headers, encode_chunked=chunked)
+            whole_at = time.monotonic()
             response = connection.getresponse()
             received = response.read()
         except ConnectionRefusedError:
@@ -239,12 +255,15 @@
             return False
         except (http.client.HTTPException, OSError) as error:
             self.outcomes["closed"] += 1
+            waited = time.monotonic() - whole_at if whole_at else 0
             with self.ledger.lock:
-                text = f"{attempt}, {kind}, {size} bytes, {self.router.name}: {error!r}"
+                text = f"{attempt}, {kind}, {size} bytes, {self.router.name}, {waited:.3f} s after its last byte: {error!r}"
                 if attempt in self.ledger.whole:
                     self.broken.append(f"lost: {text}")
                 elif attempt in self.ledger.runs:
                     self.cut.append((attempt, sent_at, f"cut: {text}"))
+                elif waited > CROSSING_S:
+                    self.broken.append(f"unanswered: {text}")
             return False
         self.outcomes[response.status] += 1
         self.check(attempt, kind, response.status, received)
@@ -270,6 +289,7 @@
         self.rng = random.Random(seed)
         self.store, self.ledger, self.version, self.endpoint_count = RestorableStore(), Ledger(), 1, 0
         self.store.set("op", "config", configuration(1))
+        self.pauses = options.pauses
         self.endpoints = {}
         for _ in range(5):
             self.join_endpoint()
@@ -307,8 +327,11 @@
         steps = []
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            step = self.rng.choice([self.rng.choice(self.routers).restart, self.rng.choice(self.routers).reload,
-                                    self.configure, self.replace_endpoint])
+            steps_of_work = [self.rng.choice(self.routers).restart, self.rng.choice(self.routers).reload,
+                             self.configure, self.replace_endpoint]
+            if self.pauses > 0:
+                steps_of_work += 2 * [functools.partial(self.rng.choice(self.routers).pause, self.rng.uniform(0, self.pauses))]
+            step = self.rng.choice(steps_of_work)
             steps.append(threading.Thread(target=step))
             steps[-1].start()
             time.sleep(self.rng.uniform(0, 2 * STEP_S))
@@ -349,6 +372,7 @@
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--routers", type=int, default=4)
     parser.add_argument("--callers", type=int, default=6, help="for each router")
+    parser.add_argument("--pauses", type=float, default=0, metavar="S", help="longest pause of a router, in seconds")
     parser.add_argument("--bin")
     options = parser.parse_args()
     if options.bin:
