Log: what the end of a stop drops, and how late the tick came that decided it

accepting_ended is new; left and it name the lateness of the tick; requests that wait unread in idle connections get a line, and answer_unwritten names its request. The soak of routers prints these lines of failed seeds.

--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -33,6 +33,7 @@
   Call(Core& aCore, CallerSession& aSession, CallerRequest aRequest);
   ~Call() override;
 
+  const std::string& attemptId() const { return mFacts.attemptId; }
   void start(base::TimePoint aNow);
   void tick(base::TimePoint aNow);
   void onCallerLeft();
--- a/libs/relay/src/CallerSession.cpp
+++ b/libs/relay/src/CallerSession.cpp
@@ -88,6 +88,7 @@
   mPhase = Phase::Idle;
   mPhaseStart = std::chrono::steady_clock::now();
   mBodyBytes = 0;
+  mAnsweredId.clear();
   updateCharge();
   if (mBuffer.size() > 0) {
     readHead();
@@ -397,7 +398,7 @@
 void CallerSession::endStream(bool aComplete)
 {
   if (!aComplete) {
-    mCall.reset();
+    releaseCall();
     mKeepAlive = false;
     mIsCut = true;
     mIsAnswerComplete = true;
@@ -421,9 +422,17 @@
     ::setsockopt(mSocket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option)));
 }
 
+void CallerSession::releaseCall()
+{
+  if (mCall) {
+    mAnsweredId = mCall->attemptId();
+    mCall.reset();
+  }
+}
+
 void CallerSession::finishAnswer()
 {
-  mCall.reset();
+  releaseCall();
   mIsAnswerComplete = true;
   flush();
 }
@@ -540,17 +549,30 @@
 {
   if (mCall) {
     mCall->logUnfinished(aNow);
-  } else if (mPhase == Phase::Reading || backlog() > 0) {
+    return;
+  }
+  size_t unread = unreadBytes();
+  bool isUnread = mPhase == Phase::Reading || (mPhase == Phase::Idle && unread > 0);
+  if (isUnread || backlog() > 0) {
     mCore.log.write(telemetry::EventClass::Refused,
-                    mPhase == Phase::Reading ? "request_unread" : "answer_unwritten",
+                    isUnread ? "request_unread" : "answer_unwritten",
                     { { "reason", kEndOfProcess },
+                      { "id", mAnsweredId.empty() ? "-" : mAnsweredId },
                       { "read_bytes", std::to_string(mBodyBytes) },
+                      { "unread_bytes", std::to_string(unread) },
                       { "unwritten_bytes", std::to_string(backlog()) },
                       { "phase_ms", milliseconds(aNow - mPhaseStart) } },
                     aNow);
   }
 }
 
+size_t CallerSession::unreadBytes() const
+{
+  ErrorCode error; // A broken connection has none.
+  size_t count = mSocket.available(error);
+  return error ? 0 : count;
+}
+
 void CallerSession::tick(base::TimePoint aNow)
 {
   serving::CallerLimits limits;
--- a/libs/relay/src/CallerSession.h
+++ b/libs/relay/src/CallerSession.h
@@ -39,7 +39,7 @@
   bool isBusy() const { return mCall != nullptr || mPhase != Phase::Idle; }
   /** Closes the connection if it is idle and the caller is not about to use it. */
   void closeIdle(base::TimePoint aNow);
-  /** Logs the request or the answer that the end of the process breaks off. */
+  /** Logs the request or the answer that the end of the process breaks off or drops. */
   void logUnfinished(base::TimePoint aNow) const;
   /** The request being answered; may be null. */
   const std::shared_ptr<Call>& call() const { return mCall; }
@@ -74,11 +74,15 @@
   /** Refuses the request being read because the process holds too many bytes. */
   void refuseForMemory();
   void updateCharge();
+  /** Number of bytes that the caller has sent and that were not read. */
+  size_t unreadBytes() const;
   void onRequest(ErrorCode aError);
   /** Returns 0 when the request's head is well formed, else the status to answer. */
   int checkHead() const;
   void reject(int aStatus);
   void awaitReadable();
+  /** Ends the call whose answer is complete or cut; keeps its id for the log. */
+  void releaseCall();
   void finishAnswer();
   /** Whether the end of the connection, also by the end of the process, shall be a reset. Without
    * chunks an orderly close marks the end of the body. */
@@ -103,6 +107,7 @@
   bool mIsHead = false;           ///< The request's method is HEAD.
   bool mIsAnswerComplete = false; ///< The whole answer is in mQueued or mWriting, or was written.
   bool mIsCut = false;            ///< The answer is a stream that ends incomplete.
+  std::string mAnsweredId;        ///< Attempt id of the request whose answer is complete or cut.
   size_t mBodyBytes = 0;          ///< Body of the request that is read or answered.
   serving::MemoryCharge mCharge{ mCore.memory };
   std::string mQueued;         ///< Bytes to write after mWriting.
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -373,7 +373,8 @@
 
   void tick(base::TimePoint aNow)
   {
-    mCore.loopDelay.observe(aNow - mTickDueAt, aNow);
+    mTickLateness = aNow - mTickDueAt;
+    mCore.loopDelay.observe(mTickLateness, aNow);
     // A tick may close sessions, which changes the set: iterate over a copy.
     std::vector<std::shared_ptr<CallerSession>> sessions(mCore.sessions.begin(),
                                                          mCore.sessions.end());
@@ -413,6 +414,7 @@
     logState("left",
              { { "sessions", std::to_string(mCore.sessions.size()) },
                { "in_flight", std::to_string(callsInFlight()) },
+               { "tick_late_ms", milliseconds(mTickLateness) },
                { "stop_ms", milliseconds(mCore.stop.elapsed(aNow)) } });
   }
 
@@ -425,6 +427,10 @@
     if (mCallerAcceptor.is_open()) {
       ErrorCode ignored; // The process is about to end.
       mCallerAcceptor.close(ignored);
+      logState("accepting_ended",
+               { { "sessions", std::to_string(mCore.sessions.size()) },
+                 { "tick_late_ms", milliseconds(mTickLateness) },
+                 { "stop_ms", milliseconds(mCore.stop.elapsed(aNow)) } });
     }
     std::vector<std::shared_ptr<CallerSession>> sessions(mCore.sessions.begin(),
                                                          mCore.sessions.end());
@@ -441,6 +447,7 @@
   Tcp::acceptor mMetricsAcceptor{ mCore.io };
   asio::steady_timer mTimer{ mCore.io };
   base::TimePoint mTickDueAt;
+  base::Duration mTickLateness{}; ///< Of the latest tick: how long the loop was stalled before it.
   base::TimePoint mHousekeepingAt;
   std::array<char, serving::kMaxDatagramBytes> mDatagram{};
   serving::MessageAssembler mAssembler;
--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -348,6 +348,9 @@
                               if not caller.router.may_have_cut(sent_at, self.ledger.at_work.get(attempt, 0))]
         broken = [line + self.log_of(line.split()[1].rstrip(",:")) for caller in self.callers for line in caller.broken]
         broken += [line for router in self.routers for line in router.ended_badly]
+        if broken:
+            broken += [line for router in self.routers for line in router.log.read_text(errors="replace").splitlines()
+                       if any(f"event={event}" in line for event in ("accepting_ended", "left", "request_unread"))]
         return sum((caller.outcomes for caller in self.callers), collections.Counter()), broken
 
 
@@ -385,7 +388,7 @@
             if outcomes[200] < options.seconds * options.routers:
                 broken.append(f"only {outcomes[200]} requests served")
             print(f"seed {seed}: {dict(outcomes)}, {len(broken)} broken", flush=True)
-            for line in broken[:20]:
+            for line in broken[:60]:
                 print(f"  {line}", flush=True)
             failed += bool(broken)
     sys.exit(1 if failed else 0)
