--- a/libs/relay/include/relay/Relay.h
+++ b/libs/relay/include/relay/Relay.h
@@ -44,6 +44,8 @@
   /** Maximum duration of a stop. Requests that cannot be answered by then are refused when they
    * arrive; those in flight are given up and answered shortly before. */
   base::Milliseconds leaveLimit{ 7000 };
+  /** How long a stop goes on after its limit to answer what has arrived and to write answers. */
+  base::Milliseconds leaveEndTime{ 300 };
   uint64_t seed = 1;
 };
 
--- a/libs/relay/src/CallerSession.cpp
+++ b/libs/relay/src/CallerSession.cpp
@@ -249,22 +249,28 @@
 }
 
 void CallerSession::refuseForMemory()
+{
+  refuseUnread("memory", serving::retryAfterFull(mCore.rng));
+  mParser.reset();
+  mBodyBytes = 0;
+  updateCharge();
+}
+
+void CallerSession::refuseUnread(std::string_view aReason, base::Milliseconds aRetryAfter)
 {
   mCore.metrics.refused.add();
   mCore.log.write(telemetry::EventClass::Refused,
                   "request_unread",
-                  { { "reason", "memory" },
+                  { { "reason", std::string(aReason) },
                     { "read_bytes", std::to_string(mBodyBytes) },
                     { "held_bytes", std::to_string(mCore.memory.held()) } },
                   std::chrono::steady_clock::now());
-  mParser.reset();
-  mBodyBytes = 0;
   mKeepAlive = false;
   mPhase = Phase::Serving;
   mIsStreaming = false;
   mIsAnswerComplete = false;
   mIsHead = false;
-  auto delay = std::chrono::duration<double>(serving::retryAfterFull(mCore.rng));
+  auto delay = std::chrono::duration<double>(aRetryAfter);
   char seconds[32];
   std::snprintf(seconds, sizeof(seconds), "%.3f", delay.count());
   respond(503, { { "Retry-After", seconds } }, {});
@@ -545,6 +551,28 @@
   }
 }
 
+void CallerSession::refuseUnfinished()
+{
+  if (mPhase == Phase::Reading && unreadBytes() == 0) {
+    refuseUnread(kEndOfProcess, serving::retryAfterStop(mCore.rng));
+  }
+}
+
+bool CallerSession::owesAnswer() const
+{
+  switch (mPhase) {
+    case Phase::Idle:
+      return unreadBytes() > 0;
+    case Phase::Reading:
+    case Phase::Serving:
+      return true;
+    case Phase::Closing:
+    case Phase::Closed:
+      break;
+  }
+  return false;
+}
+
 void CallerSession::logUnfinished(base::TimePoint aNow) const
 {
   if (mCall) {
--- a/libs/relay/src/CallerSession.h
+++ b/libs/relay/src/CallerSession.h
@@ -37,8 +37,13 @@
   void tick(base::TimePoint aNow);
   /** True while a request is read or answered. */
   bool isBusy() const { return mCall != nullptr || mPhase != Phase::Idle; }
+  void close();
   /** Closes the connection if it is idle and the caller is not about to use it. */
   void closeIdle(base::TimePoint aNow);
+  /** Refuses a request of which a part has not arrived yet. For the end of the process. */
+  void refuseUnfinished();
+  /** Whether a request that has arrived is not answered, or an answer not written. */
+  bool owesAnswer() const;
   /** Logs the request or the answer that the end of the process breaks off or drops. */
   void logUnfinished(base::TimePoint aNow) const;
   /** The request being answered; may be null. */
@@ -71,8 +76,12 @@
   void onHead(ErrorCode aError);
   void readBody();
   void onBodyBytes(ErrorCode aError);
-  /** Refuses the request being read because the process holds too many bytes. */
+  /** Refuses the request being read because the process holds too many bytes, and releases what
+   * was read. No read may be outstanding. */
   void refuseForMemory();
+  /** Refuses the request being read.
+   * @param aReason for the log. */
+  void refuseUnread(std::string_view aReason, base::Milliseconds aRetryAfter);
   void updateCharge();
   /** Number of bytes that the caller has sent and that were not read. */
   size_t unreadBytes() const;
@@ -90,7 +99,6 @@
   void flush();
   void onWritten(ErrorCode aError);
   void callerLeft();
-  void close();
   /** Text of the answer's head; says whether the connection will be closed. */
   std::string headText(int aStatus, const HeaderLines& aHeaders);
 
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -389,6 +389,7 @@
     }
     if (mCore.stop.hasStarted() && advanceLeaving(aNow)) {
       logUnfinished(aNow);
+      closeSessions();
       mCore.log.flush(aNow);
       mCore.io.stop();
       return;
@@ -418,6 +419,16 @@
                { "stop_ms", milliseconds(mCore.stop.elapsed(aNow)) } });
   }
 
+  /** Tells callers at once that nobody reads their connections any more: the end of the process may
+   * take a while. */
+  void closeSessions()
+  {
+    auto sessions = mCore.sessions;
+    for (const auto& session : sessions) {
+      session->close();
+    }
+  }
+
   /** Advances a graceful stop. Returns true when it is complete. */
   bool advanceLeaving(base::TimePoint aNow)
   {
@@ -437,7 +448,23 @@
     for (const auto& session : sessions) {
       session->closeIdle(aNow);
     }
-    return mCore.sessions.empty() || mCore.stop.isOver(aNow);
+    return mCore.sessions.empty() || (mCore.stop.isOver(aNow) && hasAnsweredAll(aNow));
+  }
+
+  /** After the limit of a stop: whether the loop may end. What has arrived is read and answered
+   * first, and the answers are written, for a short time. */
+  bool hasAnsweredAll(base::TimePoint aNow)
+  {
+    // Counts from here, not from the limit: the process may have had no processor time since.
+    mOverSince = mOverSince.value_or(aNow);
+    bool isAnswered = true;
+    std::vector<std::shared_ptr<CallerSession>> sessions(mCore.sessions.begin(),
+                                                         mCore.sessions.end());
+    for (const auto& session : sessions) {
+      session->refuseUnfinished();
+      isAnswered = !session->owesAnswer() && isAnswered;
+    }
+    return isAnswered || aNow - *mOverSince >= base::Duration(mCore.options.leaveEndTime);
   }
 
   telemetry::Registry& mMetrics;
@@ -449,6 +476,7 @@
   base::TimePoint mTickDueAt;
   base::Duration mTickLateness{}; ///< Of the latest tick: how long the loop was stalled before it.
   base::TimePoint mHousekeepingAt;
+  std::optional<base::TimePoint> mOverSince; ///< When a tick first found the limit of a stop passed.
   std::array<char, serving::kMaxDatagramBytes> mDatagram{};
   serving::MessageAssembler mAssembler;
   asio::ip::udp::endpoint mSender;
--- a/tools/router/RouterSettings.cpp
+++ b/tools/router/RouterSettings.cpp
@@ -31,6 +31,11 @@
   return aGracePeriod - std::min(aGracePeriod / kEndDivisor, kMaxEndTime);
 }
 
+base::Milliseconds leaveEndTime(base::Milliseconds aGracePeriod)
+{
+  return (aGracePeriod - leaveLimit(aGracePeriod)) / 2;
+}
+
 settings::Schema routerSchema()
 {
   settings::Schema::Builder builder;
--- a/tools/router/RouterSettings.h
+++ b/tools/router/RouterSettings.h
@@ -18,4 +18,8 @@
 /** Maximum duration of a graceful stop, which ends before the platform kills the process. */
 base::Milliseconds leaveLimit(base::Milliseconds aGracePeriod);
 
+/** How long a graceful stop goes on after its limit for the last answers. The rest of the grace
+ * period is for the end of the process. */
+base::Milliseconds leaveEndTime(base::Milliseconds aGracePeriod);
+
 } // namespace boragepitch::tools
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -52,8 +52,9 @@
   options.retries.ratio = aSettings.number("retries.ratio");
   options.retries.slack = aSettings.number("retries.slack");
   options.retries.window = tools::milliseconds(aSettings.number("retries.window"));
-  options.leaveLimit =
-    tools::leaveLimit(tools::milliseconds(aSettings.number("leave.grace_period")));
+  auto gracePeriod = tools::milliseconds(aSettings.number("leave.grace_period"));
+  options.leaveLimit = tools::leaveLimit(gracePeriod);
+  options.leaveEndTime = tools::leaveEndTime(gracePeriod);
   options.seed = base::fastHash(base::asBytes(options.node));
   return options;
 }
