--- /dev/null
+++ b/libs/relay/src/Listener.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+
+#include "Asio.h"
+#include "base/Error.h"
+#include "net/Address.h"
+
+namespace boragepitch::relay {
+
+/** Accepts connections at one address. */
+class Listener
+{
+public:
+  using OnAccepted = std::function<void(Tcp::socket)>;
+  using OnFailed = std::function<void(const ErrorCode&)>;
+
+  explicit Listener(asio::io_context& aIo);
+
+  /** Binds the address; ErrorKind::Unavailable when it is in use. */
+  base::Status open(const net::Address& aAddress);
+  /** Accepts until end(). Once, after open(). */
+  void start(OnAccepted aOnAccepted, OnFailed aOnFailed);
+  /** Takes the connections that wait to be accepted, and closes the address. Their callers may have
+   * sent requests, which closing alone would drop. A connection that was accepted just before may
+   * still be reported in a later turn of the event loop. */
+  void end();
+  bool isOpen() const { return mAcceptor.is_open(); }
+
+private:
+  void accept();
+
+  asio::io_context& mIo;
+  Tcp::acceptor mAcceptor;
+  OnAccepted mOnAccepted;
+  OnFailed mOnFailed;
+};
+
+} // namespace boragepitch::relay
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -7,6 +7,7 @@
 
 #include "CallerSession.h"
 #include "Core.h"
+#include "Listener.h"
 #include "serving/Fragments.h"
 
 namespace boragepitch::relay {
@@ -19,37 +20,9 @@
 constexpr base::Milliseconds kTickInterval = 50ms;
 /** Interval of housekeeping: idle connections are closed, the quarantine is told to others. */
 constexpr base::Milliseconds kHousekeepingInterval = 1000ms;
-constexpr int kListenBacklog = 512;
 /** Blocks of this size are rare: most bodies and answers are far shorter. */
 constexpr int kLongAllocationBytes = 256 << 10;
 
-Tcp::endpoint endpointOf(const net::Address& aAddress)
-{
-  return { asio::ip::make_address_v4(aAddress.host), static_cast<uint16_t>(aAddress.port) };
-}
-
-base::Status openAcceptor(Tcp::acceptor& aAcceptor, const net::Address& aAddress)
-{
-  ErrorCode error;
-  aAcceptor.open(Tcp::v4(), error);
-  if (!error) {
-    aAcceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    aAcceptor.bind(endpointOf(aAddress), error);
-  }
-  if (!error) {
-    aAcceptor.listen(kListenBacklog, error);
-  }
-  if (error) {
-    return base::fail(base::ErrorKind::Unavailable,
-                      aAddress.toString(),
-                      "cannot listen: " + error.message(),
-                      "free the address or correct the setting");
-  }
-  return {};
-}
-
 /** One connection to the readiness or metrics port; answers requests by a given function. */
 class StatusSession : public std::enable_shared_from_this<StatusSession>
 {
@@ -110,24 +83,24 @@
 
   base::Status start() override
   {
-    for (auto [acceptor, address] :
-         { std::pair{ &mCallerAcceptor, &mCore.options.callers },
-           std::pair{ &mReadinessAcceptor, &mCore.options.readiness } }) {
-      if (auto opened = openAcceptor(*acceptor, *address); !opened) {
+    for (auto [listener, address] : { std::pair{ &mCallerListener, &mCore.options.callers },
+                                      std::pair{ &mReadinessListener, &mCore.options.readiness } }) {
+      if (auto opened = listener->open(*address); !opened) {
         return opened;
       }
     }
     if (mCore.options.metrics) {
-      if (auto opened = openAcceptor(mMetricsAcceptor, *mCore.options.metrics); !opened) {
+      if (auto opened = mMetricsListener.open(*mCore.options.metrics); !opened) {
         return opened;
       }
-      acceptStatus(mMetricsAcceptor, mMetricsAnswer);
+      startStatus(mMetricsListener, mMetricsAnswer);
     }
     if (auto opened = openPeerSocket(); !opened) {
       return opened;
     }
-    acceptCaller();
-    acceptStatus(mReadinessAcceptor, mReadinessAnswer);
+    mCallerListener.start([this](Tcp::socket aSocket) { startSession(std::move(aSocket)); },
+                          [this](const ErrorCode& aError) { logAcceptFailed(aError); });
+    startStatus(mReadinessListener, mReadinessAnswer);
     receivePeer();
     scheduleTick();
     return {};
@@ -272,32 +245,25 @@
     logState("endpoint_gone", { { "id", aGone.id } });
   }
 
-  void acceptCaller()
+  void startSession(Tcp::socket aSocket)
   {
-    mCallerAcceptor.async_accept([this](ErrorCode aError, Tcp::socket aSocket) {
-      if (aError == asio::error::operation_aborted) {
-        return;
-      }
-      if (!aError && mCore.sessions.size() < mCore.options.maxCallerConnections) {
-        std::make_shared<CallerSession>(mCore, std::move(aSocket))->start();
-      } else if (aError) {
-        logState("accept_failed", { { "error", aError.message() } });
-      }
-      acceptCaller();
-    });
+    if (mCore.sessions.size() < mCore.options.maxCallerConnections) {
+      std::make_shared<CallerSession>(mCore, std::move(aSocket))->start();
+    }
   }
 
-  void acceptStatus(Tcp::acceptor& aAcceptor, const StatusSession::Answer& aAnswer)
+  void startStatus(Listener& aListener, const StatusSession::Answer& aAnswer)
   {
-    aAcceptor.async_accept([this, &aAcceptor, &aAnswer](ErrorCode aError, Tcp::socket aSocket) {
-      if (aError == asio::error::operation_aborted) {
-        return;
-      }
-      if (!aError) {
+    aListener.start(
+      [&aAnswer](Tcp::socket aSocket) {
         std::make_shared<StatusSession>(std::move(aSocket), aAnswer)->read();
-      }
-      acceptStatus(aAcceptor, aAnswer);
-    });
+      },
+      [this](const ErrorCode& aError) { logAcceptFailed(aError); });
+  }
+
+  void logAcceptFailed(const ErrorCode& aError)
+  {
+    logState("accept_failed", { { "error", aError.message() } });
   }
 
   base::Status openPeerSocket()
@@ -435,13 +401,13 @@
     if (mCore.stop.acceptsConnections(aNow)) {
       return false;
     }
-    if (mCallerAcceptor.is_open()) {
-      ErrorCode ignored; // The process is about to end.
-      mCallerAcceptor.close(ignored);
+    if (mCallerListener.isOpen()) {
+      mCallerListener.end();
       logState("accepting_ended",
                { { "sessions", std::to_string(mCore.sessions.size()) },
                  { "tick_late_ms", milliseconds(mTickLateness) },
                  { "stop_ms", milliseconds(mCore.stop.elapsed(aNow)) } });
+      return false; // The last connections are reported and read first.
     }
     std::vector<std::shared_ptr<CallerSession>> sessions(mCore.sessions.begin(),
                                                          mCore.sessions.end());
@@ -469,9 +435,9 @@
 
   telemetry::Registry& mMetrics;
   Core mCore;
-  Tcp::acceptor mCallerAcceptor{ mCore.io };
-  Tcp::acceptor mReadinessAcceptor{ mCore.io };
-  Tcp::acceptor mMetricsAcceptor{ mCore.io };
+  Listener mCallerListener{ mCore.io };
+  Listener mReadinessListener{ mCore.io };
+  Listener mMetricsListener{ mCore.io };
   asio::steady_timer mTimer{ mCore.io };
   base::TimePoint mTickDueAt;
   base::Duration mTickLateness{}; ///< Of the latest tick: how long the loop was stalled before it.
--- a/libs/relay/tests/StalledLoopTest.cpp
+++ b/libs/relay/tests/StalledLoopTest.cpp
@@ -123,3 +123,17 @@
   }
   BOOST_TEST(countAnswered(kept) == kept.size());
 }
+
+// Guards against connections whose requests are dropped with the queue of the listening socket, as
+// the process closes it (LOST).
+BOOST_FIXTURE_TEST_CASE(connectionsThatWaitToBeAcceptedAreAnswered, StalledFixture)
+{
+  relay->startLeaving(std::chrono::steady_clock::now());
+  stall(400ms);
+  std::array<int, 20> waiting{};
+  for (int& socket : waiting) {
+    socket = connect();
+    sendAll(socket, get("late"));
+  }
+  BOOST_TEST(countAnswered(waiting) == waiting.size());
+}
