--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -777,7 +777,8 @@
     abortSend({ Outcome::Abandoned, true, "version_overdue" }, aNow);
     return;
   }
-  bool isTimedOut = !mExchange->isPaused() && aNow - mProgressAt > progressTimeout();
+  bool isTimedOut = !mExchange->isPaused() && aNow - mProgressAt > progressTimeout() &&
+                    !mExchange->hasUnreadBytes();
   // A silent endpoint is given up only if another one can take the request.
   if (isTimedOut && obstacleToRepeat(mPossibleRuns + 1, aNow).empty() && choose(aNow).endpoint &&
       mCore.retryBudget.remaining(mService->name, aNow) >= 1) {
--- a/libs/relay/src/CallerSession.cpp
+++ b/libs/relay/src/CallerSession.cpp
@@ -545,8 +545,7 @@
   if (mPhase != Phase::Idle || aNow - mPhaseStart < base::Duration(kNextRequestTime)) {
     return;
   }
-  ErrorCode error;
-  if (mSocket.available(error) == 0 || error) {
+  if (unreadBytes() == 0) {
     close();
   }
 }
@@ -610,7 +609,7 @@
   auto self = shared_from_this();
   switch (mPhase) {
     case Phase::Idle:
-      if (aNow - mPhaseStart > limits.idleTimeout) {
+      if (aNow - mPhaseStart > limits.idleTimeout && unreadBytes() == 0) {
         close();
       }
       break;
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -18,6 +18,8 @@
 
 /** Interval at which sessions check their timeouts. */
 constexpr base::Milliseconds kTickInterval = 50ms;
+/** Time to read what arrived during a stall of the event loop. */
+constexpr base::Milliseconds kCatchUpTime = 10ms;
 /** Interval of housekeeping: idle connections are closed, the quarantine is told to others. */
 constexpr base::Milliseconds kHousekeepingInterval = 1000ms;
 /** Blocks of this size are rare: most bodies and answers are far shorter. */
@@ -326,9 +328,9 @@
     }
   }
 
-  void scheduleTick()
+  void scheduleTick(base::Milliseconds aAfter = kTickInterval)
   {
-    mTickDueAt = std::chrono::steady_clock::now() + base::Duration(kTickInterval);
+    mTickDueAt = std::chrono::steady_clock::now() + base::Duration(aAfter);
     mTimer.expires_at(mTickDueAt);
     mTimer.async_wait([this](ErrorCode aError) {
       if (!aError) {
@@ -341,6 +343,12 @@
   {
     mTickLateness = aNow - mTickDueAt;
     mCore.loopDelay.observe(mTickLateness, aNow);
+    if (mTickLateness > base::Duration(kTickInterval) && !std::exchange(mHasCaughtUp, true)) {
+      // What has arrived while the loop was stalled is read before any time limit is judged.
+      scheduleTick(kCatchUpTime);
+      return;
+    }
+    mHasCaughtUp = false;
     // A tick may close sessions, which changes the set: iterate over a copy.
     std::vector<std::shared_ptr<CallerSession>> sessions(mCore.sessions.begin(),
                                                          mCore.sessions.end());
@@ -441,6 +449,7 @@
   asio::steady_timer mTimer{ mCore.io };
   base::TimePoint mTickDueAt;
   base::Duration mTickLateness{}; ///< Of the latest tick: how long the loop was stalled before it.
+  bool mHasCaughtUp = false;       ///< The latest tick was late and postponed.
   base::TimePoint mHousekeepingAt;
   std::optional<base::TimePoint> mOverSince; ///< When a tick first found the limit of a stop passed.
   std::array<char, serving::kMaxDatagramBytes> mDatagram{};
--- a/libs/relay/tests/StalledLoopTest.cpp
+++ b/libs/relay/tests/StalledLoopTest.cpp
@@ -137,3 +137,44 @@
   }
   BOOST_TEST(countAnswered(waiting) == waiting.size());
 }
+
+// Guards against an idle connection that is closed with a caller's next request in it.
+BOOST_FIXTURE_TEST_CASE(aRequestThatArrivedBeforeTheIdleLimitIsAnswered, StalledFixture)
+{
+  serving::Deployment::Builder builder;
+  builder.version(2).limits({ .idleTimeout = kIdleTimeout });
+  relay->setDeployment(builder.build());
+  std::vector<int> idle(kManyConnections);
+  std::ranges::generate(idle, [this] { return connect(); });
+  std::this_thread::sleep_for(kIdleTimeout / 2);
+  stall(3 * kIdleTimeout);
+  for (int socket : idle) {
+    sendAll(socket, unroutable());
+  }
+  auto answered = std::ranges::count_if(
+    idle, [](int aSocket) { return readMessage(aSocket).starts_with("HTTP/1.1 404"); });
+  BOOST_TEST(answered == kManyConnections);
+}
+
+// Guards against a stream that is taken from its endpoint, as if that were silent, while its events
+// wait to be read.
+BOOST_FIXTURE_TEST_CASE(aStreamWhoseEventsWaitIsNotTakenForSilent, StalledFixture)
+{
+  FakeEndpoint other(stream);
+  list("f", other.address());
+  int socket = connect();
+  sendAll(socket, get("long"));
+  std::this_thread::sleep_for(200ms);
+  std::vector<int> busy(kManyConnections);
+  std::ranges::generate(busy, [this] { return connect(); });
+  std::this_thread::sleep_for(50ms);
+  stall(1300ms);
+  for (int each : busy) {
+    sendAll(each, unroutable());
+  }
+  BOOST_TEST(readMessage(socket).ends_with(chunk(event(kEvents)) + "0\r\n\r\n"));
+  auto isLong = [](const std::string& aRequest) { return idOf(aRequest) == "long"; };
+  auto sends =
+    std::ranges::count_if(endpoint.requests(), isLong) + std::ranges::count_if(other.requests(), isLong);
+  BOOST_TEST(sends == 1);
+}
