--- a/libs/relay/src/Listener.cpp
+++ b/libs/relay/src/Listener.cpp
@@ -52,16 +52,24 @@
       return;
     }
     if (aError) {
+      mHasFailed = true;
       mOnFailed(aError);
-    } else {
-      mOnAccepted(std::move(aSocket));
+      return;
     }
+    mOnAccepted(std::move(aSocket));
     if (isOpen()) {
       accept();
     }
   });
 }
 
+void Listener::retry()
+{
+  if (std::exchange(mHasFailed, false) && isOpen()) {
+    accept();
+  }
+}
+
 void Listener::end()
 {
   ErrorCode error;
--- a/libs/relay/src/Listener.h
+++ b/libs/relay/src/Listener.h
@@ -19,8 +19,11 @@
 
   /** Binds the address; ErrorKind::Unavailable when it is in use. */
   base::Status open(const net::Address& aAddress);
-  /** Accepts until end(). Once, after open(). */
+  /** Accepts until end() or a failure. Once, after open(). */
   void start(OnAccepted aOnAccepted, OnFailed aOnFailed);
+  /** Accepts again after a failure. To be called now and then: without a free descriptor, for example,
+   * accepting fails at once and would take all processor time if it were repeated at once. */
+  void retry();
   /** Takes the connections that wait to be accepted, and closes the address. Their callers may have
    * sent requests, which closing alone would drop. A connection that was accepted just before may
    * still be reported in a later turn of the event loop. */
@@ -34,6 +37,7 @@
   Tcp::acceptor mAcceptor;
   OnAccepted mOnAccepted;
   OnFailed mOnFailed;
+  bool mHasFailed = false; ///< Accepting waits for retry().
 };
 
 } // namespace boragepitch::relay
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -349,6 +349,9 @@
       return;
     }
     mHasCaughtUp = false;
+    for (Listener* listener : { &mCallerListener, &mReadinessListener, &mMetricsListener }) {
+      listener->retry();
+    }
     // A tick may close sessions, which changes the set: iterate over a copy.
     std::vector<std::shared_ptr<CallerSession>> sessions(mCore.sessions.begin(),
                                                          mCore.sessions.end());
