Programs: signals that come while a program starts do not end it

All programs blocked the signals that they handle only after they had read their settings.

Change: the signals are blocked first of all. They are handled once the program has started.

--- a/libs/relay/src/Listener.h
+++ b/libs/relay/src/Listener.h
@@ -21,8 +21,9 @@
   base::Status open(const net::Address& aAddress);
   /** Accepts until end() or a failure. Once, after open(). */
   void start(OnAccepted aOnAccepted, OnFailed aOnFailed);
-  /** Accepts again after a failure. To be called now and then: without a free descriptor, for example,
-   * accepting fails at once and would take all processor time if it were repeated at once. */
+  /** Accepts again after a failure. To be called now and then: without a free descriptor, for
+   * example, accepting fails at once and would take all processor time if it were repeated at once.
+   */
   void retry();
   /** Takes the connections that wait to be accepted, and closes the address. Their callers may have
    * sent requests, which closing alone would drop. A connection that was accepted just before may
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -85,8 +85,9 @@
 
   base::Status start() override
   {
-    for (auto [listener, address] : { std::pair{ &mCallerListener, &mCore.options.callers },
-                                      std::pair{ &mReadinessListener, &mCore.options.readiness } }) {
+    for (auto [listener, address] :
+         { std::pair{ &mCallerListener, &mCore.options.callers },
+           std::pair{ &mReadinessListener, &mCore.options.readiness } }) {
       if (auto opened = listener->open(*address); !opened) {
         return opened;
       }
@@ -452,9 +453,10 @@
   asio::steady_timer mTimer{ mCore.io };
   base::TimePoint mTickDueAt;
   base::Duration mTickLateness{}; ///< Of the latest tick: how long the loop was stalled before it.
-  bool mHasCaughtUp = false;       ///< The latest tick was late and postponed.
+  bool mHasCaughtUp = false;      ///< The latest tick was late and postponed.
   base::TimePoint mHousekeepingAt;
-  std::optional<base::TimePoint> mOverSince; ///< When a tick first found the limit of a stop passed.
+  std::optional<base::TimePoint>
+    mOverSince; ///< When a tick first found the limit of a stop passed.
   std::array<char, serving::kMaxDatagramBytes> mDatagram{};
   serving::MessageAssembler mAssembler;
   asio::ip::udp::endpoint mSender;
--- a/libs/relay/tests/StalledLoopTest.cpp
+++ b/libs/relay/tests/StalledLoopTest.cpp
@@ -174,7 +174,7 @@
   }
   BOOST_TEST(readMessage(socket).ends_with(chunk(event(kEvents)) + "0\r\n\r\n"));
   auto isLong = [](const std::string& aRequest) { return idOf(aRequest) == "long"; };
-  auto sends =
-    std::ranges::count_if(endpoint.requests(), isLong) + std::ranges::count_if(other.requests(), isLong);
+  auto sends = std::ranges::count_if(endpoint.requests(), isLong) +
+               std::ranges::count_if(other.requests(), isLong);
   BOOST_TEST(sends == 1);
 }
--- a/tools/common/RunDaemon.cpp
+++ b/tools/common/RunDaemon.cpp
@@ -16,9 +16,9 @@
 
 int runUntilTermination(const settings::Settings& aSettings,
                         const std::string& aProgram,
-                        const DaemonFactory& aFactory)
+                        const DaemonFactory& aFactory,
+                        SignalLoop& aSignals)
 {
-  SignalLoop signals;
   startLogging(aSettings, aProgram);
   telemetry::logFatalSignals(STDERR_FILENO,
                              "program=" + aProgram + " node=" + aSettings.text("node.id"));
@@ -34,7 +34,7 @@
     return static_cast<int>(ExitCode::CannotStart);
   }
   telemetry::logEvent(telemetry::Level::Info, "started");
-  signals.waitForTermination([&] {
+  aSignals.waitForTermination([&] {
     telemetry::logEvent(
       telemetry::Level::Info, "dump", { { "state", base::writeJson(daemon->dump()) } });
   });
@@ -52,10 +52,12 @@
               const settings::Schema& aSchema,
               const DaemonFactory& aFactory)
 {
+  // First of all: a signal that comes before would end the process.
+  SignalLoop signals;
   CommandLine commandLine = parseCommandLine(aCount, aArguments, aProgram);
   int exitCode = 0;
   auto settings = loadSettings(commandLine, aSchema, exitCode);
-  return settings ? runUntilTermination(*settings, aProgram, aFactory) : exitCode;
+  return settings ? runUntilTermination(*settings, aProgram, aFactory, signals) : exitCode;
 }
 
 } // namespace boragepitch::tools
--- a/tools/node/RunNode.cpp
+++ b/tools/node/RunNode.cpp
@@ -21,6 +21,8 @@
             const settings::Schema& aSchema,
             const MakeNode& aMake)
 {
+  // First of all: a signal that comes before would end the process.
+  SignalLoop signals;
   CommandLine commandLine =
     parseCommandLine(aCount, aArguments, aProgram, platform::kSettingsVariable);
   int exitCode = 0;
@@ -29,7 +31,6 @@
     return exitCode;
   }
   telemetry::logFatalSignals(STDOUT_FILENO, "node=" + settings->text("node.id"));
-  SignalLoop signals;
   auto process = aMake(*settings);
   if (auto started = process->start(); !started) {
     std::cerr << started.error().describe() << "\n";
