--- a/libs/serving/include/serving/PartQuarantine.h
+++ b/libs/serving/include/serving/PartQuarantine.h
@@ -66,7 +66,7 @@
  * Parts that sound requests share are proved harmless all the time, so they do not come under
  * suspicion. Parts that the same crashes convict cannot be told apart: only requests that contain
  * all of them are stopped, until one of them is proved harmless or crashes endpoints without the
- * others. If two other parts explain all crashes of a convicted one, too, doubt is left: only
+ * others. If another unproved part stood beside a convicted one at each crash, doubt is left: only
  * requests that also contain a part which stood beside it are stopped, and the others are let
  * through one at a time until one gets past its beginning or further crashes remove the doubt.
  * Records are bounded by count and age. Not thread-safe.
--- a/libs/serving/src/PartQuarantine.cpp
+++ b/libs/serving/src/PartQuarantine.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <optional>
 #include <set>
 
 namespace boragepitch::serving {
@@ -12,9 +11,6 @@
 constexpr base::Milliseconds kPruneInterval{ 1000 };
 /** Retracted quarantines that are remembered. */
 constexpr size_t kMaxRetracted = 64;
-/** Parts of a crash that are tried as the cause in place of a convicted one: prompts with many
- * parts must not take long. */
-constexpr size_t kMaxCandidates = 64;
 
 std::vector<PromptPart> sorted(std::span<const PromptPart> aParts)
 {
@@ -50,34 +46,6 @@
   return parts;
 }
 
-/** All sorted. */
-std::vector<PromptPart> common(std::span<const PromptPart> aLeft,
-                               std::span<const PromptPart> aRight)
-{
-  std::vector<PromptPart> parts;
-  std::set_intersection(
-    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), std::back_inserter(parts));
-  return parts;
-}
-
-/** Whether each crash had one of two parts, whichever they are. All sorted. */
-bool isExplainedByTwo(std::span<const std::vector<PromptPart>> aPartsByCrash)
-{
-  const auto& candidates = aPartsByCrash.front();
-  return std::any_of(candidates.begin(),
-                     candidates.begin() +
-                       static_cast<ptrdiff_t>(std::min(candidates.size(), kMaxCandidates)),
-                     [&](PromptPart aFirst) {
-                       std::optional<std::vector<PromptPart>> second;
-                       for (const auto& parts : aPartsByCrash) {
-                         if (!std::binary_search(parts.begin(), parts.end(), aFirst)) {
-                           second = second ? common(*second, parts) : parts;
-                         }
-                       }
-                       return !second || !second->empty();
-                     });
-}
-
 } // namespace
 
 bool PartQuarantine::Quarantine::stops(std::span<const PromptPart> aRequest) const
@@ -209,7 +177,6 @@
                                                        base::TimePoint aNow) const
 {
   auto convicted = sorted(aConvicted);
-  std::vector<std::vector<PromptPart>> byCrash;
   std::vector<PromptPart> all;
   for (PromptPart part : convicted) {
     auto found = mRecords.find(part);
@@ -226,10 +193,9 @@
         return {};
       }
       all = joined(all, others);
-      byCrash.push_back(std::move(others));
     }
   }
-  return !byCrash.empty() && isExplainedByTwo(byCrash) ? all : std::vector<PromptPart>();
+  return all;
 }
 
 std::vector<PromptPart> PartQuarantine::retract(const CrashEvidence& aEvidence,
--- a/libs/serving/tests/PartQuarantineUnprovedTest.cpp
+++ b/libs/serving/tests/PartQuarantineUnprovedTest.cpp
@@ -31,6 +31,28 @@
   BOOST_TEST(!quarantine.isQuarantined(std::array{ kShared, kOther }, now));
 }
 
+// Guards against the same where more parts crash endpoints in turn, one each, as long as their
+// crashes are too few to quarantine a part whatever it stands beside (LOST).
+BOOST_AUTO_TEST_CASE(severalCrashingPartsLeaveAnUnprovedSharedPartAlone)
+{
+  constexpr PromptPart kShared = 1;
+  constexpr PromptPart kOther = 9;
+  for (uint64_t count = 3; count < PartQuarantineOptions().crashesIfUnclear; ++count) {
+    PartQuarantine quarantine;
+    base::TimePoint now{ 1h };
+    for (uint64_t crash = 0; crash < count; ++crash) {
+      now += 100ms;
+      quarantine.recordCrash({ crash, std::to_string(crash), { kShared, 2 + crash } }, now);
+    }
+    BOOST_TEST_CONTEXT(count << " parts")
+    {
+      BOOST_TEST(!quarantine.isQuarantined(std::array{ kShared, kOther }, now));
+      BOOST_TEST(quarantine.admit(std::array{ kShared, kOther }, now));
+      BOOST_TEST(quarantine.isQuarantined(std::array{ kShared, PromptPart(2) }, now));
+    }
+  }
+}
+
 namespace {
 
 constexpr PromptPart kShared = 1;
