--- a/tools/router/tests/RouterSettingsTest.cpp
+++ b/tools/router/tests/RouterSettingsTest.cpp
@@ -56,6 +56,8 @@
       auto read = tools::milliseconds(settings.number("leave.grace_period"));
       BOOST_TEST((read == gracePeriod));
       BOOST_TEST((tools::leaveLimit(read) < gracePeriod));
+      BOOST_TEST((tools::leaveEndTime(read) > 0ms));
+      BOOST_TEST((tools::leaveLimit(read) + tools::leaveEndTime(read) < gracePeriod));
       BOOST_TEST((tools::leaveLimit(read) >= gracePeriod * 3 / 4));
     }
   }
