--- a/libs/relay/src/CallerSession.h
+++ b/libs/relay/src/CallerSession.h
@@ -37,6 +37,7 @@
   void tick(base::TimePoint aNow);
   /** True while a request is read or answered. */
   bool isBusy() const { return mCall != nullptr || mPhase != Phase::Idle; }
+  /** Closes the connection, whatever is in progress on it. */
   void close();
   /** Closes the connection if it is idle and the caller is not about to use it. */
   void closeIdle(base::TimePoint aNow);
--- a/libs/relay/src/Relay.cpp
+++ b/libs/relay/src/Relay.cpp
@@ -426,12 +426,13 @@
     for (const auto& session : sessions) {
       session->closeIdle(aNow);
     }
-    return mCore.sessions.empty() || (mCore.stop.isOver(aNow) && hasAnsweredAll(aNow));
+    return mCore.sessions.empty() || (mCore.stop.isOver(aNow) && finishAnswers(aNow));
   }
 
-  /** After the limit of a stop: whether the loop may end. What has arrived is read and answered
-   * first, and the answers are written, for a short time. */
-  bool hasAnsweredAll(base::TimePoint aNow)
+  /** After the limit of a stop: refuses requests of which a part is missing, and lets what has
+   * arrived be answered and the answers be written, for a short time. Returns true when the loop
+   * may end. */
+  bool finishAnswers(base::TimePoint aNow)
   {
     // Counts from here, not from the limit: the process may have had no processor time since.
     mOverSince = mOverSince.value_or(aNow);
