--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -34,6 +34,9 @@
 constexpr base::Milliseconds kMinAnswerTimeout = 250ms;
 /** Maximum sends of one request, including those that an endpoint rejected. */
 constexpr int kMaxSends = 4;
+/** Time after the deadline to read what has arrived of the answer: after a stall of the event loop
+ * it may be all of it. */
+constexpr base::Milliseconds kLastReadTime = 200ms;
 /** Time to the deadline below which a retry is not worthwhile. */
 constexpr base::Milliseconds kMinTimeLeft = 60ms;
 /** Maximum idle time of pooled connections for requests that may run only once. If an older
@@ -740,6 +743,12 @@
          mEndpoint->weightVersion() < mCore.requiredVersion(mFacts.model, since);
 }
 
+bool Call::isReadingLast(base::TimePoint aNow)
+{
+  mOverdueSince = mOverdueSince.value_or(aNow);
+  return aNow - *mOverdueSince < base::Duration(kLastReadTime) && mExchange->hasUnreadBytes();
+}
+
 void Call::tick(base::TimePoint aNow)
 {
   if (mDone || !mExchange) {
@@ -754,9 +763,7 @@
     mCore.durations.recordUnanswered(mRoute->name, aNow - mRequest.received, aNow);
   }
   limitByStop();
-  // After a stall of the event loop the rest of the answer may have arrived: it is read first,
-  // once.
-  if (aNow >= mDeadline && !std::exchange(mHasReadLast, true) && mExchange->hasUnreadBytes()) {
+  if (aNow >= mDeadline && isReadingLast(aNow)) {
     return;
   }
   if (aNow >= mDeadline) {
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -85,6 +85,8 @@
   void failureAnswered(base::TimePoint aNow);
   /** Whether the request waits at an engine whose weights it may no longer begin on. */
   bool isStartOverdue(base::TimePoint aNow) const;
+  /** After the deadline: whether a part of the answer has arrived that is still to be read. */
+  bool isReadingLast(base::TimePoint aNow);
   /** Logs a request that begins on weights whose replacement is enforced already. */
   void checkStartVersion(base::TimePoint aNow);
   base::Duration progressTimeout() const;
@@ -120,7 +122,7 @@
   base::TimePoint mDeadline = mCallerDeadline; ///< When the request is given up; not after that.
   bool mIsLimitedByStop = false; ///< The end of the process precedes the end of the caller's time.
   bool mDone = false;
-  bool mHasReadLast = false; ///< What had arrived at the deadline was given time to be read.
+  std::optional<base::TimePoint> mOverdueSince; ///< When a tick first found the deadline passed.
 
   std::shared_ptr<Exchange> mExchange;
   serving::EndpointPtr mEndpoint;
