--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -395,6 +395,7 @@
 void Call::onHead(const AnswerHead& aHead)
 {
   mHead = aHead;
+  mHasReadSinceTick = true;
   auto now = std::chrono::steady_clock::now();
   mCore.recordLife(*mEndpoint, mExchange->connectionOpenedAt(), now);
   recordEndpointState(aHead, now);
@@ -414,6 +415,7 @@
 
 void Call::onBody(std::string_view aBytes)
 {
+  mHasReadSinceTick = true;
   auto now = std::chrono::steady_clock::now();
   if (!mIsStream) {
     mBody += aBytes;
@@ -743,10 +745,12 @@
          mEndpoint->weightVersion() < mCore.requiredVersion(mFacts.model, since);
 }
 
-bool Call::isReadingLast(base::TimePoint aNow)
+bool Call::isReadingLast(bool aHasRead, base::TimePoint aNow)
 {
   mOverdueSince = mOverdueSince.value_or(aNow);
-  return aNow - *mOverdueSince < base::Duration(kLastReadTime) && mExchange->hasUnreadBytes();
+  // Bytes that were just read may have left the socket empty while their handler is still queued.
+  bool isArriving = aHasRead || mExchange->hasUnreadBytes();
+  return isArriving && aNow - *mOverdueSince < base::Duration(kLastReadTime);
 }
 
 void Call::tick(base::TimePoint aNow)
@@ -754,6 +758,7 @@
   if (mDone || !mExchange) {
     return;
   }
+  bool hasRead = std::exchange(mHasReadSinceTick, false);
   if (mExchange->isConnecting() && aNow - mSentAt > kConnectTimeout) {
     abortSend({ Outcome::Silent, false, "connect_timeout" }, aNow);
     return;
@@ -763,7 +768,7 @@
     mCore.durations.recordUnanswered(mRoute->name, aNow - mRequest.received, aNow);
   }
   limitByStop();
-  if (aNow >= mDeadline && isReadingLast(aNow)) {
+  if (aNow >= mDeadline && isReadingLast(hasRead, aNow)) {
     return;
   }
   if (aNow >= mDeadline) {
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -85,8 +85,9 @@
   void failureAnswered(base::TimePoint aNow);
   /** Whether the request waits at an engine whose weights it may no longer begin on. */
   bool isStartOverdue(base::TimePoint aNow) const;
-  /** After the deadline: whether a part of the answer has arrived that is still to be read. */
-  bool isReadingLast(base::TimePoint aNow);
+  /** After the deadline: whether a part of the answer has arrived that is still to be read.
+   * @param aHasRead a part of it was read since the previous tick. */
+  bool isReadingLast(bool aHasRead, base::TimePoint aNow);
   /** Logs a request that begins on weights whose replacement is enforced already. */
   void checkStartVersion(base::TimePoint aNow);
   base::Duration progressTimeout() const;
@@ -122,6 +123,7 @@
   base::TimePoint mDeadline = mCallerDeadline; ///< When the request is given up; not after that.
   bool mIsLimitedByStop = false; ///< The end of the process precedes the end of the caller's time.
   bool mDone = false;
+  bool mHasReadSinceTick = false; ///< A part of the answer was read since the latest tick.
   std::optional<base::TimePoint> mOverdueSince; ///< When a tick first found the deadline passed.
 
   std::shared_ptr<Exchange> mExchange;
