Settings: an empty value of a key that is not required counts as not given

What operators saw: bp-router did not start on a platform that names no memory and no descriptors for the machine ("limits.memory: '' is not accepted"). deploy/router.ini renders an empty value for a placeholder without one.

Cause: the schema judged an empty value like any other, so every optional key whose placeholder has no value stopped the program.

Change: an empty value of a key that is not required gives the default; required keys still refuse it. The default of limits.memory (260 MB) could exceed the VM, so the budget for callers takes what the system reports if that is less. The system's word alone is not used: a router told nothing would hold half of a large machine.

--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -110,7 +110,7 @@
   };
 
   /** Reads a file and returns its values or all of its errors, each with file, line, key, accepted
-   * range and unit. */
+   * range and unit. An empty value of a key that is not required counts as not given. */
   tl::expected<Settings, std::vector<base::Error>> load(const std::string& aPath) const;
   /** Like load(), but reads aText; aName replaces the file name in errors. */
   tl::expected<Settings, std::vector<base::Error>> parse(std::string_view aText,
--- a/libs/settings/src/Settings.cpp
+++ b/libs/settings/src/Settings.cpp
@@ -418,6 +418,9 @@
     if (key == mKeys.end()) {
       errors.push_back(settingError(
         aName, line.number, name, "unknown key", "remove it; see docs/settings.md for all keys"));
+    } else if (line.value.empty() && !key->required) {
+      // A template whose placeholder has no value renders an empty one.
+      settings.mValues[name] = key->defaultValue;
     } else if (!accepts(*key, line.value)) {
       errors.push_back(settingError(aName,
                                     line.number,
--- a/libs/settings/tests/SettingsTest.cpp
+++ b/libs/settings/tests/SettingsTest.cpp
@@ -60,6 +60,24 @@
   BOOST_TEST(all.find("f.ini node.id: required key is missing") != std::string::npos);
 }
 
+// Guards against a program that does not start because a template rendered an empty value, and
+// against an empty value in place of a required one.
+BOOST_AUTO_TEST_CASE(anEmptyValueCountsAsNotGiven)
+{
+  auto result = schema().parse("[node]\nid = a\ncontrol =\nseeds =\n[limit]\ncold =\n"
+                               "[gossip]\ninterval = \n[log]\nlevel =\n[x]\non =\n",
+                               "f.ini");
+  BOOST_REQUIRE(result);
+  BOOST_TEST(result->address("node.control").toString() == "127.0.0.1:7001");
+  BOOST_TEST(result->addresses("node.seeds").empty());
+  BOOST_TEST(result->integer("limit.cold") == 4);
+  BOOST_TEST(result->duration("gossip.interval").count() == 1000);
+  BOOST_TEST(result->text("log.level") == "info");
+  BOOST_TEST(!result->flag("x.on"));
+  BOOST_TEST(!schema().parse("[node]\nid =\n", "f.ini").has_value());
+  BOOST_TEST(!schema().parse("[node]\nid = a\n[limit]\ncold =\ncold = 5\n", "f.ini").has_value());
+}
+
 // Guards against crashes on arbitrary files.
 RC_BOOST_PROP(anyTextGivesSettingsOrErrors, (const std::string& aText))
 {
--- a/tools/common/ServerLimits.cpp
+++ b/tools/common/ServerLimits.cpp
@@ -84,6 +84,12 @@
       "limits.memory", "Memory of the VM; 0 for what the system reports.", "MiB", 0, 1 << 24, 0);
 }
 
+size_t systemMemory()
+{
+  return static_cast<size_t>(std::max(sysconf(_SC_PHYS_PAGES), 0L)) *
+         static_cast<size_t>(std::max(sysconf(_SC_PAGESIZE), 0L));
+}
+
 size_t heldBytesLimit(const settings::Settings& aSettings)
 {
   auto limit = static_cast<size_t>(aSettings.integer("limits.held_bytes"));
@@ -91,11 +97,7 @@
     return limit;
   }
   auto memory = static_cast<size_t>(aSettings.integer("limits.memory")) << 20;
-  if (memory == 0) {
-    memory = static_cast<size_t>(std::max(sysconf(_SC_PHYS_PAGES), 0L)) *
-             static_cast<size_t>(std::max(sysconf(_SC_PAGESIZE), 0L));
-  }
-  return std::max(memory / kServersShare, kMinHeldBytes);
+  return std::max((memory > 0 ? memory : systemMemory()) / kServersShare, kMinHeldBytes);
 }
 
 void logCut(const std::string& aReason, const net::Address& aPeer)
--- a/tools/common/ServerLimits.h
+++ b/tools/common/ServerLimits.h
@@ -12,6 +12,9 @@
 /** Adds the limits for requests that the HTTP servers of a program share. */
 void addServerLimits(settings::Schema::Builder& aBuilder);
 
+/** Memory of this machine in bytes, as the system reports it; 0 if it does not. */
+size_t systemMemory();
+
 /** Bytes of requests that one server of a program may hold, by its settings. */
 size_t heldBytesLimit(const settings::Settings& aSettings);
 
--- a/tools/router/RouterSettings.cpp
+++ b/tools/router/RouterSettings.cpp
@@ -34,9 +34,13 @@
   return std::clamp(aDrainTime - kStoreAnswerTime, kMinStoreWait, kMaxStoreWait);
 }
 
-size_t heldBytes(double aMemoryMb)
+size_t heldBytes(double aMemoryMb, size_t aSystemMemory)
 {
-  return static_cast<size_t>(std::max(1.0, aMemoryMb - kProcessMb) * kHeldShare * kBytesPerMb);
+  double memory = aMemoryMb;
+  if (aSystemMemory > 0) {
+    memory = std::min(memory, static_cast<double>(aSystemMemory) / kBytesPerMb);
+  }
+  return static_cast<size_t>(std::max(1.0, memory - kProcessMb) * kHeldShare * kBytesPerMb);
 }
 
 size_t callerConnections(int64_t aConnections, int64_t aDescriptors)
@@ -90,8 +94,8 @@
              65536,
              3000)
     .number("limits.memory",
-            "Memory of the VM. Half of what the process itself does not need may be held for "
-            "callers; beyond it requests are refused.",
+            "Memory of the VM; what the system reports if that is less. Half of what the process "
+            "itself does not need may be held for callers; beyond it requests are refused.",
             "MB",
             32,
             1000000,
--- a/tools/router/RouterSettings.h
+++ b/tools/router/RouterSettings.h
@@ -12,8 +12,9 @@
  * for which endpoints serve after they announced their leave. */
 base::Milliseconds storeWait(base::Milliseconds aDrainTime);
 
-/** Bytes that connections of callers and answers may hold at once in a process with this memory. */
-size_t heldBytes(double aMemoryMb);
+/** Bytes that connections of callers and answers may hold at once in a process with this memory.
+ * @param aSystemMemory memory of the machine in bytes, which bounds the setting; 0 if unknown. */
+size_t heldBytes(double aMemoryMb, size_t aSystemMemory);
 
 /** Connections of callers for which the descriptors suffice: each may need one to an endpoint. */
 size_t callerConnections(int64_t aConnections, int64_t aDescriptors);
--- a/tools/router/main.cpp
+++ b/tools/router/main.cpp
@@ -8,6 +8,7 @@
 #include "OperatorListener.h"
 #include "RouterSettings.h"
 #include "RunNode.h"
+#include "ServerLimits.h"
 #include "StoreConnections.h"
 #include "base/Digest.h"
 #include "platform/OperatorRows.h"
@@ -41,7 +42,7 @@
   options.peers = aSettings.address("listen.peers");
   options.maxCallerConnections = tools::callerConnections(aSettings.integer("limits.connections"),
                                                           aSettings.integer("limits.descriptors"));
-  options.maxHeldBytes = tools::heldBytes(aSettings.number("limits.memory"));
+  options.maxHeldBytes = tools::heldBytes(aSettings.number("limits.memory"), tools::systemMemory());
   options.maxFramingBytes = static_cast<size_t>(aSettings.integer("limits.framing"));
   options.framingBytesPerByte = static_cast<size_t>(aSettings.integer("limits.framing_ratio"));
   options.unreadTimeout = aSettings.duration("limits.unread_timeout");
