Relay: the log tells who ended a send and how long its endpoint was silent

What was missing: `send_failed` gave a reason, but a stream that the entry took from a silent endpoint and one that its endpoint broke off end with the same `request` line, whose reason is that of the last send.

Change: `ended_by` (entry or endpoint) and `silent_ms` in `send_failed`, `given_up` in `request`. No logic changes.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -673,11 +673,12 @@
   mCore.endpoints.finished(*mSend.endpoint, mSend.occupancy, aOutcome, aNow);
 }
 
-void Call::abortSend(const SendResult& aResult, base::TimePoint aNow)
+void Call::abortSend(SendResult aResult, base::TimePoint aNow)
 {
   // The exchange may be calling this function, so it must outlive the call.
   auto exchange = mSend.exchange;
   exchange->abort();
+  aResult.isGivenUp = true;
   sendFailed(aResult, aNow);
 }
 
@@ -689,6 +690,7 @@
   if (aResult.mayHaveRun) {
     ++mPossibleRuns;
   }
+  mGivenUp += aResult.isGivenUp ? 1 : 0;
   bool isHedged = mHedge != nullptr; // The second copy goes on instead of a retry.
   std::string_view obstacle = isHedged ? "hedged" : obstacleToRetry(aNow);
   bool isRetried = obstacle.empty();
@@ -701,6 +703,8 @@
     { { "id", mFacts.attemptId },
       { "endpoint", mSend.endpoint->record.id },
       { "reason", aResult.reason },
+      { "ended_by", aResult.isGivenUp ? "entry" : "endpoint" },
+      { "silent_ms", milliseconds(aNow - mProgressAt) },
       { "may_have_run", aResult.mayHaveRun ? "yes" : "no" },
       { "events", std::to_string(mEventCount) },
       { "sends", std::to_string(mSendCount) },
@@ -1248,6 +1252,7 @@
       { "lapsed", mSend.wasLapsed ? "yes" : "no" },
       { "write_ms", milliseconds(mSend.writeTime) },
       { "sends", std::to_string(mSendCount) },
+      { "given_up", std::to_string(mGivenUp) },
       { "events", std::to_string(mEventCount) },
       { "first_ms", firstMs },
       { "gap_ms", milliseconds(mLongestGap) },
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -19,6 +19,7 @@
   serving::Outcome outcome = serving::Outcome::Silent;
   bool mayHaveRun = true; ///< False only if the endpoint certainly did not run the request.
   std::string reason;
+  bool isGivenUp = false; ///< The relay ended the send; the endpoint might have gone on.
 };
 
 /** One send of a request to an endpoint. */
@@ -123,7 +124,7 @@
    * budget. */
   std::string_view obstacleToRetry(base::TimePoint aNow);
   void endSend(serving::Outcome aOutcome, base::TimePoint aNow);
-  void abortSend(const SendResult& aResult, base::TimePoint aNow);
+  void abortSend(SendResult aResult, base::TimePoint aNow);
   /** Accounts for the bytes held of the answer, which may be given up thereby. */
   void chargeAnswer(base::TimePoint aNow);
   void handleEvent(const serving::StreamEvent& aEvent, base::TimePoint aNow);
@@ -182,6 +183,7 @@
   base::TimePoint mProgressAt; ///< Time of the last send or event.
   int mSendCount = 0;
   int mPossibleRuns = 0; ///< Failed sends whose endpoint may have run the request.
+  int mGivenUp = 0;      ///< Sends that the relay ended although their endpoint might have gone on.
 
   bool mIsPrioritized = false; ///< The request is subject to admission by priority.
   serving::AdmissionDecision mAdmission;
