Relay: a silent endpoint is kept until another one delivers

What callers saw: a stream that had begun ended without its last event, with seconds of the caller's time left. Its endpoint had written nothing for 1.2 s and went on a moment later; in the users' record four streams of one endpoint ended so in one tick, around a SIGTERM.

Cause: Call::tick closed the connection to the silent endpoint before it asked another one. If that one refused, failed or fell silent, and the attempts or the retry budget were used up, nothing was left to read. Class: the only source of an answer is given up before another one is known to deliver. The same held before the first event, for idempotent requests, and for the first copy of a hedged request when both copies were silent.

Change: serving::AnswerSources decides, without connections, which sends of a request may still give its answer. Silence ends no source: while all are silent a further endpoint is asked as a standby, and the first one that brings a new part of the answer is passed on; only then are the others closed. A hedge is a standby that is sent early. Sends that are kept count as attempts; a rejection that did not run the request does not. The placement learns of a silence when it is noticed, as before, and may probe the endpoint although the silent request is kept there.

Why it works: a source can end only by its own failure, by another one's delivery, because its answer may no longer be used (weights, quarantine, memory), or with the request.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -7,7 +7,7 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 
-#include "HedgedSend.h"
+#include "StandbySend.h"
 
 namespace boragepitch::relay {
 
@@ -32,13 +32,9 @@
  * minimum. */
 constexpr int kAnswerTimeoutTargets = 3;
 constexpr base::Milliseconds kMinAnswerTimeout = 250ms;
-/** Maximum sends of one request, including those that an endpoint rejected. */
-constexpr int kMaxSends = 4;
 /** Time after the deadline to read what has arrived of the answer: after a stall of the event loop
  * it may be all of it. */
 constexpr base::Milliseconds kLastReadTime = 200ms;
-/** Time to the deadline below which a retry is not worthwhile. */
-constexpr base::Milliseconds kMinTimeLeft = 60ms;
 /** Maximum idle time of pooled connections for requests that may run only once. If an older
  * connection had been dropped unnoticed, it would be unknown whether the request ran. */
 constexpr base::Milliseconds kMaxIdleForSingleRun = 500ms;
@@ -105,6 +101,12 @@
   return std::nullopt;
 }
 
+/** Prefix of the names of log events about a standby. */
+std::string nameOf(StandbyKind aKind)
+{
+  return aKind == StandbyKind::Hedge ? "hedge" : "standby";
+}
+
 /** Whether a server error is the endpoint's own answer, which the caller may be given. */
 bool mayPassOn(const AnswerHead& aHead)
 {
@@ -130,7 +132,7 @@
     mCore.endpoints.finished(
       *mSend.endpoint, mSend.occupancy, Outcome::Abandoned, std::chrono::steady_clock::now());
   }
-  cancelHedge(std::chrono::steady_clock::now());
+  cancelStandbys(std::chrono::steady_clock::now());
 }
 
 void Call::start(base::TimePoint aNow)
@@ -157,6 +159,7 @@
     return false;
   }
   mDeadline = mRouted.deadline;
+  mSources.setLimits(answerLimits());
   limitByStop();
   mLastEvent = mFacts.lastEvent;
   mCore.retryBudget.recordRequest(mRouted.service->name, aNow);
@@ -195,9 +198,9 @@
   auto request = relay::placementRequest(mCore, mRouted, requestTarget(), aNow);
   request.excluded = mTriedEndpoints;
   // A request that was sent before is served late rather than refused.
-  request.urgency = mStreamBegan     ? serving::Urgency::Continued
-                    : mSendCount > 0 ? serving::Urgency::Late
-                                     : serving::Urgency::Ordinary;
+  request.urgency = mStreamBegan           ? serving::Urgency::Continued
+                    : mSources.sends() > 0 ? serving::Urgency::Late
+                                           : serving::Urgency::Ordinary;
   return request;
 }
 
@@ -210,16 +213,17 @@
 
 void Call::send(base::TimePoint aNow)
 {
-  if (mSendCount == 0 && !admitByPriority(aNow)) {
+  if (mSources.sends() == 0 && !admitByPriority(aNow)) {
     return;
   }
   auto request = placementRequest(aNow);
   auto placement = choose(aNow);
-  if (mSendCount == 0 && mIsPrioritized && placement.refusal != serving::Refusal::NoEndpoint) {
+  if (mSources.sends() == 0 && mIsPrioritized &&
+      placement.refusal != serving::Refusal::NoEndpoint) {
     mCore.admission.recordPlacement(
       mRouted.service->name, mRouted.priority, placement.endpoint != nullptr);
   }
-  if (mSendCount == 0 && mIsPrioritized && placement.refusal == serving::Refusal::Full) {
+  if (mSources.sends() == 0 && mIsPrioritized && placement.refusal == serving::Refusal::Full) {
     mCore.urgentRefusals.record(mRouted.service->name, mRouted.priority, aNow);
   }
   mCandidates = placement.candidates;
@@ -252,7 +256,7 @@
   Send send;
   send.endpoint = aPlacement.endpoint;
   const auto& record = send.endpoint->record;
-  ++mSendCount;
+  send.source = mSources.add(aNow);
   mTriedEndpoints.push_back(record.id);
   send.sentAt = aNow;
   send.load = serving::EndpointSet::load(*send.endpoint, aNow);
@@ -460,9 +464,12 @@
 
 void Call::chargeAnswer(base::TimePoint aNow)
 {
+  size_t standbyBytes = 0;
+  for (const auto& standby : mStandbys) {
+    standbyBytes += standby->heldBytes();
+  }
   mCharge.set(mBody.capacity() + mSplitter.heldBytes() + mEarlyComments.capacity() +
-              (mAnsweredError ? mAnsweredError->second.capacity() : 0) +
-              (mHedge ? mHedge->heldBytes() : 0));
+              (mAnsweredError ? mAnsweredError->second.capacity() : 0) + standbyBytes);
   if (mCore.memory.isExceeded()) {
     mCore.relieveMemory(aNow);
   }
@@ -472,7 +479,7 @@
 {
   auto self = shared_from_this(); // The end of the request may release it.
   mAnsweredError.reset();
-  cancelHedge(aNow);
+  cancelStandbys(aNow);
   if (mSend.exchange) {
     abortSend({ Outcome::Abandoned, true, "memory" }, aNow);
   }
@@ -518,13 +525,15 @@
       return;
     }
   }
+  mSources.deliver(mSend.source, aNow);
+  cancelStandbys(aNow);
+  mCore.endpoints.endSilence(*mSend.endpoint, mSend.occupancy);
   if (!mSendHadEvent) {
     mSendHadEvent = true;
     mCore.endpoints.firstEvent(*mSend.endpoint, mSend.occupancy, aNow - mSend.sentAt);
     checkStartVersion(aNow);
   }
   if (!mStreamBegan) {
-    cancelHedge(aNow);
     recordSendTime(aNow);
     mStreamBegan = true;
     mFirstEventAt = aNow;
@@ -569,7 +578,7 @@
                     { "believed", std::to_string(mSend.believedVersion) },
                     { "required", std::to_string(required) },
                     { "after_ms", milliseconds(aNow - mSend.sentAt) },
-                    { "late", mPossibleRuns > 0 ? "yes" : "no" },
+                    { "late", mSources.endedRuns() > 0 ? "yes" : "no" },
                     { "report_age_ms", milliseconds(mSend.reportAge) },
                     { "list_age_ms", milliseconds(mSend.listAge) } },
                   aNow);
@@ -579,6 +588,7 @@
 {
   if (mSend.exchange && mSend.exchange->isPaused()) {
     mProgressAt = std::chrono::steady_clock::now(); // The endpoint was not silent, but not read.
+    mSources.resume(mProgressAt);
     mSend.exchange->setPaused(false);
   }
 }
@@ -623,11 +633,11 @@
     sendFailed({ Outcome::Success, true, "no_new_event" }, aNow);
     return;
   }
-  cancelHedge(aNow);
+  cancelStandbys(aNow);
   if (!mIsStream) {
     recordSendTime(aNow);
   }
-  endSend(Outcome::Success, aNow);
+  endSend(Outcome::Success, true, aNow);
   mCore.recordCompletion(mFingerprint, aNow);
   if (!mIsStream || mSendEvents > 0) {
     mCore.recordProof(mFacts.sharedParts, mIsStream ? mSendBegunAt : mSend.sentAt, aNow);
@@ -661,15 +671,16 @@
     // The caller is reading a stream, which only another stream can continue.
     sendFailed({ Outcome::Success, true, "answered_" + std::to_string(mHead->status) }, aNow);
   } else {
-    cancelHedge(aNow);
-    endSend(Outcome::Success, aNow);
+    cancelStandbys(aNow);
+    endSend(Outcome::Success, true, aNow);
     deliver(*mHead, mBody, aNow);
   }
 }
 
-void Call::endSend(Outcome aOutcome, base::TimePoint aNow)
+void Call::endSend(Outcome aOutcome, bool aMayHaveRun, base::TimePoint aNow)
 {
   mSend.exchange.reset();
+  mSources.end(mSend.source, aMayHaveRun);
   mCore.endpoints.finished(*mSend.endpoint, mSend.occupancy, aOutcome, aNow);
 }
 
@@ -685,14 +696,11 @@
 void Call::sendFailed(const SendResult& aResult, base::TimePoint aNow)
 {
   if (mSend.exchange) {
-    endSend(aResult.outcome, aNow);
-  }
-  if (aResult.mayHaveRun) {
-    ++mPossibleRuns;
+    endSend(aResult.outcome, aResult.mayHaveRun, aNow);
   }
   mGivenUp += aResult.isGivenUp ? 1 : 0;
-  bool isHedged = mHedge != nullptr; // The second copy goes on instead of a retry.
-  std::string_view obstacle = isHedged ? "hedged" : obstacleToRetry(aNow);
+  bool isStandingBy = !mStandbys.empty(); // A standby goes on instead of a retry.
+  std::string_view obstacle = isStandingBy ? "standby" : obstacleToRetry(aNow);
   bool isRetried = obstacle.empty();
   if (obstacle == kQuarantined) {
     mCore.metrics.quarantined.add();
@@ -707,7 +715,7 @@
       { "silent_ms", milliseconds(aNow - mProgressAt) },
       { "may_have_run", aResult.mayHaveRun ? "yes" : "no" },
       { "events", std::to_string(mEventCount) },
-      { "sends", std::to_string(mSendCount) },
+      { "sends", std::to_string(mSources.sends()) },
       { "after_ms", milliseconds(aNow - mSend.sentAt) },
       { "retry_after_ms",
         mHead && mHead->facts.retryAfter ? milliseconds(*mHead->facts.retryAfter) : "-" },
@@ -717,8 +725,8 @@
       { "limit", mIsLimitedByStop ? "stop" : "caller" },
       { "stop_ms", milliseconds(mCore.stop.elapsed(aNow)) } },
     aNow);
-  if (isHedged) {
-    adoptHedge(aNow);
+  if (isStandingBy) {
+    adopt(standby(mSources.current()), aNow);
     return;
   }
   if (!isRetried) {
@@ -732,14 +740,10 @@
   send(aNow);
 }
 
-std::string_view Call::obstacleToRepeat(int aPossibleRuns, base::TimePoint aNow) const
+std::string_view Call::obstacleToRepeat(serving::SendObstacle aSources, base::TimePoint aNow) const
 {
-  if (mSendCount >= kMaxSends || mDeadline - aNow < kMinTimeLeft) {
-    return "no_time";
-  }
-  if (aPossibleRuns > 0 &&
-      (!mRouted.route->mayRepeat() || aPossibleRuns >= mRouted.route->maxAttempts)) {
-    return "attempts";
+  if (aSources != serving::SendObstacle::None) {
+    return serving::toString(aSources);
   }
   if (mStreamBegan && !mRouted.route->isResumable) {
     return "not_resumable";
@@ -752,7 +756,7 @@
 
 std::string_view Call::obstacleToRetry(base::TimePoint aNow)
 {
-  std::string_view obstacle = obstacleToRepeat(mPossibleRuns, aNow);
+  std::string_view obstacle = obstacleToRepeat(mSources.obstacleToSend(mDeadline, aNow), aNow);
   if (!obstacle.empty()) {
     return obstacle;
   }
@@ -762,23 +766,35 @@
   return mCore.retryBudget.tryRetry(mRouted.service->name, aNow) ? "" : "budget";
 }
 
-base::Duration Call::progressTimeout() const
+bool Call::canReplaceCurrent(base::TimePoint aNow)
+{
+  return obstacleToRepeat(mSources.obstacleToReplaceCurrent(mDeadline, aNow), aNow).empty() &&
+         choose(aNow).endpoint && mCore.retryBudget.remaining(mRouted.service->name, aNow) >= 1;
+}
+
+serving::AnswerLimits Call::answerLimits() const
 {
-  if (mRouted.route->kind == CallKind::Streaming) {
-    return mSendHadEvent
-             ? std::max<base::Duration>(kMinGapTimeout,
-                                        kGapTimeoutTargets * mRouted.route->gapTarget)
-             : std::max<base::Duration>(kMinFirstEventTimeout,
-                                        kFirstEventTimeoutTargets * mRouted.route->latencyTarget);
+  const serving::Route& route = *mRouted.route;
+  serving::AnswerLimits limits;
+  limits.mayRepeat = route.mayRepeat();
+  limits.maxAttempts = route.maxAttempts;
+  if (route.kind == CallKind::Streaming) {
+    limits.firstPartTimeout = std::max<base::Duration>(
+      kMinFirstEventTimeout, kFirstEventTimeoutTargets * route.latencyTarget);
+    limits.nextPartTimeout =
+      std::max<base::Duration>(kMinGapTimeout, kGapTimeoutTargets * route.gapTarget);
+  } else {
+    limits.firstPartTimeout =
+      std::max<base::Duration>(kMinAnswerTimeout, kAnswerTimeoutTargets * route.latencyTarget);
+    limits.nextPartTimeout = limits.firstPartTimeout;
   }
-  return std::max<base::Duration>(kMinAnswerTimeout,
-                                  kAnswerTimeoutTargets * mRouted.route->latencyTarget);
+  return limits;
 }
 
 bool Call::isStartOverdue(const serving::Endpoint& aEndpoint, base::TimePoint aNow) const
 {
   auto since = aNow - mCore.startGrace();
-  return mRouted.service->engine && !mSendHadEvent &&
+  return mRouted.service->engine &&
          aEndpoint.weightVersion() < mCore.requiredVersion(mFacts.model, since);
 }
 
@@ -796,17 +812,14 @@
     return;
   }
   bool hasRead = std::exchange(mHasReadSinceTick, false);
-  if (mSend.exchange->isConnecting() && aNow - mSend.sentAt > kConnectTimeout) {
+  endUnusableStandbys(aNow);
+  if (mSend.exchange->isConnecting() && aNow - mSend.sentAt > kConnectTimeout &&
+      (!mStreamBegan || !mStandbys.empty() || canReplaceCurrent(aNow))) {
+    // Nothing was sent. A stream that has begun keeps the endpoint if there is no other: a refusal
+    // would not help its caller.
     abortSend({ Outcome::Silent, false, "connect_timeout" }, aNow);
     return;
   }
-  if (mHedge && mHedge->send.exchange->isConnecting() &&
-      aNow - mHedge->send.sentAt > kConnectTimeout) {
-    hedgeFailed({ Outcome::Silent, false, "connect_timeout" }, aNow);
-  }
-  if (mHedge && isStartOverdue(*mHedge->send.endpoint, aNow)) {
-    hedgeFailed({ Outcome::Abandoned, true, "version_overdue" }, aNow);
-  }
   if (mCore.stop.hasStarted()) {
     // Requests that arrive now may take as long as those in progress.
     mCore.durations.recordUnanswered(mRouted.route->name, aNow - mRequest.received, aNow);
@@ -816,46 +829,113 @@
     return;
   }
   if (aNow >= mDeadline) {
-    cancelHedge(aNow);
+    cancelStandbys(aNow);
     bool sent = !mSend.exchange->isConnecting();
     if (!mSendHadEvent) {
       recordSendTime(aNow);
     }
     auto exchange = mSend.exchange;
     exchange->abort();
-    endSend(Outcome::Silent, aNow);
-    mPossibleRuns += sent ? 1 : 0;
+    endSend(Outcome::Silent, sent, aNow);
     giveUp(aNow, "deadline");
     return;
   }
   if (!mSendHadEvent && mCore.quarantine.isQuarantined(mFacts.sharedParts, aNow)) {
     // The endpoint may not have begun the request yet.
-    cancelHedge(aNow);
     abortSend({ Outcome::Abandoned, true, std::string(kQuarantined) }, aNow);
     return;
   }
-  if (isStartOverdue(*mSend.endpoint, aNow)) {
+  if (!mSendHadEvent && isStartOverdue(*mSend.endpoint, aNow)) {
     abortSend({ Outcome::Abandoned, true, "version_overdue" }, aNow);
     return;
   }
-  bool isTimedOut = !mSend.exchange->isPaused() && aNow - mProgressAt > progressTimeout() &&
-                    !mSend.exchange->hasUnreadBytes();
-  if (mHedge) {
-    if (isTimedOut && aNow - mHedge->send.sentAt > progressTimeout() &&
-        obstacleToRepeat(mPossibleRuns + 2, aNow).empty()) {
-      recordSendTime(aNow);
-      abortSend({ Outcome::Silent, true, "no_answer" }, aNow); // The second copy is left.
+  askAnotherIfSilent(aNow);
+}
+
+void Call::endUnusableStandbys(base::TimePoint aNow)
+{
+  bool isQuarantinedNow =
+    !mStandbys.empty() && mCore.quarantine.isQuarantined(mFacts.sharedParts, aNow);
+  for (const auto& standby : std::vector(mStandbys)) {
+    const Send& send = standby->send;
+    if (send.exchange->isConnecting() && aNow - send.sentAt > kConnectTimeout) {
+      standbyFailed(*standby, { Outcome::Silent, false, "connect_timeout" }, aNow);
+    } else if (isStartOverdue(*send.endpoint, aNow)) {
+      standbyFailed(*standby, { Outcome::Abandoned, true, "version_overdue" }, aNow);
+    } else if (isQuarantinedNow) {
+      // The endpoint may not have begun the request yet.
+      standbyFailed(*standby, { Outcome::Abandoned, true, std::string(kQuarantined) }, aNow);
     }
+  }
+}
+
+void Call::askAnotherIfSilent(base::TimePoint aNow)
+{
+  bool isArriving = mSend.exchange->isPaused() || mSend.exchange->hasUnreadBytes() ||
+                    std::ranges::any_of(mStandbys, [](const auto& aStandby) {
+                      return aStandby->send.exchange->hasUnreadBytes();
+                    });
+  if (isArriving || !mSources.areAllSilent(aNow)) {
     return;
   }
-  // A silent endpoint is given up only if another one can take the request.
-  if (isTimedOut && obstacleToRepeat(mPossibleRuns + 1, aNow).empty() && choose(aNow).endpoint &&
-      mCore.retryBudget.remaining(mRouted.service->name, aNow) >= 1 && !tryHedge(true, aNow)) {
-    if (!mSendHadEvent) {
-      recordSendTime(aNow);
+  std::string_view obstacle = obstacleToRetry(aNow);
+  serving::Placement placement;
+  if (obstacle.empty()) {
+    placement = choose(aNow);
+    obstacle = placement.endpoint ? "" : "no_endpoint";
+  }
+  if (!obstacle.empty()) {
+    if (std::exchange(mStandbyObstacle, obstacle) != obstacle) {
+      mCore.log.write(telemetry::EventClass::Routine,
+                      "standby_not_sent",
+                      { { "id", mFacts.attemptId },
+                        { "endpoint", mSend.endpoint->record.id },
+                        { "reason", std::string(obstacle) },
+                        { "silent_ms", milliseconds(aNow - mProgressAt) } },
+                      aNow);
     }
-    abortSend({ Outcome::Silent, true, mSendHadEvent ? "stream_stalled" : "no_answer" }, aNow);
+    return;
+  }
+  mCore.endpoints.recordSilence(*mSend.endpoint, mSend.occupancy, aNow);
+  for (const auto& standby : mStandbys) {
+    mCore.endpoints.recordSilence(*standby->send.endpoint, standby->send.occupancy, aNow);
+  }
+  mCore.metrics.repeats.add();
+  if (mStreamBegan) {
+    mCore.metrics.resumes.add();
   }
+  sendStandby(StandbyKind::Retry, placement, aNow);
+}
+
+void Call::sendStandby(StandbyKind aKind,
+                       const serving::Placement& aPlacement,
+                       base::TimePoint aNow)
+{
+  auto standby = std::make_shared<StandbySend>(weak_from_this(), aKind);
+  standby->send = prepareSend(aPlacement, placementRequest(aNow), standby, aNow);
+  mStandbys.push_back(standby);
+  if (aKind == StandbyKind::Hedge) {
+    mCore.metrics.hedgesSent.add();
+  }
+  mCore.log.write(telemetry::EventClass::Routine,
+                  nameOf(aKind) + "_sent",
+                  { { "id", mFacts.attemptId },
+                    { "route", mRouted.route->name },
+                    { "first", mSend.endpoint->record.id },
+                    { "endpoint", standby->send.endpoint->record.id },
+                    { "events", std::to_string(mEventCount) },
+                    { "after_ms", milliseconds(aNow - mSend.sentAt) },
+                    { "silent_ms", milliseconds(aNow - mProgressAt) },
+                    { "left_ms", milliseconds(mDeadline - aNow) } },
+                  aNow);
+  startSend(standby->send, aNow);
+}
+
+std::shared_ptr<StandbySend> Call::standby(serving::SourceId aSource) const
+{
+  auto found = std::ranges::find_if(
+    mStandbys, [&](const auto& aStandby) { return aStandby->send.source == aSource; });
+  return found == mStandbys.end() ? nullptr : *found;
 }
 
 void Call::scheduleHedge(base::TimePoint aNow)
@@ -871,14 +951,14 @@
     mHedgeTimer.emplace(mCore.io);
   }
   mHedgeTimer->expires_at(aNow + *delay);
-  mHedgeTimer->async_wait([weak = weak_from_this(), send = mSendCount](ErrorCode aError) {
+  mHedgeTimer->async_wait([weak = weak_from_this(), source = mSend.source](ErrorCode aError) {
     auto self = weak.lock();
-    if (aError || !self || self->mDone || !self->mSend.exchange || self->mSendCount != send) {
+    if (aError || !self || self->mDone || !self->mSend.exchange || self->mSend.source != source) {
       return;
     }
     auto now = std::chrono::steady_clock::now();
     self->mCore.hedges.recordOverdue(self->mRouted.route->name, now);
-    self->tryHedge(false, now);
+    self->tryHedge(now);
   });
 }
 
@@ -900,10 +980,11 @@
   return target;
 }
 
-bool Call::tryHedge(bool aIsRetryDue, base::TimePoint aNow)
+void Call::tryHedge(base::TimePoint aNow)
 {
-  if (!mCore.hedges.isEnabled() || mStreamBegan || !mRouted.route->mayRepeat()) {
-    return false;
+  if (!mCore.hedges.isEnabled() || mStreamBegan || !mStandbys.empty() ||
+      !mRouted.route->mayRepeat()) {
+    return;
   }
   serving::HedgeCandidate candidate;
   candidate.route = mRouted.route->name;
@@ -913,16 +994,15 @@
   candidate.hasCallerLeft = mDone;
   candidate.isSuspected = mCore.suspects.isSuspected(mFingerprint, aNow) ||
                           mCore.quarantine.hasCrashed(mFacts.sharedParts) || isQuarantined(aNow);
-  candidate.isRetryDue = aIsRetryDue;
-  candidate.possibleRuns = mPossibleRuns + 1;
+  candidate.possibleRuns = mSources.possibleRuns();
   candidate.maxAttempts =
-    std::min(mRouted.route->maxAttempts, mPossibleRuns + 1 + kMaxSends - mSendCount);
+    std::min(mRouted.route->maxAttempts,
+             mSources.possibleRuns() + serving::AnswerSources::kMaxSends - mSources.sends());
   candidate.timeLeft = mDeadline - aNow;
-  auto request = placementRequest(aNow);
   auto obstacle = mCore.hedges.obstacleToRequest(candidate, aNow);
   serving::Placement placement;
   if (obstacle == serving::HedgeObstacle::None) {
-    placement = mCore.endpoints.choose(request, aNow, mCore.rng);
+    placement = mCore.endpoints.choose(placementRequest(aNow), aNow, mCore.rng);
     obstacle =
       mCore.hedges.tryHedge(candidate, hedgeTarget(placement, aNow), mCore.retryBudget, aNow);
   }
@@ -935,22 +1015,9 @@
                       { "reason", std::string(serving::toString(obstacle)) },
                       { "after_ms", milliseconds(aNow - mSend.sentAt) } },
                     aNow);
-    return false;
+    return;
   }
-  mHedge = std::make_shared<HedgedSend>(weak_from_this());
-  mHedge->send = prepareSend(placement, request, mHedge, aNow);
-  mCore.metrics.hedgesSent.add();
-  mCore.log.write(telemetry::EventClass::Routine,
-                  "hedge_sent",
-                  { { "id", mFacts.attemptId },
-                    { "route", mRouted.route->name },
-                    { "first", mSend.endpoint->record.id },
-                    { "endpoint", mHedge->send.endpoint->record.id },
-                    { "retry", aIsRetryDue ? "yes" : "no" },
-                    { "after_ms", milliseconds(aNow - mSend.sentAt) } },
-                  aNow);
-  startSend(mHedge->send, aNow);
-  return true;
+  sendStandby(StandbyKind::Hedge, placement, aNow);
 }
 
 void Call::recordSendTime(base::TimePoint aNow)
@@ -965,79 +1032,89 @@
                              aNow);
 }
 
-void Call::onHedgeSent()
+void Call::onStandbySent(StandbySend& aStandby)
 {
-  recordSent(mHedge->send);
+  recordSent(aStandby.send);
 }
 
-void Call::onHedgeLateHead(const AnswerHead& aHead)
+void Call::onStandbyLateHead(StandbySend& aStandby, const AnswerHead& aHead)
 {
-  recordEndpointState(aHead, mHedge->send, std::chrono::steady_clock::now());
+  recordEndpointState(aHead, aStandby.send, std::chrono::steady_clock::now());
 }
 
-void Call::onHedgeHead(const AnswerHead& aHead)
+void Call::onStandbyHead(StandbySend& aStandby, const AnswerHead& aHead)
 {
   auto now = std::chrono::steady_clock::now();
-  const Send& send = mHedge->send;
+  const Send& send = aStandby.send;
   mCore.recordLife(*send.endpoint, send.exchange->connectionOpenedAt(), now);
   recordEndpointState(aHead, send, now);
   recordLimit(aHead, send, now);
-  mHedge->head = aHead;
+  aStandby.head = aHead;
   if (aHead.status / 100 != 2) {
     return;
   }
   if (!aHead.facts.isSigned || aHead.facts.isEncoded) {
-    hedgeFailed({ Outcome::Broken, true, "unsigned_answer" }, now);
+    standbyFailed(aStandby, { Outcome::Broken, true, "unsigned_answer" }, now);
     return;
   }
-  mHedge->isStream = headerValue(aHead.headers, "Content-Type").starts_with(kEventStream);
+  aStandby.isStream = headerValue(aHead.headers, "Content-Type").starts_with(kEventStream);
+  if (mStreamBegan && !aStandby.isStream) {
+    standbyFailed(aStandby, { Outcome::Broken, true, "not_a_stream" }, now);
+  }
 }
 
-void Call::onHedgeBody(std::string_view aBytes)
+void Call::onStandbyBody(StandbySend& aStandby, std::string_view aBytes)
 {
   auto now = std::chrono::steady_clock::now();
-  mHedge->bytes += aBytes;
-  if (!mHedge->isStream) {
+  aStandby.bytes += aBytes;
+  if (!aStandby.isStream) {
     chargeAnswer(now);
     return;
   }
-  mHedge->splitter.feed(aBytes);
-  while (auto event = mHedge->splitter.next()) {
+  aStandby.splitter.feed(aBytes);
+  while (auto event = aStandby.splitter.next()) {
     if (!event->hasFields || (event->id && mLastEvent && *event->id <= *mLastEvent)) {
       continue; // The caller of a resumed stream has the event.
     }
     if (containsHead(event->text)) {
-      hedgeFailed({ Outcome::Broken, true, "head_in_stream" }, now);
+      standbyFailed(aStandby, { Outcome::Broken, true, "head_in_stream" }, now);
+    } else if (!event->id && mStreamBegan) {
+      standbyFailed(aStandby, { Outcome::Broken, true, "event_without_id" }, now);
     } else if (event->id && mLastEvent && *event->id != *mLastEvent + 1) {
-      hedgeFailed({ Outcome::Broken, true, "event_missing" }, now);
+      standbyFailed(aStandby, { Outcome::Broken, true, "event_missing" }, now);
     } else {
-      hedgeWon(now);
+      standbyDelivered(aStandby, now);
     }
     return;
   }
-  if (mHedge->splitter.pending().size() > kMaxEventBytes) {
-    hedgeFailed({ Outcome::Broken, true, "event_too_large" }, now);
+  if (aStandby.splitter.pending().size() > kMaxEventBytes) {
+    standbyFailed(aStandby, { Outcome::Broken, true, "event_too_large" }, now);
     return;
   }
   chargeAnswer(now);
 }
 
-void Call::onHedgeEnd(ExchangeEnd aEnd)
+void Call::onStandbyEnd(StandbySend& aStandby, ExchangeEnd aEnd)
 {
   auto now = std::chrono::steady_clock::now();
-  const auto& head = mHedge->head;
+  const auto& head = aStandby.head;
   if (aEnd == ExchangeEnd::Complete && head) {
     auto failure = failureOf(*head);
-    if (mHedge->isStream && mHedge->splitter.isInsideEvent()) {
-      hedgeFailed({ Outcome::Broken, true, "event_cut" }, now);
+    if (aStandby.isStream && aStandby.splitter.isInsideEvent()) {
+      standbyFailed(aStandby, { Outcome::Broken, true, "event_cut" }, now);
     } else if (head->status / 100 != 2 && failure) {
       if (mayPassOn(*head)) {
-        mAnsweredError.emplace(*head, mHedge->bytes);
+        mAnsweredError.emplace(*head, aStandby.bytes);
       }
-      hedgeFailed(*failure, now);
+      standbyFailed(aStandby, *failure, now);
+    } else if (mStreamBegan) {
+      // Only a new event continues a stream.
+      std::string reason =
+        aStandby.isStream ? "no_new_event" : "answered_" + std::to_string(head->status);
+      standbyFailed(aStandby, { Outcome::Success, true, std::move(reason) }, now);
     } else {
-      auto exchange = mHedge->send.exchange;
-      hedgeWon(now);
+      auto exchange = aStandby.send.exchange;
+      standbyDelivered(aStandby, now);
       if (mSend.exchange == exchange) { // Not given up for its bytes meanwhile.
         onEnd(aEnd);
       }
@@ -1045,42 +1122,53 @@
     return;
   }
   if (aEnd == ExchangeEnd::ConnectFailed) {
-    hedgeFailed({ Outcome::Silent, false, "connect_failed" }, now);
+    standbyFailed(aStandby, { Outcome::Silent, false, "connect_failed" }, now);
     return;
   }
   if (aEnd == ExchangeEnd::CutShort) {
     mCore.reportCrash({ mFingerprint,
-                        mHedge->send.endpoint->crashKey(),
+                        aStandby.send.endpoint->crashKey(),
                         mCore.quarantine.unproved(mFacts.sharedParts, now) },
-                      mHedge->send.sentAt,
+                      aStandby.send.sentAt,
                       now);
   }
-  hedgeFailed({ Outcome::Broken, true, std::string(toString(aEnd)) }, now);
+  standbyFailed(aStandby, { Outcome::Broken, true, std::string(toString(aEnd)) }, now);
 }
 
-void Call::hedgeWon(base::TimePoint aNow)
+void Call::standbyDelivered(StandbySend& aStandby, base::TimePoint aNow)
 {
-  mCore.metrics.hedgesWon.add();
+  auto delivered = standby(aStandby.send.source);
+  if (aStandby.kind == StandbyKind::Hedge) {
+    mCore.metrics.hedgesWon.add();
+  }
   mCore.log.write(telemetry::EventClass::Routine,
-                  "hedge_won",
+                  nameOf(aStandby.kind) + "_won",
                   { { "id", mFacts.attemptId },
                     { "first", mSend.endpoint->record.id },
-                    { "endpoint", mHedge->send.endpoint->record.id },
+                    { "endpoint", aStandby.send.endpoint->record.id },
                     { "first_ms", milliseconds(aNow - mSend.sentAt) },
-                    { "after_ms", milliseconds(aNow - mHedge->send.sentAt) } },
+                    { "after_ms", milliseconds(aNow - aStandby.send.sentAt) } },
                   aNow);
-  mPossibleRuns += mSend.exchange->isConnecting() ? 0 : 1;
   recordSendTime(aNow);
-  bool isSilent = aNow - mProgressAt > progressTimeout();
-  mSend.exchange->abort();
-  endSend(isSilent ? Outcome::Silent : Outcome::Overtaken, aNow);
-  adoptHedge(aNow);
+  bool wasSilent = mSources.isCurrentSilent(aNow);
+  for (serving::SourceId other : mSources.deliver(aStandby.send.source, aNow)) {
+    if (other == mSend.source) {
+      bool mayHaveRun = !mSend.exchange->isConnecting();
+      mSend.exchange->abort();
+      endSend(wasSilent ? Outcome::Silent : Outcome::Overtaken, mayHaveRun, aNow);
+    } else {
+      auto late = standby(other);
+      standbyFailed(
+        *late, { Outcome::Abandoned, !late->send.exchange->isConnecting(), "cancelled" }, aNow);
+    }
+  }
+  adopt(std::move(delivered), aNow);
 }
 
-void Call::adoptHedge(base::TimePoint aNow)
+void Call::adopt(std::shared_ptr<StandbySend> aStandby, base::TimePoint aNow)
 {
-  mAdopted = std::move(mHedge);
-  mHedge.reset();
+  std::erase(mStandbys, aStandby);
+  mAdopted = std::move(aStandby);
   mAdopted->isAdopted = true;
   mSend = std::move(mAdopted->send);
   mProgressAt = mSend.sentAt;
@@ -1098,28 +1186,32 @@
   takeBody(bytes, aNow);
 }
 
-void Call::cancelHedge(base::TimePoint aNow)
+void Call::cancelStandbys(base::TimePoint aNow)
 {
-  if (mHedge) {
-    hedgeFailed({ Outcome::Abandoned, !mHedge->send.exchange->isConnecting(), "cancelled" }, aNow);
+  while (!mStandbys.empty()) {
+    auto standby = mStandbys.back();
+    standbyFailed(
+      *standby, { Outcome::Abandoned, !standby->send.exchange->isConnecting(), "cancelled" }, aNow);
   }
 }
 
-void Call::hedgeFailed(const SendResult& aResult, base::TimePoint aNow)
+void Call::standbyFailed(StandbySend& aStandby, const SendResult& aResult, base::TimePoint aNow)
 {
-  auto hedge = std::move(mHedge); // Its exchange may be calling this function.
-  mHedge.reset();
-  hedge->send.exchange->abort();
-  mCore.endpoints.finished(*hedge->send.endpoint, hedge->send.occupancy, aResult.outcome, aNow);
-  mPossibleRuns += aResult.mayHaveRun ? 1 : 0;
-  mCore.metrics.hedgesLost.add();
+  auto failed = standby(aStandby.send.source); // Its exchange may be calling this function.
+  std::erase(mStandbys, failed);
+  failed->send.exchange->abort();
+  mSources.end(failed->send.source, aResult.mayHaveRun);
+  mCore.endpoints.finished(*failed->send.endpoint, failed->send.occupancy, aResult.outcome, aNow);
+  if (failed->kind == StandbyKind::Hedge) {
+    mCore.metrics.hedgesLost.add();
+  }
   mCore.log.write(telemetry::EventClass::Routine,
-                  "hedge_lost",
+                  nameOf(failed->kind) + "_lost",
                   { { "id", mFacts.attemptId },
-                    { "endpoint", hedge->send.endpoint->record.id },
+                    { "endpoint", failed->send.endpoint->record.id },
                     { "reason", aResult.reason },
                     { "may_have_run", aResult.mayHaveRun ? "yes" : "no" },
-                    { "after_ms", milliseconds(aNow - hedge->send.sentAt) } },
+                    { "after_ms", milliseconds(aNow - failed->send.sentAt) } },
                   aNow);
 }
 
@@ -1132,11 +1224,11 @@
   auto now = std::chrono::steady_clock::now();
   mCore.metrics.abandoned.add();
   logEnd(telemetry::EventClass::Refused, "abandoned", 0, "caller_left", now);
-  cancelHedge(now);
+  cancelStandbys(now);
   if (mSend.exchange) {
     auto exchange = mSend.exchange;
     exchange->abort();
-    endSend(Outcome::Abandoned, now);
+    endSend(Outcome::Abandoned, true, now);
   }
 }
 
@@ -1149,7 +1241,7 @@
 
 void Call::giveUp(base::TimePoint aNow, std::string_view aReason)
 {
-  if (mIsLimitedByStop && mPossibleRuns > 0) {
+  if (mIsLimitedByStop && mSources.endedRuns() > 0) {
     mCore.metrics.cutByStop.add();
   }
   if (mStreamBegan) {
@@ -1167,7 +1259,7 @@
       mAnsweredError->first.status, answerHeaders(mAnsweredError->first), mAnsweredError->second);
     return;
   }
-  if (mPossibleRuns == 0) {
+  if (mSources.endedRuns() == 0) {
     refuse(aReason, aNow);
   } else {
     fail(aReason == "deadline" ? 504 : 502, aReason, aNow);
@@ -1246,12 +1338,12 @@
       { "best_ms", std::to_string(std::lround(mPredictedMs)) },
       { "load", std::to_string(mSend.load) },
       { "predicted_ms", std::to_string(std::lround(mSend.occupancy.predictedMs)) },
-      { "late", mPossibleRuns > 0 ? "yes" : "no" },
+      { "late", mSources.endedRuns() > 0 ? "yes" : "no" },
       { "report_age_ms", milliseconds(mSend.reportAge) },
       { "list_age_ms", milliseconds(mSend.listAge) },
       { "lapsed", mSend.wasLapsed ? "yes" : "no" },
       { "write_ms", milliseconds(mSend.writeTime) },
-      { "sends", std::to_string(mSendCount) },
+      { "sends", std::to_string(mSources.sends()) },
       { "given_up", std::to_string(mGivenUp) },
       { "events", std::to_string(mEventCount) },
       { "first_ms", firstMs },
@@ -1263,7 +1355,7 @@
     aNow);
   if (aStatus / 100 == 2) {
     mCore.durations.record(mRouted.route->name, aNow - mRequest.received, aNow);
-  } else if (mSendCount > 0) {
+  } else if (mSources.sends() > 0) {
     mCore.durations.recordUnanswered(mRouted.route->name, aNow - mRequest.received, aNow);
   }
 }
--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -9,6 +9,7 @@
 #include "Core.h"
 #include "Routing.h"
 #include "Upstream.h"
+#include "serving/AnswerSources.h"
 #include "serving/EventSplitter.h"
 
 namespace boragepitch::relay {
@@ -25,6 +26,7 @@
 /** One send of a request to an endpoint. */
 struct Send
 {
+  serving::SourceId source = 0;
   std::shared_ptr<Exchange> exchange; ///< Null before the send and after its end.
   serving::EndpointPtr endpoint;
   serving::Occupancy occupancy;
@@ -37,12 +39,21 @@
   base::Duration reportAge{ -1 }; ///< Age of the endpoint's load report; -1 without a report.
 };
 
-class HedgedSend;
+/** Why a request was sent to a further endpoint while an earlier one may still answer it. */
+enum class StandbyKind
+{
+  Retry, ///< All earlier sends were silent for longer than their timeout.
+  Hedge, ///< The first send was slower than usual; spends the budget of hedges.
+};
+
+class StandbySend;
 
 /**
  * One request of a caller, from its route to its answer: decides where it is sent, whether it is
- * sent again or to a second endpoint at the same time, and what the caller is answered. A status
+ * sent again or to a further endpoint at the same time, and what the caller is answered. A status
  * which promises that the request did not run is sent only when no endpoint may have run it.
+ *
+ * serving::AnswerSources decides which sends may still give the answer.
  */
 class Call
   : public ExchangeHandler
@@ -71,12 +82,12 @@
   void onBody(std::string_view aBytes) override;
   void onEnd(ExchangeEnd aEnd) override;
 
-  // Progress of the second copy, until it is adopted; see HedgedSend.
-  void onHedgeSent();
-  void onHedgeHead(const AnswerHead& aHead);
-  void onHedgeLateHead(const AnswerHead& aHead);
-  void onHedgeBody(std::string_view aBytes);
-  void onHedgeEnd(ExchangeEnd aEnd);
+  // Progress of a standby, until it is adopted; see StandbySend.
+  void onStandbySent(StandbySend& aStandby);
+  void onStandbyHead(StandbySend& aStandby, const AnswerHead& aHead);
+  void onStandbyLateHead(StandbySend& aStandby, const AnswerHead& aHead);
+  void onStandbyBody(StandbySend& aStandby, std::string_view aBytes);
+  void onStandbyEnd(StandbySend& aStandby, ExchangeEnd aEnd);
 
 private:
   bool admit(base::TimePoint aNow);
@@ -97,20 +108,27 @@
   bool needsExpectedVersion(const serving::Endpoint& aEndpoint, base::TimePoint aNow) const;
   /** Starts the timer after which a second copy may be sent. */
   void scheduleHedge(base::TimePoint aNow);
-  /** Sends a second copy unless there is a reason not to; returns whether it was sent.
-   * @param aIsRetryDue the first copy has been silent for so long that it would be given up. */
-  bool tryHedge(bool aIsRetryDue, base::TimePoint aNow);
+  /** Sends a second copy unless there is a reason not to. */
+  void tryHedge(base::TimePoint aNow);
   serving::HedgeTarget hedgeTarget(const serving::Placement& aPlacement,
                                    base::TimePoint aNow) const;
-  /** Takes the second copy as the only one. Its answer so far is used, and nothing of the first
-   * one's. */
-  void adoptHedge(base::TimePoint aNow);
-  /** Gives the first copy up for the second one, which was faster. */
-  void hedgeWon(base::TimePoint aNow);
-  /** Ends the second copy, if there is one, because it is no longer needed. */
-  void cancelHedge(base::TimePoint aNow);
-  /** Ends the second copy and counts it as lost. The first one goes on. */
-  void hedgeFailed(const SendResult& aResult, base::TimePoint aNow);
+  /** Asks a further endpoint if all that were asked are silent and the request may be repeated. */
+  void askAnotherIfSilent(base::TimePoint aNow);
+  /** Sends the request to a further endpoint while the present sends go on. */
+  void sendStandby(StandbyKind aKind, const serving::Placement& aPlacement, base::TimePoint aNow);
+  /** Ends the standbys that may not be used any more. */
+  void endUnusableStandbys(base::TimePoint aNow);
+  /** The standby with this number; null if it has ended. */
+  std::shared_ptr<StandbySend> standby(serving::SourceId aSource) const;
+  /** Gives up all other sends for this standby, which has delivered, and adopts it. */
+  void standbyDelivered(StandbySend& aStandby, base::TimePoint aNow);
+  /** Takes a standby as the current send. Its answer so far is used, and nothing of the last
+   * current one's. */
+  void adopt(std::shared_ptr<StandbySend> aStandby, base::TimePoint aNow);
+  /** Ends a standby. The other sends go on. */
+  void standbyFailed(StandbySend& aStandby, const SendResult& aResult, base::TimePoint aNow);
+  /** Ends all standbys because they are no longer needed. */
+  void cancelStandbys(base::TimePoint aNow);
   /** Records how long the last send has taken so far. */
   void recordSendTime(base::TimePoint aNow);
   void takeHead(const AnswerHead& aHead);
@@ -118,12 +136,15 @@
   void sendFailed(const SendResult& aResult, base::TimePoint aNow);
   /** Reason why the request itself may not be sent again, whatever endpoints there are. Empty when
    * it may be.
-   * @param aPossibleRuns sends whose endpoint may have run the request. */
-  std::string_view obstacleToRepeat(int aPossibleRuns, base::TimePoint aNow) const;
+   * @param aSources what the sends so far allow. */
+  std::string_view obstacleToRepeat(serving::SendObstacle aSources, base::TimePoint aNow) const;
   /** Reason why the request may not be sent again. Empty when it may be; this spends a retry of the
    * budget. */
   std::string_view obstacleToRetry(base::TimePoint aNow);
-  void endSend(serving::Outcome aOutcome, base::TimePoint aNow);
+  /** Whether the request may be sent to another endpoint if the current one cannot be reached. */
+  bool canReplaceCurrent(base::TimePoint aNow);
+  /** @param aMayHaveRun the endpoint may have run the request. */
+  void endSend(serving::Outcome aOutcome, bool aMayHaveRun, base::TimePoint aNow);
   void abortSend(SendResult aResult, base::TimePoint aNow);
   /** Accounts for the bytes held of the answer, which may be given up thereby. */
   void chargeAnswer(base::TimePoint aNow);
@@ -134,14 +155,14 @@
   bool isQuarantined(base::TimePoint aNow) const;
   void completed(base::TimePoint aNow);
   void failureAnswered(base::TimePoint aNow);
-  /** Whether the request waits at an engine whose weights it may no longer begin on. */
+  /** Whether a request that has not begun at this engine may no longer begin on its weights. */
   bool isStartOverdue(const serving::Endpoint& aEndpoint, base::TimePoint aNow) const;
   /** After the deadline: whether a part of the answer has arrived that is still to be read.
    * @param aHasRead a part of it was read since the previous tick. */
   bool isReadingLast(bool aHasRead, base::TimePoint aNow);
   /** Logs a request that begins on weights whose replacement is enforced already. */
   void checkStartVersion(base::TimePoint aNow);
-  base::Duration progressTimeout() const;
+  serving::AnswerLimits answerLimits() const;
   /** Sends the caller the final answer after all sends failed or none was possible. */
   void giveUp(base::TimePoint aNow, std::string_view aReason);
   void reject(int aStatus, std::string_view aReason, base::TimePoint aNow);
@@ -175,15 +196,15 @@
   bool mHasReadSinceTick = false; ///< A part of the answer was read since the latest tick.
   std::optional<base::TimePoint> mOverdueSince; ///< When a tick first found the deadline passed.
 
-  Send mSend;                           ///< The last send.
-  std::shared_ptr<HedgedSend> mHedge;   ///< The second copy; null unless both run.
-  std::shared_ptr<HedgedSend> mAdopted; ///< Receives the progress of the last send, if it was one.
+  serving::AnswerSources mSources;
+  Send mSend; ///< The current one, or the last one that was.
+  std::vector<std::shared_ptr<StandbySend>> mStandbys; ///< Sends beside the current one.
+  std::shared_ptr<StandbySend> mAdopted; ///< Receives the progress of mSend, if it was a standby.
+  std::string_view mStandbyObstacle;     ///< Why no standby was sent, as last logged.
   std::optional<asio::steady_timer> mHedgeTimer;
   std::vector<std::string> mTriedEndpoints;
   base::TimePoint mProgressAt; ///< Time of the last send or event.
-  int mSendCount = 0;
-  int mPossibleRuns = 0; ///< Failed sends whose endpoint may have run the request.
-  int mGivenUp = 0;      ///< Sends that the relay ended although their endpoint might have gone on.
+  int mGivenUp = 0; ///< Sends that the relay ended although their endpoint might have gone on.
 
   bool mIsPrioritized = false; ///< The request is subject to admission by priority.
   serving::AdmissionDecision mAdmission;
--- a/libs/relay/src/HedgedSend.h
+++ b/libs/relay/src/StandbySend.h
@@ -11,14 +11,16 @@
 namespace boragepitch::relay {
 
 /**
- * Second copy of a request, while the first one runs. Holds back what its endpoint answers until
- * the call adopts it as its send; from then on it passes everything on to the call.
+ * A further send of a request while an earlier one may still be answered. Holds back what its
+ * endpoint answers until the call adopts it as its send; from then on it passes everything on to
+ * the call.
  */
-class HedgedSend final : public ExchangeHandler
+class StandbySend final : public ExchangeHandler
 {
 public:
-  explicit HedgedSend(std::weak_ptr<Call> aCall)
-    : mCall(std::move(aCall))
+  StandbySend(std::weak_ptr<Call> aCall, StandbyKind aKind)
+    : kind(aKind)
+    , mCall(std::move(aCall))
   {
   }
 
@@ -30,6 +32,7 @@
 
   size_t heldBytes() const { return bytes.capacity() + splitter.heldBytes(); }
 
+  const StandbyKind kind;
   Send send; ///< Until the call adopts it.
   std::optional<AnswerHead> head;
   bool isStream = false;
--- a/libs/serving/include/serving/EndpointSet.h
+++ b/libs/serving/include/serving/EndpointSet.h
@@ -166,6 +166,7 @@
   base::TimePoint pausedUntil;      ///< The endpoint asked for no requests until then.
   RequestLimit limit;               ///< Named by the answers of the endpoint.
   uint32_t consecutiveSilences = 0; ///< Consecutive requests with Outcome::Silent.
+  int silentInFlight = 0;           ///< Own requests that are silent and still may be answered.
   /** Consecutive requests with Outcome::Broken, each sent after the one before had ended: the
    * requests that one failure cuts off count once. */
   uint32_t consecutiveBreaks = 0;
@@ -316,6 +317,7 @@
   Urgency urgency = Urgency::Ordinary;
   int priority = 0;
   bool hasBegun = false;
+  bool isSilent = false; ///< Its silence was recorded; counted in Endpoint::silentInFlight.
   base::TimePoint sentAt;
   uint64_t reportCountAtSend = 0; ///< Value of Endpoint::reportCount when the request was sent.
 };
@@ -363,6 +365,11 @@
   /** Records the first event of a request, which came aAfter the send. */
   void firstEvent(Endpoint& aEndpoint, Occupancy& aOccupancy, base::Duration aAfter);
   void finished(Endpoint& aEndpoint, Occupancy& aOccupancy, Outcome aOutcome, base::TimePoint aNow);
+  /** Records that a request is silent, as Outcome::Silent does, though it still may be answered.
+   * Once for each silence. */
+  static void recordSilence(Endpoint& aEndpoint, Occupancy& aOccupancy, base::TimePoint aNow);
+  /** Records that a request whose silence was recorded goes on. */
+  static void endSilence(Endpoint& aEndpoint, Occupancy& aOccupancy);
   /** Records the version of the weights that an answer of the endpoint names. */
   void recordWeightVersion(Endpoint& aEndpoint, uint64_t aVersion);
 
@@ -376,6 +383,7 @@
   size_t listedCount() const;
 
 private:
+  static void avoidAfterSilence(Endpoint& aEndpoint, base::TimePoint aNow);
   /** An endpoint that cuts off one request after the other looks idle and would attract more. */
   static void avoidAfterBreak(Endpoint& aEndpoint, base::TimePoint aNow);
   static void markBegun(Endpoint& aEndpoint, Occupancy& aOccupancy);
--- a/libs/serving/src/EndpointSet.cpp
+++ b/libs/serving/src/EndpointSet.cpp
@@ -713,7 +713,7 @@
   if (aNow < endpoint.avoidUntil) {
     return excluded(Exclusion::Avoided);
   }
-  if (endpoint.consecutiveSilences > 0 && endpoint.inFlight > 0) {
+  if (endpoint.consecutiveSilences > 0 && endpoint.inFlight > endpoint.silentInFlight) {
     return excluded(Exclusion::Probed);
   }
   if (endpoint.report && endpoint.report->memoryUsed > kMemoryFullShare) {
@@ -819,6 +819,30 @@
   removeFromBacklog(aEndpoint, aOccupancy);
 }
 
+void EndpointSet::avoidAfterSilence(Endpoint& aEndpoint, base::TimePoint aNow)
+{
+  auto backoff = std::min(kSilenceBackoffCap,
+                          kSilenceBackoffBase * (1 << std::min(aEndpoint.consecutiveSilences, 4U)));
+  ++aEndpoint.consecutiveSilences;
+  aEndpoint.avoidUntil = std::max(aEndpoint.avoidUntil, aNow + base::Duration(backoff));
+}
+
+void EndpointSet::recordSilence(Endpoint& aEndpoint, Occupancy& aOccupancy, base::TimePoint aNow)
+{
+  if (!std::exchange(aOccupancy.isSilent, true)) {
+    ++aEndpoint.silentInFlight;
+    avoidAfterSilence(aEndpoint, aNow);
+  }
+}
+
+void EndpointSet::endSilence(Endpoint& aEndpoint, Occupancy& aOccupancy)
+{
+  if (std::exchange(aOccupancy.isSilent, false)) {
+    --aEndpoint.silentInFlight;
+    aEndpoint.consecutiveSilences = 0;
+  }
+}
+
 void EndpointSet::avoidAfterBreak(Endpoint& aEndpoint, base::TimePoint aNow)
 {
   if (++aEndpoint.consecutiveBreaks < kBreaksToAvoid) {
@@ -836,6 +860,8 @@
 {
   markBegun(aEndpoint, aOccupancy);
   --aEndpoint.inFlight;
+  bool isSilenceKnown = std::exchange(aOccupancy.isSilent, false);
+  aEndpoint.silentInFlight -= isSilenceKnown ? 1 : 0;
   bool failed = aOutcome == Outcome::Failure || aOutcome == Outcome::Broken;
   if (failed || aOutcome == Outcome::Success) {
     aEndpoint.failureShare +=
@@ -860,14 +886,11 @@
       aEndpoint.avoidUntil =
         std::max(aEndpoint.avoidUntil, aNow + base::Duration(kMisdirectedBackoff));
       break;
-    case Outcome::Silent: {
-      auto backoff =
-        std::min(kSilenceBackoffCap,
-                 kSilenceBackoffBase * (1 << std::min(aEndpoint.consecutiveSilences, 4U)));
-      ++aEndpoint.consecutiveSilences;
-      aEndpoint.avoidUntil = std::max(aEndpoint.avoidUntil, aNow + base::Duration(backoff));
+    case Outcome::Silent:
+      if (!isSilenceKnown) {
+        avoidAfterSilence(aEndpoint, aNow);
+      }
       break;
-    }
     case Outcome::Broken:
       if (aOccupancy.sentAt >= aEndpoint.brokenAt) {
         aEndpoint.brokenAt = aNow;
--- a/libs/serving/tests/EndpointSetTest.cpp
+++ b/libs/serving/tests/EndpointSetTest.cpp
@@ -455,6 +455,32 @@
   BOOST_TEST(place(request(drafter)) == "dark");
 }
 
+// Guards against an endpoint that is not probed while a silent request is kept there: on another
+// connection it may serve. And against a silence that counts twice, or for ever.
+BOOST_FIXTURE_TEST_CASE(keptSilentRequestDoesNotPreventAProbe, Fixture)
+{
+  list("m", "north", millbook);
+  auto placement = set.choose(request(millbook), now, rng);
+  auto occupancy = set.started(placement, request(millbook), now);
+  auto endpoint = placement.endpoint;
+  EndpointSet::recordSilence(*endpoint, occupancy, now);
+  EndpointSet::recordSilence(*endpoint, occupancy, now);
+  BOOST_TEST(endpoint->consecutiveSilences == 1U);
+  BOOST_TEST(place(request(millbook)) == "");
+  now += 450ms;
+  BOOST_TEST(place(request(millbook)) == "m");
+  BOOST_TEST(place(request(millbook)) == ""); // One at a time.
+  set.finished(*endpoint, occupancy, Outcome::Silent, now);
+  BOOST_TEST(endpoint->consecutiveSilences == 1U);
+  BOOST_TEST(endpoint->silentInFlight == 0);
+
+  auto other = set.started(placement, request(millbook), now);
+  EndpointSet::recordSilence(*endpoint, other, now);
+  EndpointSet::endSilence(*endpoint, other);
+  BOOST_TEST(endpoint->consecutiveSilences == 0U);
+  BOOST_TEST(endpoint->silentInFlight == 0);
+}
+
 // Guards against an endpoint that fails some requests although it is listed as healthy.
 BOOST_FIXTURE_TEST_CASE(failingEndpointIsAvoidedWhereAnotherIsFree, Fixture)
 {
