bp-loader: the metrics port bounds its connections

What must hold: each process stays within the descriptors of its VM, whatever callers send. bp-loader kept each of 400 connections without a request to its metrics port, 409 descriptors, and would have gone on to 1,024 and 512 threads.

Cause: the port took the default of net::HttpServer, which is meant for ports that hundreds of peers use. bp-loader had no integration test of its own for callers outside the limits.

Change: limits.status_connections, 16 by default; twice as many may wait, further ones are closed. The platform reads the metrics from one connection.

The callers of integration.server_limits move to crowd_support.py for it; no check changes.

--- a/tests/integration/server_limits.py
+++ b/tests/integration/server_limits.py
@@ -6,11 +6,10 @@
 
 import gzip
 import os
-import socket
-import threading
 import time
 import unittest
 
+from crowd_support import ORDINARY_S, Caller, peak_memory
 from support import IntegrationTest, http_call
 
 # Memory of the smallest entry VM that is in service.
@@ -23,44 +22,10 @@
 # More than the connection threads, which are twice the connections.
 SLOW_CALLERS = 3 * CONNECTIONS
 MAX_DESCRIPTORS = 200
-ORDINARY_S = 20
 LIMITS = {"limits": {"body_bytes": 1 << 20, "connections": CONNECTIONS, "request_time": 1000}}
 CHUNKED = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-class Caller(threading.Thread):
-    """Sends a beginning, then one block again and again, and keeps its connection open without reading."""
-
-    def __init__(self, address, beginning, block, total, pause_s, answered):
-        super().__init__(daemon=True)
-        self.address, self.beginning, self.block, self.total, self.pause_s = address, beginning, block, total, pause_s
-        self.answered = answered
-        self.connection = None
-        self.leaving = threading.Event()
-
-    def run(self):
-        try:
-            host, port = self.address.split(":")
-            self.connection = socket.create_connection((host, int(port)), timeout=5)
-            self.connection.sendall(self.beginning)
-            sent = 0
-            while sent < self.total and not self.leaving.is_set():
-                self.connection.sendall(self.block)
-                sent += len(self.block)
-                self.leaving.wait(self.pause_s)
-            if self.answered:
-                self.connection.settimeout(ORDINARY_S)
-                self.connection.recv(1)
-        except OSError:
-            pass  # The server refused the request, closed the connection, or reads no further.
-
-    def leave(self):
-        self.leaving.set()
-        self.join()
-        if self.connection:
-            self.connection.close()
-
-
 class ServerLimits(IntegrationTest):
     def start_node(self, port):
         self.fleet.start_platform()
@@ -107,8 +72,7 @@
         for caller in crowd:
             caller.leave()
         self.wait_ordinary(node, port)
-        with open(f"/proc/{node.process.pid}/status", encoding="utf-8") as status:
-            peak = next(int(line.split()[1]) * 1024 for line in status if line.startswith("VmHWM:"))
+        peak = peak_memory(node.process.pid)
         print(f"{self.id()}: peak {peak / 1e6:.0f} MB, {descriptors} descriptors")
         self.assertLess(peak, MEMORY_BYTES)
         self.assertLess(descriptors, MAX_DESCRIPTORS)
--- a/tools/loader/LoaderSettings.cpp
+++ b/tools/loader/LoaderSettings.cpp
@@ -48,6 +48,14 @@
       500,
       3600000,
       8000);
+  builder.integer(
+    "limits.status_connections",
+    "Connections that the metrics port serves at once. Twice as many may wait; further "
+    "ones are closed.",
+    "connections",
+    1,
+    1024,
+    16);
   addServerLimits(builder);
   return builder.build();
 }
--- a/tools/loader/main.cpp
+++ b/tools/loader/main.cpp
@@ -93,7 +93,10 @@
   {
     net::HttpServer::Builder server;
     limitServer(server);
-    mMetricsServer = server.address(mSettings.address("listen.metrics")).build();
+    mMetricsServer =
+      server.address(mSettings.address("listen.metrics"))
+        .maxConnections(static_cast<size_t>(mSettings.integer("limits.status_connections")))
+        .build();
     tools::addControlRoutes(
       *mMetricsServer,
       mMetrics,
