Servers: decompressed bodies count towards the bytes that a server holds

What must hold: each process stays within the memory of its VM. 24 callers that each sent 8 KB, compressed bodies of 8 MiB without their last byte, had bp-entry and bp-agent take 363 to 393 MB of 112 (two runs each).

Cause: limits.held_bytes counts bytes where they are read from the connection, so of a compressed body only the compressed ones. Decompressed ones were bounded for each request, not for all. Class: a bound on each of many, and none on their sum.

Change: the reader of compressed bodies charges the memory of what it has decompressed before it takes it. Over the limit the request is answered 503 with Retry-After, and its connection is closed; it has not run, since its handler is only called with a whole body. A single request of the largest size is served as before.

--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -293,6 +293,31 @@
   std::atomic<size_t> mHeld{ 0 };
 };
 
+/** What one holder has of HeldBytes; gives it back at its end. Used by one thread. */
+class HeldShare
+{
+public:
+  explicit HeldShare(HeldBytes& aTotal)
+    : mTotal(aTotal)
+  {
+  }
+  ~HeldShare() { mTotal.change(mBytes, 0); }
+  HeldShare(const HeldShare&) = delete;
+  HeldShare& operator=(const HeldShare&) = delete;
+
+  /** False, without a change, if the limit forbids it. */
+  bool set(size_t aBytes)
+  {
+    bool isAllowed = mTotal.change(mBytes, aBytes);
+    mBytes = isAllowed ? aBytes : mBytes;
+    return isAllowed;
+  }
+
+private:
+  HeldBytes& mTotal;
+  size_t mBytes = 0;
+};
+
 /**
  * The stream of one accepted connection. httplib parses what it reads byte by byte and without
  * bounds; reading fails here as soon as the request exceeds its limits.
@@ -306,13 +331,13 @@
                 base::Milliseconds aReadTimeout,
                 base::Milliseconds aWriteTimeout)
     : mSocket(aSocket)
-    , mHeld(aHeld)
+    , mShare(aHeld)
     , mReadTimeout(aReadTimeout)
     , mWriteTimeout(aWriteTimeout)
     , mFraming(aLimits)
   {
   }
-  ~BoundedStream() override { mHeld.change(mCharged, 0); }
+  ~BoundedStream() override = default;
   BoundedStream(const BoundedStream&) = delete;
   BoundedStream& operator=(const BoundedStream&) = delete;
 
@@ -320,7 +345,7 @@
   bool waitForRequest(base::Milliseconds aTimeout)
   {
     mFraming.begin();
-    mHeld.change(std::exchange(mCharged, 0), 0);
+    mShare.set(0);
     return mBegin < mEnd || waitFor(POLLIN, aTimeout);
   }
 
@@ -340,7 +365,7 @@
     std::copy_n(mBuffer.data() + mBegin, size, aTarget);
     mBegin += size;
     mFault = mFraming.consume({ aTarget, size }, std::chrono::steady_clock::now());
-    if (!mFault && !charge()) {
+    if (!mFault && !mShare.set(mFraming.heldBytes())) {
       mFault = RequestFault::Memory;
     }
     return mFault ? -1 : static_cast<ssize_t>(size);
@@ -430,16 +455,8 @@
     return received > 0;
   }
 
-  bool charge()
-  {
-    size_t held = mFraming.heldBytes();
-    bool isAllowed = mHeld.change(mCharged, held);
-    mCharged = isAllowed ? held : mCharged;
-    return isAllowed;
-  }
-
   const int mSocket;
-  HeldBytes& mHeld;
+  HeldShare mShare;
   const base::Milliseconds mReadTimeout;
   const base::Milliseconds mWriteTimeout;
   RequestFraming mFraming;
@@ -447,7 +464,6 @@
   std::array<char, 4096> mBuffer{};
   size_t mBegin = 0;
   size_t mEnd = 0;
-  size_t mCharged = 0;
   bool mIsClosed = false;
 };
 
@@ -464,6 +480,13 @@
   }
 
   void raiseBacklog() { ::listen(svr_sock_, SOMAXCONN); }
+  HeldBytes& held() { return mHeld; }
+  void report(RequestFault aFault, const Address& aPeer) const
+  {
+    if (mOnFault) {
+      mOnFault(aFault, aPeer);
+    }
+  }
 
 private:
   // NOLINTNEXTLINE(readability-identifier-naming)
@@ -486,7 +509,7 @@
                          timeout(read_timeout_sec_, read_timeout_usec_),
                          timeout(write_timeout_sec_, write_timeout_usec_));
     if (tIsRefusing) {
-      report(RequestFault::Connections, stream);
+      report(RequestFault::Connections, stream.peer());
       return false;
     }
     bool isServed = false;
@@ -499,7 +522,7 @@
       bool isToldToClose = false;
       isServed = process_request(stream, left == 1, isToldToClose, nullptr);
       if (stream.fault()) {
-        report(*stream.fault(), stream);
+        report(*stream.fault(), stream.peer());
       }
       // Unread bytes of a request must not be taken for the next one.
       isClosing = !isServed || isToldToClose || stream.fault() || !stream.isAtRequestEnd();
@@ -507,13 +530,6 @@
     return isServed;
   }
 
-  void report(RequestFault aFault, const BoundedStream& aStream) const
-  {
-    if (mOnFault) {
-      mOnFault(aFault, aStream.peer());
-    }
-  }
-
   const RequestLimits mLimits;
   HeldBytes mHeld;
   const FaultListener mOnFault;
@@ -689,8 +705,9 @@
   size_t activeRequests() const override { return mActiveRequests; }
 
 private:
-  /** httplib bounds only the compressed size of a compressed body, so its decompressed bytes are
-   * counted here. Handlers that read a body in pieces are chosen by path alone. */
+  /** httplib and BoundedStream bound only the compressed size of a compressed body, so its
+   * decompressed bytes are counted here. Handlers that read a body in pieces are chosen by path
+   * alone. */
   void boundCompressedBodies(const httplib::Server::Handler& aHandle)
   {
     mServer.set_pre_routing_handler(
@@ -715,15 +732,29 @@
         aResponse.status = 400;
         return;
       }
+      HeldShare share(mServer.held());
       bool isTooLarge = false;
+      bool isRefused = false;
       bool isRead = aReader([&](const char* aBytes, size_t aSize) {
-        isTooLarge = request.body.size() + aSize > mMaxBodyBytes;
-        if (!isTooLarge) {
+        size_t size = request.body.size() + aSize;
+        isTooLarge = size > mMaxBodyBytes;
+        if (!isTooLarge && size > request.body.capacity()) {
+          // A string that grows by itself may take twice its size.
+          size_t capacity = std::clamp(2 * request.body.capacity(), size, mMaxBodyBytes);
+          isRefused = !share.set(capacity);
+          if (!isRefused) {
+            request.body.reserve(capacity);
+          }
+        }
+        if (!isTooLarge && !isRefused) {
           request.body.append(aBytes, aSize);
         }
-        return !isTooLarge;
+        return !isTooLarge && !isRefused;
       });
-      if (isRead) {
+      if (isRefused) {
+        mServer.report(RequestFault::Memory, { request.remote_addr, request.remote_port });
+        writeResponse(aResponse, overloaded(), nullptr);
+      } else if (isRead) {
         aHandle(request, aResponse);
       } else if (isTooLarge) {
         aResponse.status = 413;
--- a/tests/integration/server_limits.py
+++ b/tests/integration/server_limits.py
@@ -8,6 +8,7 @@
 import os
 import time
 import unittest
+import zlib
 
 from crowd_support import ORDINARY_S, Caller, peak_memory
 from support import IntegrationTest, http_call
@@ -23,17 +24,21 @@
 SLOW_CALLERS = 3 * CONNECTIONS
 MAX_DESCRIPTORS = 200
 LIMITS = {"limits": {"body_bytes": 1 << 20, "connections": CONNECTIONS, "request_time": 1000}}
+# Bodies that are each within their limit, and of which the callers together send twice that memory.
+LARGE_BODY_BYTES = 8 << 20
+LARGE_BODY_CALLERS = 24
+LARGE_BODY_LIMITS = {"limits": {**LIMITS["limits"], "body_bytes": LARGE_BODY_BYTES, "request_time": 5000, "memory": 112}}
 CHUNKED = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 class ServerLimits(IntegrationTest):
-    def start_node(self, port):
+    def start_node(self, port, limits):
         self.fleet.start_platform()
         if port in ("public", "control"):
-            node = self.fleet.add_entry("atl", ini=LIMITS)
+            node = self.fleet.add_entry("atl", ini=limits)
         else:
             engine = self.fleet.add_engine("atl-1", "atl")
-            node = self.fleet.add_agent("atl", engine, "atl-1", ini=LIMITS)
+            node = self.fleet.add_agent("atl", engine, "atl-1", ini=limits)
         self.fleet.wait_live()
         return node
 
@@ -52,11 +57,11 @@
         self.fail(f"no ordinary request was answered: {last}")
 
     def play(self, port, beginning, block, callers=FEW_CALLERS, total=ENDLESS_BYTES, pause_s=0,
-             answered=False):
+             answered=False, limits=None):
         """Has callers send this together, and checks the process during and after it.
         pause_s: callers pause for so long between two blocks; an ordinary request must be answered meanwhile.
         answered: each caller waits for its answer."""
-        node = self.start_node(port)
+        node = self.start_node(port, limits or LIMITS)
         self.wait_ordinary(node, port)
         crowd = [Caller(node.address(port), beginning, block, total, pause_s, answered) for _ in range(callers)]
         for caller in crowd:
@@ -111,6 +116,22 @@
         head = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Encoding: gzip\r\nContent-Length: %d\r\n\r\n" % len(body)
         self.play("public", head, body, callers=2, total=1, answered=True)
 
+    def play_compressed(self, port):
+        compressor = zlib.compressobj(wbits=31)
+        body = compressor.compress(bytes(LARGE_BODY_BYTES - 1)) + compressor.flush(zlib.Z_SYNC_FLUSH)
+        head = (b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Encoding: gzip\r\nContent-Length: %d\r\n\r\n"
+                % (len(body) + 1))
+        self.play(port, head, body, callers=LARGE_BODY_CALLERS, total=1, answered=True, limits=LARGE_BODY_LIMITS)
+
+    def test_compressed_bodies_that_never_end(self):
+        """Guards against compressed bodies that are each within the limit and together exceed the VM's memory once they
+        are decompressed."""
+        self.play_compressed("public")
+
+    def test_compressed_bodies_that_never_end_at_the_agent(self):
+        """Guards against the same at the port for entries."""
+        self.play_compressed("data")
+
     def test_chunked_body_without_end_at_the_agent(self):
         """Guards against chunked bodies that are bounded by no limit at the port for entries."""
         self.play("data", CHUNKED, b"%x\r\n%s\r\n" % (BLOCK, b"b" * BLOCK))
