Soak: endpoints of routers that fall silent and go on, beside continuations that fail

Why the incident was missed: no soak had an endpoint that writes nothing for a while and then goes on, and none refused a continuation; the other soaks cut streams or hold connections for ever.

--- a/tests/soak/routers.py
+++ b/tests/soak/routers.py
@@ -1,10 +1,11 @@
 """Runs several bp-router as real processes under planned work in series, beside endpoints that answer before they have
 read long bodies, reject, and close, and checks that no accepted request is lost.
 
-Usage: routers.py [--seeds 1-3] [--seconds 10] [--routers 4] [--callers 6] [--pauses S] [--bin DIR]
+Usage: routers.py [--seeds 1-3] [--seconds 10] [--routers 4] [--callers 6] [--pauses S] [--silences S] [--bin DIR]
 
 Planned work are restarts, reloads, configurations, and endpoints that leave and join; it overlaps. With --pauses the routers
-also get no processor time now and then, for up to S seconds, as on a busy machine. Callers keep their connections until the
+also get no processor time now and then, for up to S seconds, as on a busy machine. With --silences endpoints also write nothing
+for up to S seconds and then go on with their streams, and half of the requests to continue a stream elsewhere fail. Callers keep their connections until the
 router closes them. Prints what was broken of each seed, and exits with 1 if anything was.
 """
 
@@ -15,7 +16,9 @@
 import os
 import pathlib
 import random
+import select
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -43,6 +46,9 @@
 CROSSING_S = 0.2
 # Between two steps of planned work; several may be under way.
 STEP_S = 0.4
+# Silence for longer than this has a stream continued elsewhere (four times target_gap_ms). An endpoint falls silent once
+# in the time of a request, so that no stream is silent twice.
+GAP_TIMEOUT_S = 1.2
 # Some callers wait before their next request, up to so long; their connections are idle meanwhile.
 IDLE_S = 0.6
 
@@ -80,10 +86,11 @@
 
 
 class Endpoint:
-    def __init__(self, ledger, seed):
+    def __init__(self, ledger, seed, refuses_continuations=False):
         rng = random.Random(seed)
         endpoint = self
         self.leaving = False
+        self.silent_until = 0
 
         class EndpointHandler(Handler):
             def do_POST(self):
@@ -99,6 +106,11 @@
                 except OSError:
                     self.close_connection = True
 
+            def is_closed(self):
+                """Unread bytes of a body may precede the end of the connection; then it shows when something is written."""
+                is_readable = select.select([self.connection], [], [], 0)[0]
+                return is_readable and not self.connection.recv(1, socket.MSG_PEEK)
+
             def body_length(self):
                 return int(self.headers["Content-Length"])
 
@@ -106,6 +118,8 @@
                 headers = [("X-Attempt-Id", attempt)]
                 if endpoint.leaving:
                     headers += [("Server-Leaving", "1"), ("Connection", "close")]
+                if refuses_continuations and self.headers["Last-Event-Id"]:
+                    way = rng.choice(["whole"] * 4 + ["reject", "fail", "close", "cut"])
                 if way == "early":
                     way = rng.choice(["whole", "whole", "reject", "close", "cut"])
                 if way == "reject":
@@ -114,6 +128,8 @@
                 ledger.begin(attempt)
                 if way == "close":
                     self.close_connection = True
+                elif way == "fail":
+                    self.answer(b"failed", [*headers, ("X-Upstream-Signature", "s")], rng.choice([500, 503, 504]))
                 elif way == "cut":
                     self.wfile.write(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 9\r\n\r\nearly"
                                      % attempt.encode())
@@ -135,6 +151,11 @@
                 self.end_headers()
                 for number in range(first, 9):
                     time.sleep(rng.uniform(0, 0.1))
+                    while time.monotonic() < endpoint.silent_until:
+                        ledger.work(attempt)
+                        time.sleep(0.02)
+                        if self.is_closed():
+                            raise ConnectionError("closed by the router")
                     ledger.work(attempt)
                     event = b"id: %d\ndata: token\n\n" % number
                     self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
@@ -289,7 +310,7 @@
         self.rng = random.Random(seed)
         self.store, self.ledger, self.version, self.endpoint_count = RestorableStore(), Ledger(), 1, 0
         self.store.set("op", "config", configuration(1))
-        self.pauses = options.pauses
+        self.pauses, self.silences = options.pauses, options.silences
         self.endpoints = {}
         for _ in range(5):
             self.join_endpoint()
@@ -305,7 +326,7 @@
     def join_endpoint(self):
         self.endpoint_count += 1
         name = f"i-{self.endpoint_count}"
-        self.endpoints[name] = Endpoint(self.ledger, self.rng.random())
+        self.endpoints[name] = Endpoint(self.ledger, self.rng.random(), self.silences > 0)
         self.row(name, "healthy")
 
     def replace_endpoint(self):
@@ -316,6 +337,13 @@
         time.sleep(2)
         self.store.set("servers", name, None)
 
+    def silence_endpoint(self, seconds):
+        """Has an endpoint write no events for a while."""
+        now = time.monotonic()
+        endpoint = self.rng.choice(list(self.endpoints.values()))
+        if now > endpoint.silent_until + TIMEOUT_S:
+            endpoint.silent_until = now + seconds
+
     def configure(self):
         self.version += self.rng.randint(1, 3)
         self.store.set("op", "config", configuration(self.version))
@@ -331,6 +359,9 @@
                              self.configure, self.replace_endpoint]
             if self.pauses > 0:
                 steps_of_work += 2 * [functools.partial(self.rng.choice(self.routers).pause, self.rng.uniform(0, self.pauses))]
+            if self.silences > 0:
+                seconds = self.rng.uniform(GAP_TIMEOUT_S, self.silences)
+                steps_of_work += 2 * [functools.partial(self.silence_endpoint, seconds)]
             step = self.rng.choice(steps_of_work)
             steps.append(threading.Thread(target=step))
             steps[-1].start()
@@ -376,6 +407,7 @@
     parser.add_argument("--routers", type=int, default=4)
     parser.add_argument("--callers", type=int, default=6, help="for each router")
     parser.add_argument("--pauses", type=float, default=0, metavar="S", help="longest pause of a router, in seconds")
+    parser.add_argument("--silences", type=float, default=0, metavar="S", help="longest silence of an endpoint, in seconds")
     parser.add_argument("--bin")
     options = parser.parse_args()
     if options.bin:
