Hedges: a retry that is due is not a hedge any more

Since a silent endpoint is kept until another one delivers, a retry needs no hedge to keep the first copy going. The case was decided in two places, and spent the budget of hedges as well as that of retries.

HedgeCandidate::isRetryDue goes. Its check in serving.HedgePolicyTest (a retry may take the last attempt) moves to serving.AnswerSourcesTest/whatCountsAsAnAttempt, which is stricter: it also counts sends that are kept. relay.HedgedRequestTest, with the case of the retry that fails while the first copy goes on, is unchanged and passes.

--- a/libs/serving/include/serving/HedgePolicy.h
+++ b/libs/serving/include/serving/HedgePolicy.h
@@ -51,9 +51,8 @@
   bool hasBegun = false; ///< The answer to the first copy has begun.
   bool hasCallerLeft = false;
   bool isSuspected = false;
-  bool isRetryDue = false; ///< The first copy is so late that a retry would be sent now.
-  int possibleRuns = 1;    ///< Copies that may have run, the running one included.
-  int maxAttempts = 1;     ///< Copies that may run.
+  int possibleRuns = 1; ///< Copies that may have run, the running one included.
+  int maxAttempts = 1;  ///< Copies that may run.
   base::Duration timeLeft{ 0 };
 };
 
--- a/libs/serving/src/HedgePolicy.cpp
+++ b/libs/serving/src/HedgePolicy.cpp
@@ -206,9 +206,8 @@
   if (aCandidate.timeLeft < kMinTimeLeft) {
     return HedgeObstacle::NoTime;
   }
-  // The last attempt is the retry's. It is sent as a hedge only when the retry is due anyway.
-  int reserved = aCandidate.isRetryDue ? 0 : 1;
-  if (aCandidate.possibleRuns + 1 + reserved > aCandidate.maxAttempts) {
+  // The last attempt is left for a retry.
+  if (aCandidate.possibleRuns + 2 > aCandidate.maxAttempts) {
     return HedgeObstacle::LastAttempt;
   }
   Measured& measured = measuredOf(aCandidate.route);
