--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,87 +1,98 @@
-"""Clients whose Connection header names many headers, in a head of many short lines.
+"""A model worker in trouble: to the question for its report it sends bytes that are no answer, in the head of an answer.
 
-Each head stays inside max_header_bytes. Checks that ordinary callers and the platform's question for readiness still
-get answers."""
+Checks that bp-loader, which asks for the report, does not end by itself."""
 
+import json
 import pathlib
-import subprocess
+import signal
+import socket
 import sys
+import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "kit-2"))
 import fleet as kit
 
-CHANNELS = 200
-CROWD_S = 30
-BUDGET_MS = 2000  # X-Deadline-Ms of ordinary callers
-CONFIG = {
-    "version": 1,
-    "route_list": [{"name": "look", "host": "a.example", "path_prefix": "/x/", "route_type": "idempotent",
-                    "timeout_ms": 2000, "target_latency_ms": 200, "max_attempts": 2, "priority": 1, "public": True,
-                    "backend": "s"}],
-    "backends": [{"name": "s"}],
-    "limits": kit.LIMITS,
-}
+PLAY_S = 20
+RESTART_S = 0.5  # "a short delay" after which the platform starts a process again
+LINE = 62000  # bytes of a line; the caller closes after 64 KiB at the latest
+REPORT = {"phase": "mixed", "model_list": [{"name": "m0", "version": 1, "lora_list": []}], "busy": False, "sequence": 0,
+          "queued": 0, "active": 0, "kv_usage": 0, "kv_size": 90000, "kv_handles": 0, "pace": 1,
+          "layers": [{"source": 0, "target": 16, "version": 1}], "born": 1000000000000}
 
 
-def crowd_head():
-    beginning = b"GET /none/ HTTP/1.1\r\nHost: a.example\r\n"
-    left = kit.LIMITS["max_header_bytes"] - len(beginning) - 16
-    # Half of the bytes in names of the Connection header, half in lines of four bytes.
-    names = left // 4
-    lines = left // 8
-    if kit.TROUBLE:
-        return beginning + b"Connection: keep-alive" + b",a" * (names - 16) + b"\r\n" + b"b:\r\n" * lines + b"\r\n"
-    # Without the disruption: the same number of clients and bytes, in two lines that name no headers.
-    return beginning + b"Connection: keep-alive\r\nX-A: " + b"a" * (2 * names - 48) + b"\r\nX-B: " + \
-        b"b" * (4 * lines - 8) + b"\r\n\r\n"
+class Worker:
+    """Answers GET /boragepitch/report; other calls get 404. In trouble it sends a head without end."""
 
+    def __init__(self, record, host):
+        self.record, self.is_in_trouble, self.reports = record, False, 0
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind((host, kit.free_ports(host)))
+        self.listener.listen(64)
+        self.address = "%s:%d" % self.listener.getsockname()
+        threading.Thread(target=self.accept, daemon=True).start()
 
-def ordinary(record, address, number):
-    attempt = f"ordinary-{number}"
-    answer = kit.ask(address, (f"GET /x/a HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {attempt}\r\n"
-                               f"X-Deadline-Ms: {BUDGET_MS}\r\nConnection: close\r\n\r\n").encode(), BUDGET_MS / 1000)
-    record.write(f"{attempt}: {answer if isinstance(answer, str) else answer[0]}")
-    return not isinstance(answer, str) and answer[0] == 200
+    def accept(self):
+        while True:
+            channel, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(channel,), daemon=True).start()
+
+    def serve(self, channel):
+        data = b""
+        try:
+            while True:
+                while b"\r\n\r\n" not in data:
+                    piece = channel.recv(65536)
+                    if not piece:
+                        return
+                    data += piece
+                head, _, data = data.partition(b"\r\n\r\n")
+                target = head.split(b" ")[1].decode()
+                if self.is_in_trouble:
+                    self.record.write(f"worker: asked for {target}, sends bytes that are no answer until the caller closes")
+                    sent = channel.send(b"HTTP/1.1 200 ")
+                    while True:
+                        channel.sendall(b"x" * LINE + b"\r\n")
+                        sent += LINE + 2
+                is_report = target.startswith("/boragepitch/report")
+                body = json.dumps(REPORT).encode() if is_report else b"{}"
+                self.reports += is_report
+                channel.sendall(b"HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+                                % (b"200 OK" if is_report else b"404 Not Found", len(body)) + body)
+        except OSError:
+            pass  # The caller has closed.
+        finally:
+            channel.close()
 
 
 def body(record, fleet, store):
-    zones = {"fraser-a": "fraser"}
-    server = kit.PlainServer(record, "i-1", "127.0.0.3")
-    store.set("op", "config", CONFIG)
-    store.set("servers", "i-1", kit.server_row("s", server.address, "fraser-a", 16))
-    edge = fleet.fields("edge-1", "edge", "127.0.0.10", zones, "fraser-a", 260, 4200)
-    router = fleet.start("router", edge)
-    fleet.wait_ready(edge)
-    time.sleep(1)
-    if not ordinary(record, edge["listen"]["frontend"], 0):
-        raise kit.CannotRun("the ordinary request before the disruption was not served")
-    head = crowd_head()
-    crowd = subprocess.Popen([sys.executable, "-B", str(HERE / "crowd.py"), edge["listen"]["frontend"], str(CHANNELS),
-                              str(CROWD_S)], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=False)
-    fleet.processes.append(crowd)
-    crowd.stdin.write(head)
-    crowd.stdin.close()
-    record.write(f"{CHANNELS} clients begin to send requests with a head of {len(head)} bytes")
-    time.sleep(3)
-    served = []
-    ready = []
-    until = time.monotonic() + CROWD_S - 8
+    worker = Worker(record, "127.0.0.30")
+    side = fleet.fields("side-1", "side", "127.0.0.30", {"fraser-a": "fraser"}, "fraser-a", 128, 2048,
+                        app=worker.address, backend="drafter")
+    loader = fleet.start("loader", side)
+    until = time.monotonic() + 5
+    while worker.reports < 3 and time.monotonic() < until:
+        time.sleep(0.1)
+    if worker.reports < 3 or loader.poll() is not None:
+        raise kit.CannotRun("bp-loader does not ask the worker for its report: " + fleet.log_of("side-1"))
+    record.write(f"bp-loader has read {worker.reports} reports")
+    worker.is_in_trouble = kit.TROUBLE
+    ends = 0
+    until = time.monotonic() + PLAY_S
     while time.monotonic() < until:
-        began = time.monotonic()
-        ready.append(kit.is_ready(edge["listen"]["readiness"], 1) is True)
-        record.write("readiness: " + ("200" if ready[-1] else "no answer in 1 s"))
-        served.append(ordinary(record, edge["listen"]["frontend"], len(served) + 1))
-        time.sleep(max(0, began + 1 - time.monotonic()))
-    record.write(crowd.stdout.read().decode().strip())
-    crowd.wait()
-    record.write(f"{sum(served)} of {len(served)} ordinary requests served, {sum(ready)} of {len(ready)} questions for "
-                 "readiness answered with 200")
-    if router.poll() is not None:
-        record.write(f"bp-router ended by itself with {router.returncode}")
-        return False
-    return any(served)
+        time.sleep(0.1)
+        if loader.poll() is not None:
+            ends += 1
+            how = signal.Signals(-loader.returncode).name if loader.returncode < 0 else str(loader.returncode)
+            record.write(f"bp-loader ended by itself: {how}")
+            if ends == 3:
+                break
+            time.sleep(RESTART_S)
+            loader = fleet.start("loader", side)
+    record.write(f"bp-loader ended by itself {ends} times; the worker answered {worker.reports} reports")
+    return ends == 0
 
 
 if __name__ == "__main__":
