--- a/review/kit-2/fleet.py
+++ b/review/kit-2/fleet.py
@@ -8,11 +8,14 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shlex
+import signal
 import socket
 import socketserver
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -54,29 +57,30 @@
             print(line, flush=True)
 
 
-_ports = {}
+_reserved = []  # Held until this process ends, so that scripts that run at the same time take no port twice.
 
 
 def free_ports(host, count=1):
-    """The first of `count` ports in a row at the address that nothing uses."""
-    port = _ports.get(host, 21000 + os.getpid() % 4000)
-    while True:
-        probes = []
+    """The first of `count` ports in a row at the address that nothing uses, below those that the system assigns."""
+    for _ in range(1000):
+        port = random.SystemRandom().randrange(10000, 32000 - count)
+        probes, guards = [], []
         try:
             for offset in range(count):
+                guards.append(socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM))
+                guards[-1].bind(f"\0boragepitch-review-{host}-{port + offset}")
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                    probe = socket.socket(socket.AF_INET, kind)
-                    probes.append(probe)
-                    probe.bind((host, port + offset))
-            _ports[host] = port + count
+                    probes.append(socket.socket(socket.AF_INET, kind))
+                    probes[-1].bind((host, port + offset))
+            _reserved.extend(guards)
             return port
         except OSError:
-            port += 1
-            if port > 32000:
-                raise CannotRun("no free port at " + host) from None
+            for guard in guards:
+                guard.close()
         finally:
             for probe in probes:
                 probe.close()
+    raise CannotRun("no free port at " + host)
 
 
 def lookup(fields, name):
@@ -227,6 +231,8 @@
         self.record, self.store = record, store
         self.folder = tempfile.TemporaryDirectory()
         self.processes = []
+        self.lock = threading.Lock()
+        self.is_closed = False
         with open(ROOT / "deploy" / "system.toml", "rb") as file:
             self.roles = tomllib.load(file)["roles"]
 
@@ -250,11 +256,14 @@
         command = shlex.split(role["run"])
         if not (ROOT / command[0]).is_file():
             raise CannotRun(command[0] + " has not been built")
-        log = open(pathlib.Path(self.folder.name) / (fields["node_name"] + ".log"), "ab")
-        process = subprocess.Popen([str(ROOT / command[0]), *command[1:]], cwd=ROOT, stdout=log, stderr=log,
-                                   env={"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
-                                        "BORAGEPITCH_BOOT": str(path)})
-        self.processes.append(process)
+        with self.lock:
+            if self.is_closed:
+                raise CannotRun("the case has ended")
+            log = open(pathlib.Path(self.folder.name) / (fields["node_name"] + ".log"), "ab")
+            process = subprocess.Popen([str(ROOT / command[0]), *command[1:]], cwd=ROOT, stdout=log, stderr=log,
+                                       env={"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", "/"),
+                                            "BORAGEPITCH_BOOT": str(path)})
+            self.processes.append(process)
         self.record.write(f"{fields['node_name']} started, process {process.pid}")
         return process
 
@@ -271,6 +280,8 @@
         raise CannotRun(fields["node_name"] + " did not get ready: " + self.log_of(fields["node_name"])[-2000:])
 
     def close(self):
+        with self.lock:
+            self.is_closed = True  # A thread of the case may be about to start a process again.
         for process in self.processes:
             if process.poll() is None:
                 process.kill()
@@ -391,10 +402,14 @@
     store = Store()
     fleet = Fleet(record, store)
     code = 2
+    # Ends what was started also when the script itself is terminated.
+    signal.signal(signal.SIGTERM, lambda *arguments: sys.exit("terminated"))
     try:
         code = 0 if body(record, fleet, store) else 1
-    except CannotRun as error:
+    except (CannotRun, SystemExit) as error:
         record.write(f"could not run: {error}")
+    except Exception as error:  # A fault of the script judges nothing.
+        record.write(f"could not run: {type(error).__name__}: {error}")
     finally:
         fleet.close()
         record.write({0: "the rule held", 1: "the rule was broken", 2: "not judged"}[code])
