Net: long status lines do not end the caller's process

Cause: httplib matches a status line against a regular expression, whose matcher recurses for each byte of the reason phrase. On a reason of 4,000 bytes ends a process that calls net::HttpClient on a stack of 512 KiB; with the usual 8 MiB, 30,000 bytes do.

Change: BoundedClient takes the reason phrase, which has no meaning in HTTP, out of status lines before httplib reads them. A limit on the line would depend on the build and on the thread's stack, and would refuse answers that are accepted now. This covers all calls of net::HttpClient: engine, origin, loaders, store, RPC, command line; interim answers, too.

--- a/libs/net/src/BoundedClient.cpp
+++ b/libs/net/src/BoundedClient.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <span>
+#include <string_view>
 
 #include <arpa/inet.h>
 #include <poll.h>
@@ -46,6 +48,46 @@
   }
 }
 
+/** Takes the reason phrase out of status lines; it has no meaning in HTTP. */
+class ReasonPhraseFilter
+{
+public:
+  /** Filters bytes of a head in place, in pieces of any size. Returns how many remain. */
+  size_t filter(std::span<char> aBytes)
+  {
+    size_t kept = 0;
+    for (char byte : aBytes) {
+      if (!isReason(byte)) {
+        aBytes[kept++] = byte;
+      }
+    }
+    return kept;
+  }
+
+private:
+  static constexpr std::string_view kLineStart = "HTTP/";
+  /** Position in a status line at which the reason phrase starts. */
+  static constexpr size_t kReasonPosition = std::string_view("HTTP/1.1 200 ").size();
+
+  /** Whether the next byte belongs to a reason phrase. */
+  bool isReason(char aByte)
+  {
+    if (aByte == '\n') {
+      mPosition = 0;
+      mIsStatusLine = true;
+      return false;
+    }
+    size_t position = mPosition++;
+    if (position < kLineStart.size()) {
+      mIsStatusLine = mIsStatusLine && aByte == kLineStart[position];
+    }
+    return mIsStatusLine && position >= kReasonPosition && aByte != '\r';
+  }
+
+  size_t mPosition = 0;      ///< In the line.
+  bool mIsStatusLine = true; ///< As far as the line has been read.
+};
+
 class BoundedStream final : public httplib::Stream
 {
 public:
@@ -68,12 +110,19 @@
 
   ssize_t read(char* aData, size_t aSize) override
   {
-    if (mConsumedBytes == mBufferedBytes && !refill()) {
-      return mFailureResult;
+    size_t count = 0;
+    while (count == 0 && aSize > 0) {
+      if (mConsumedBytes == mBufferedBytes && !refill()) {
+        return mFailureResult;
+      }
+      count = std::min(aSize, mBufferedBytes - mConsumedBytes);
+      std::memcpy(aData, mBuffer.data() + mConsumedBytes, count);
+      mConsumedBytes += count;
+      if (!mCallState.hasHead) {
+        // httplib reads heads byte by byte, so that no byte of the body is filtered.
+        count = mReasonFilter.filter({ aData, count });
+      }
     }
-    size_t count = std::min(aSize, mBufferedBytes - mConsumedBytes);
-    std::memcpy(aData, mBuffer.data() + mConsumedBytes, count);
-    mConsumedBytes += count;
     return static_cast<ssize_t>(count);
   }
 
@@ -152,6 +201,7 @@
   const base::Milliseconds mReadTimeout;
   const base::Milliseconds mWriteTimeout;
   CallState& mCallState;
+  ReasonPhraseFilter mReasonFilter;
   std::array<char, kReadBufferBytes> mBuffer{};
   size_t mConsumedBytes = 0;
   size_t mBufferedBytes = 0;
--- a/libs/net/src/BoundedClient.h
+++ b/libs/net/src/BoundedClient.h
@@ -15,13 +15,15 @@
   std::optional<base::TimePoint> deadline;
   uint64_t bytesDue = 0;  ///< Body bytes with which a limit of progress moves the deadline.
   uint64_t bodyBytes = 0; ///< Body bytes passed to the caller so far.
+  bool hasHead = false;   ///< The final head has been parsed; the body follows.
   bool hasTimedOut = false;
   bool hasExcessOverhead = false; ///< Head and chunk framing exceed their limit.
 };
 
 /**
  * httplib client with a time limit for whole calls and a limit on head and chunk framing. httplib
- * by itself reads heads and chunk lines for as long as bytes arrive.
+ * by itself reads heads and chunk lines for as long as bytes arrive. Reason phrases do not reach
+ * httplib: it matches a status line by recursion, and a long one exceeds the stack.
  */
 class BoundedClient final : public httplib::ClientImpl
 {
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -171,6 +171,7 @@
   ClientResponse head;
   bool hasInvalidStatus = false;
   request.response_handler = [&](const httplib::Response& aResponse) {
+    callState.hasHead = true;
     hasInvalidStatus = !isFinalStatus(aResponse.status);
     if (hasInvalidStatus) {
       return false;
