Relay: log lines tell which requests were not written to the end

A request that its exchange ended before it had been written was logged with write_ms=0, as a rounded -1 ns, like one that was written at once. docs/OPERATIONS.md promised -1. The field is "-" now.

--- a/libs/relay/src/Call.h
+++ b/libs/relay/src/Call.h
@@ -31,9 +31,10 @@
   serving::EndpointPtr endpoint;
   serving::Occupancy occupancy;
   base::TimePoint sentAt;
-  int load = 0;                   ///< Known requests at the endpoint at the send.
-  base::Duration listAge{ -1 };   ///< Age of the endpoint list at the send; -1 if unknown.
-  base::Duration writeTime{ -1 }; ///< From the send until all its bytes were written.
+  int load = 0;                 ///< Known requests at the endpoint at the send.
+  base::Duration listAge{ -1 }; ///< Age of the endpoint list at the send; -1 if unknown.
+  /** From the send until all its bytes were written. */
+  std::optional<base::Duration> writeTime;
   bool wasLapsed = false;         ///< The endpoint was lapsed at the send.
   uint64_t believedVersion = 0;   ///< Weights that the endpoint was believed to hold at the send.
   base::Duration reportAge{ -1 }; ///< Age of the endpoint's load report; -1 without a report.
