Relay: a reset during the upload does not complete an answer

Seen: an endpoint answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection. The caller gets the part as a complete answer (MIXED).

Cause: a failed write of the upload takes the error of the socket, and the next read returns 0 like an orderly end. The exchange decided at that read alone, and its handler may run before the one of the failed write. In the log 18 of 18 such answers ended before their request was written (outcome=served write_ms=-).

Change: at the end of the input of an answer without a length the exchange waits for the result of its own write. A failed write cuts the answer short; it is then resumed, repeated or answered 502 like any other that breaks off. Without a result after 200 ms the endpoint has ended its output alone and does not read on, so the answer is complete. This covers hedges, standbys and resumed streams, which use the same exchange.

--- a/libs/relay/src/Call.cpp
+++ b/libs/relay/src/Call.cpp
@@ -802,7 +802,7 @@
 {
   mOverdueSince = mOverdueSince.value_or(aNow);
   // Bytes that were just read may have left the socket empty while their handler is still queued.
-  bool isArriving = aHasRead || mSend.exchange->hasUnreadBytes();
+  bool isArriving = aHasRead || mSend.exchange->isAnswerArriving();
   return isArriving && aNow - *mOverdueSince < base::Duration(kLastReadTime);
 }
 
@@ -871,9 +871,9 @@
 
 void Call::askAnotherIfSilent(base::TimePoint aNow)
 {
-  bool isArriving = mSend.exchange->isPaused() || mSend.exchange->hasUnreadBytes() ||
+  bool isArriving = mSend.exchange->isPaused() || mSend.exchange->isAnswerArriving() ||
                     std::ranges::any_of(mStandbys, [](const auto& aStandby) {
-                      return aStandby->send.exchange->hasUnreadBytes();
+                      return aStandby->send.exchange->isAnswerArriving();
                     });
   if (isArriving || !mSources.areAllSilent(aNow)) {
     return;
@@ -990,7 +990,7 @@
   candidate.route = mRouted.route->name;
   candidate.service = mRouted.service->name;
   candidate.mayRepeat = mRouted.route->mayRepeat();
-  candidate.hasBegun = mSendHadEvent || (mHead && !mIsStream) || mSend.exchange->hasUnreadBytes();
+  candidate.hasBegun = mSendHadEvent || (mHead && !mIsStream) || mSend.exchange->isAnswerArriving();
   candidate.hasCallerLeft = mDone;
   candidate.isSuspected = mCore.suspects.isSuspected(mFingerprint, aNow) ||
                           mCore.quarantine.hasCrashed(mFacts.sharedParts) || isQuarantined(aNow);
--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -29,6 +29,10 @@
  * endpoint closes the connection. */
 constexpr base::Milliseconds kKeepAliveMargin = 1000ms;
 constexpr size_t kMaxIdlePerEndpoint = 24;
+/** Wait for the result of the write after the end of the input. An endpoint that is gone answers
+ * the bytes that it is still sent with a reset, within a round trip. Not above kLastReadTime of
+ * Call, so that an answer which ends before its deadline is delivered. */
+constexpr base::Milliseconds kWriteResultTimeout = 200ms;
 
 HeaderLines linesOf(const http::fields& aFields)
 {
@@ -237,27 +241,33 @@
 void Exchange::send()
 {
   startParser();
-  asio::async_write(
-    mConnection->socket,
-    std::array<asio::const_buffer, 2>{ asio::buffer(mHead), asio::buffer(*mBody) },
-    [self = shared_from_this(), connection = mConnection](ErrorCode aError, size_t) {
-      self->mBody.reset();
-      if (self->mState != State::Exchanging) {
-        return;
-      }
-      if (aError) {
-        // An answer may have arrived before the write failed: the outstanding read determines the
-        // result.
-        return;
-      }
-      self->mSent = true;
-      if (auto handler = self->mHandler.lock()) {
-        handler->onSent();
-      }
-    });
+  asio::async_write(mConnection->socket,
+                    std::array<asio::const_buffer, 2>{ asio::buffer(mHead), asio::buffer(*mBody) },
+                    [self = shared_from_this(), connection = mConnection](
+                      ErrorCode aError, size_t) { self->onWritten(aError); });
   read();
 }
 
+void Exchange::onWritten(ErrorCode aError)
+{
+  mBody.reset();
+  if (mState != State::Exchanging) {
+    return;
+  }
+  if (aError) {
+    // An answer may have arrived before the write failed: the read determines the result.
+    mHasWriteFailed = true;
+  } else {
+    mSent = true;
+    if (auto handler = mHandler.lock()) {
+      handler->onSent();
+    }
+  }
+  if (mHasInputEnded) {
+    finishByWrite();
+  }
+}
+
 void Exchange::startParser()
 {
   mParser.emplace();
@@ -275,7 +285,7 @@
 
 void Exchange::read()
 {
-  if (mReading || mPaused || mState != State::Exchanging) {
+  if (mReading || mPaused || mHasInputEnded || mState != State::Exchanging) {
     return;
   }
   mReading = true;
@@ -293,13 +303,7 @@
     return;
   }
   if (aError == asio::error::eof) {
-    // Only an answer without a length may end with the connection, and only by an orderly close.
-    ErrorCode error;
-    if (mHeadSeen) {
-      mParser->put_eof(error);
-    }
-    bool complete = mHeadSeen && !error && !mSkipping && mParser->is_done();
-    finish(complete ? ExchangeEnd::Complete : ExchangeEnd::CutShort);
+    onInputEnd();
     return;
   }
   if (aError) {
@@ -312,6 +316,38 @@
   }
 }
 
+void Exchange::onInputEnd()
+{
+  // Only an answer without a length may end with the connection, and only by an orderly close.
+  ErrorCode error;
+  if (mHeadSeen) {
+    mParser->put_eof(error);
+  }
+  if (!mHeadSeen || error || mSkipping || !mParser->is_done()) {
+    finish(ExchangeEnd::CutShort);
+    return;
+  }
+  mHasInputEnded = true;
+  if (mSent || mHasWriteFailed) {
+    finishByWrite();
+    return;
+  }
+  // A write that fails takes the error of the socket, and the next read finds an orderly end. The
+  // handler of that write may still be queued.
+  mWriteResultTimer.emplace(mIo, kWriteResultTimeout);
+  mWriteResultTimer->async_wait([self = shared_from_this()](ErrorCode aError) {
+    if (!aError && self->mState == State::Exchanging) {
+      self->finishByWrite();
+    }
+  });
+}
+
+void Exchange::finishByWrite()
+{
+  // Without a result the endpoint has ended its output alone: it is there and does not read on.
+  finish(mHasWriteFailed ? ExchangeEnd::CutShort : ExchangeEnd::Complete);
+}
+
 bool Exchange::parse()
 {
   while (mConnection->buffer.size() > 0) {
@@ -425,6 +461,7 @@
     return;
   }
   mState = State::Ended;
+  mWriteResultTimer.reset();
   releaseConnection(aEnd == ExchangeEnd::Complete && mKeepOpen);
   if (auto handler = mHandler.lock()) {
     handler->onEnd(aEnd);
@@ -453,13 +490,15 @@
     return;
   }
   mState = State::Ended;
+  mWriteResultTimer.reset();
   releaseConnection(false);
 }
 
-bool Exchange::hasUnreadBytes() const
+bool Exchange::isAnswerArriving() const
 {
-  ErrorCode ignored; // A broken connection has none.
-  return mState == State::Exchanging && mConnection->socket.available(ignored) > 0;
+  ErrorCode ignored; // A broken connection has no bytes.
+  return mState == State::Exchanging &&
+         (mHasInputEnded || mConnection->socket.available(ignored) > 0);
 }
 
 void Exchange::setPaused(bool aPaused)
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -166,8 +166,9 @@
   void abort();
   /** Stops reading while paused: backpressure from a slow caller to the endpoint. */
   void setPaused(bool aPaused);
-  /** Whether bytes of the answer have arrived that were not read yet. */
-  bool hasUnreadBytes() const;
+  /** Whether bytes of the answer have arrived that were not read yet, or its end has and is being
+   * confirmed. */
+  bool isAnswerArriving() const;
   bool isPaused() const { return mPaused; }
   bool isConnecting() const { return mState == State::Connecting; }
   bool isNewConnection() const { return mIsNew; }
@@ -188,6 +189,11 @@
   void send();
   void read();
   void onRead(ErrorCode aError, size_t aBytes);
+  void onWritten(ErrorCode aError);
+  /** The endpoint has ended its output, or a reset looks like it. */
+  void onInputEnd();
+  /** Ends the exchange at the end of the input as the result of the write requires. */
+  void finishByWrite();
   /** Parses the buffered bytes. Returns false when the exchange has ended. */
   bool parse();
   bool handleHead();
@@ -208,6 +214,10 @@
   State mState = State::Idle;
   bool mIsNew = false;
   bool mSent = false;
+  bool mHasWriteFailed = false;
+  bool mHasInputEnded = false; ///< An answer without a length has ended with the connection.
+  /** Limits the wait for the result of the write after the end of the input. */
+  std::optional<asio::steady_timer> mWriteResultTimer;
   bool mHeadSeen = false;
   bool mSkipping = false;  ///< The answer being read is to another request and is discarded.
   uint64_t mBodyBytes = 0; ///< Body bytes received of the answer being read.
--- a/tests/integration/early_answers.py
+++ b/tests/integration/early_answers.py
@@ -4,6 +4,8 @@
 import http.client
 import random
 import signal
+import socket
+import struct
 import threading
 import time
 import unittest
@@ -72,6 +74,38 @@
         self.address = "127.0.0.1:%d" % server.server_address[1]
 
 
+class ResettingEndpoint:
+    """Answers without a length before it has read the body, sends a part and resets the connection."""
+
+    PART = b"p" * 1000
+
+    def __init__(self):
+        self.answered = 0
+        endpoint = self
+
+        class EndpointHandler(Handler):
+            def do_POST(self):
+                head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Upstream-Signature: s\r\n" % (
+                    self.headers["X-Attempt-Id"].encode())
+                part = endpoint.PART
+                if self.path.startswith("/z/"):
+                    head += b"Content-Type: text/event-stream\r\n"
+                    part = b"id: 1\ndata: token\n\n"
+                self.wfile.write(head + b"\r\n" + part)
+                endpoint.answered += 1
+                if endpoint.answered % 2:  # Otherwise the unread bytes reset it.
+                    self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                self.close_connection = True
+
+        class EndpointServer(Server):
+            def shutdown_request(self, request):
+                request.close()  # The base class would end the output in order before.
+
+        server = EndpointServer(("127.0.0.1", 0), EndpointHandler)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        self.address = "127.0.0.1:%d" % server.server_address[1]
+
+
 class Caller(threading.Thread):
     """Sends requests of all kinds and sizes on kept connections until told to end."""
 
@@ -107,11 +141,11 @@
 
 
 class EarlyAnswers(PlatformCase):
-    def start_fleet(self):
+    def start_fleet(self, endpoints):
         self.store.rows["op"]["config"] = DEPLOYMENT
-        for number in range(3):
+        for number, endpoint in enumerate(endpoints):
             self.store.rows["servers"][f"i-{number}"] = {
-                "backend": "s", "address": EarlyEndpoint().address, "zone": "z", "slots": 40, "state": "healthy",
+                "backend": "s", "address": endpoint.address, "zone": "z", "slots": 40, "state": "healthy",
                 "warmup_left_ms": 0, "born": 5 + number}
         router = self.start_router()
         self.wait_status(self.readiness, "/boragepitch/readyz", 200)
@@ -119,7 +153,7 @@
 
     def test_long_bodies_answered_early(self):
         """Guards against a crash of the router, which loses every request that it holds (LOST)."""
-        router = self.start_fleet()
+        router = self.start_fleet([EarlyEndpoint() for _ in range(3)])
         callers = [Caller(number, self.callers) for number in range(12)]
         for caller in callers:
             caller.start()
@@ -140,6 +174,30 @@
         self.assertEqual(lost, [], "\n" + "\n".join(lost[:20]))
         self.assertGreater(outcomes[200], 100)
 
+    def test_parts_before_a_reset(self):
+        """Guards against a part of an answer that callers get as a whole one (MIXED)."""
+        endpoint = ResettingEndpoint()
+        self.start_fleet([endpoint])
+        complete = collections.Counter()
+        for kind, prefix in ROUTES.items():
+            for number in range(12):
+                # Bodies differ, as one that seems to crash endpoints is not sent again.
+                body = b"%d" % number + b"b" * 3_000_000
+                connection = http.client.HTTPConnection("127.0.0.1", self.callers, timeout=20)
+                try:
+                    connection.request("POST", prefix + "a", body, {
+                        "Host": "a.example", "X-Attempt-Id": f"{kind}-{number}", "X-Deadline-Ms": "6000"})
+                    response = connection.getresponse()
+                    response.read()
+                    complete[kind] += response.status == 200
+                except (http.client.HTTPException, OSError):
+                    pass  # The answer does not look complete.
+                finally:
+                    connection.close()
+        print(dict(complete), endpoint.answered)
+        self.assertEqual(sum(complete.values()), 0)
+        self.assertGreaterEqual(endpoint.answered, 12)
+
 
 if __name__ == "__main__":
     unittest.main()
