--- a/libs/relay/src/Upstream.cpp
+++ b/libs/relay/src/Upstream.cpp
@@ -29,9 +29,9 @@
  * endpoint closes the connection. */
 constexpr base::Milliseconds kKeepAliveMargin = 1000ms;
 constexpr size_t kMaxIdlePerEndpoint = 24;
-/** Wait for the result of the write after the end of the input. An endpoint that is gone answers
- * the bytes that it is still sent with a reset, within a round trip. Not above kLastReadTime of
- * Call, so that an answer which ends before its deadline is delivered. */
+/** Longest wait for the result of the write after the end of the input. An endpoint that has closed
+ * the connection resets it when further bytes arrive, within a round trip. Not above kLastReadTime
+ * of Call, so that an answer which ends before its deadline is delivered. */
 constexpr base::Milliseconds kWriteResultTimeout = 200ms;
 
 HeaderLines linesOf(const http::fields& aFields)
@@ -264,7 +264,7 @@
     }
   }
   if (mHasInputEnded) {
-    finishByWrite();
+    finishAtInputEnd();
   }
 }
 
@@ -329,22 +329,22 @@
   }
   mHasInputEnded = true;
   if (mSent || mHasWriteFailed) {
-    finishByWrite();
+    finishAtInputEnd();
     return;
   }
-  // A write that fails takes the error of the socket, and the next read finds an orderly end. The
-  // handler of that write may still be queued.
+  // After a reset a failed write takes the error of the socket, and the next read finds what looks
+  // like an orderly end. The handler of that write may still be queued.
   mWriteResultTimer.emplace(mIo, kWriteResultTimeout);
   mWriteResultTimer->async_wait([self = shared_from_this()](ErrorCode aError) {
     if (!aError && self->mState == State::Exchanging) {
-      self->finishByWrite();
+      self->finishAtInputEnd();
     }
   });
 }
 
-void Exchange::finishByWrite()
+void Exchange::finishAtInputEnd()
 {
-  // Without a result the endpoint has ended its output alone: it is there and does not read on.
+  // Without a result the endpoint has closed its output only: it is there and does not read on.
   finish(mHasWriteFailed ? ExchangeEnd::CutShort : ExchangeEnd::Complete);
 }
 
--- a/libs/relay/src/Upstream.h
+++ b/libs/relay/src/Upstream.h
@@ -190,10 +190,10 @@
   void read();
   void onRead(ErrorCode aError, size_t aBytes);
   void onWritten(ErrorCode aError);
-  /** The endpoint has ended its output, or a reset looks like it. */
+  /** The endpoint has closed its output, or a reset looks like it. */
   void onInputEnd();
-  /** Ends the exchange at the end of the input as the result of the write requires. */
-  void finishByWrite();
+  /** Ends an exchange whose input has ended, by what is known of its write. */
+  void finishAtInputEnd();
   /** Parses the buffered bytes. Returns false when the exchange has ended. */
   bool parse();
   bool handleHead();
